Lay down the workspace with the typed interfaces of every library

Cause: the libraries are to be written side by side, so what passes between them must stand first. Conclusion: the interfaces hold for a first whole path; roles are not implemented yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# `make demo` and `make test` do all set-up themselves.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+LIBS := model decisions consensus state wire control entry sidecar daemon cli fakes
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test unit features format lint docs bench measure capacity
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet "setuptools>=77" wheel
+	$(BIN)/python -m pip install --quiet -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+test: setup
+	$(BIN)/python -m behave --format progress --no-capture features
+	$(BIN)/python -m pytest
+
+unit: setup
+	$(BIN)/python -m pytest
+
+features: setup
+	$(BIN)/python -m behave --format progress --no-capture features
+
+format: setup
+	$(BIN)/black --quiet .
+	$(BIN)/ruff check --quiet --fix .
+
+lint: setup
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/python tools/check_imports.py
+
+docs: setup
+	$(BIN)/python -m mkdocs build --strict --quiet --site-dir build/site
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,18 @@
+"""Patches the standard library before any scenario runs, as the daemon does."""
+
+from __future__ import annotations
+
+import eventlet
+
+eventlet.monkey_patch()
+
+
+def before_scenario(context, _scenario):
+    """Give each scenario its own list of things to stop."""
+    context.to_stop = []
+
+
+def after_scenario(context, _scenario):
+    """Stop what the scenario started, newest first."""
+    for stop in reversed(context.to_stop):
+        stop()
--- /dev/null
+++ b/libs/cli/tarragonhall_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool, which talks HTTP to the admin API."""
--- /dev/null
+++ b/libs/consensus/tarragonhall_consensus/_interface.py
@@ -0,0 +1,157 @@
+"""The replicated log as its user sees it: events in, outputs out, one state machine on top.
+
+`Replica.step(events, now)` takes a batch, syncs storage once for the whole batch, and only then
+returns the outputs, so that nothing leaves a member before what it promises is on disk. `now` is
+the monotonic clock in seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from tarragonhall_model import record
+
+
+class Machine(Protocol):
+    """What the log drives. `apply` must give the same result on every member."""
+
+    def apply(self, index: int, data: bytes) -> object:
+        """Apply one committed entry and return its result."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+
+
+@record
+class Member:
+    """One member of the group. `identity` is drawn anew whenever a data folder is made."""
+
+    member_id: str
+    identity: str
+    address: str
+    voting: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Time has passed. Feed one every `TICK_SECONDS` or so."""
+
+
+@dataclass(slots=True, frozen=True)
+class Received:
+    """A message of this library arrived from a peer."""
+
+    peer: str
+    message: object
+
+
+@dataclass(slots=True, frozen=True)
+class ProposeData:
+    """Put data in the log. Ends in `ProposalDone` or `ProposalLost` with the same token."""
+
+    token: int
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class ConfirmRead:
+    """Confirm the lead with a majority. Ends in `ReadConfirmed` or `ReadLost`."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class ChangeMember:
+    """Add (as learner, then voter), or remove, one member. Ends like a proposal."""
+
+    token: int
+    member: Member
+    remove: bool = False
+
+
+Event = Tick | Received | ProposeData | ConfirmRead | ChangeMember
+
+
+@dataclass(slots=True, frozen=True)
+class SendTo:
+    """Send the message to the peer; loss is allowed."""
+
+    peer: str
+    message: object
+
+
+@dataclass(slots=True, frozen=True)
+class ProposalDone:
+    """The proposal was committed at `index` and applied here with this result."""
+
+    token: int
+    index: int
+    result: object
+
+
+@dataclass(slots=True, frozen=True)
+class ProposalLost:
+    """This member cannot tell what becomes of the proposal. `not_logged` says it never will be."""
+
+    token: int
+    leader: str | None
+    not_logged: bool
+    reason: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class ReadConfirmed:
+    """A majority confirmed the lead after the read was asked; state is at least that new."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class ReadLost:
+    """The lead could not be confirmed."""
+
+    token: int
+    leader: str | None
+
+
+@dataclass(slots=True, frozen=True)
+class RoleChanged:
+    """This member's role, term or known leader changed. `role` is the field's usual name."""
+
+    role: str
+    term: int
+    leader: str | None
+
+
+Output = SendTo | ProposalDone | ProposalLost | ReadConfirmed | ReadLost | RoleChanged
+
+
+@dataclass(slots=True, frozen=True)
+class Status:
+    """What operators see of a member."""
+
+    member_id: str
+    role: str
+    term: int
+    leader: str | None
+    commit_index: int
+    last_index: int
+    applied_index: int
+    members: list[Member]
+
+
+class ReplicaApi(Protocol):
+    """One member of the group."""
+
+    def step(self, events: list[Event], now: float) -> list[Output]:
+        """Handle a batch of events and return what is to be done, after one sync at most."""
+
+    def status(self) -> Status:
+        """Return what operators see."""
+
+    def is_leader(self, now: float) -> bool:
+        """Return whether this member leads and its lease has not run out by `now`."""
--- /dev/null
+++ b/libs/control/tarragonhall_control/__init__.py
@@ -0,0 +1,14 @@
+"""The control role: the eventlet shell around the replicated log, and the admin HTTP API."""
+
+from __future__ import annotations
+
+from tarragonhall_wire import ProcessContext, Role
+
+from tarragonhall_control._settings import OPTIONS, ControlSettings
+
+__all__ = ["OPTIONS", "ControlSettings", "start_control"]
+
+
+def start_control(settings: ControlSettings, context: ProcessContext) -> Role:
+    """Open the data folder, join the group and serve links and the admin API."""
+    raise NotImplementedError
--- /dev/null
+++ b/libs/control/tarragonhall_control/_settings.py
@@ -0,0 +1,31 @@
+"""Settings of the control role."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonhall_model import Address, Group, MapOf, Text, Whole
+
+
+@dataclass(slots=True, frozen=True)
+class ControlSettings:
+    """`members` maps each founding member's instance name to its link address."""
+
+    data_folder: str
+    admin: str
+    members: dict[str, str]
+    server_timeout_ms: int
+    entry_timeout_ms: int
+
+
+OPTIONS = Group(
+    ControlSettings,
+    {
+        "data_folder": Text(),
+        "admin": Address(),
+        "members": MapOf(Address()),
+        # A backend server that leaves without a word must get no new work after a few seconds.
+        "server_timeout_ms": Whole(3_000, minimum=500),
+        "entry_timeout_ms": Whole(4_000, minimum=500),
+    },
+)
--- /dev/null
+++ b/libs/daemon/tarragonhall_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs one or more roles in one process."""
--- /dev/null
+++ b/libs/entry/tarragonhall_entry/_settings.py
@@ -0,0 +1,27 @@
+"""Settings of the entry role."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonhall_model import Address, Group, Whole
+
+
+@dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """`listen` is where callers reach this entry, through the platform's balancer."""
+
+    listen: str
+    queue_per_organisation: int
+    drain_grace_ms: int
+
+
+OPTIONS = Group(
+    EntrySettings,
+    {
+        "listen": Address(),
+        "queue_per_organisation": Whole(1_000, minimum=1),
+        # Time for the balancer to see that `readyz` fails before the listener closes.
+        "drain_grace_ms": Whole(2_000),
+    },
+)
--- /dev/null
+++ b/libs/fakes/tarragonhall_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems, and the load tool."""
--- /dev/null
+++ b/libs/model/tarragonhall_model/_calls.py
@@ -0,0 +1,149 @@
+"""A program's calls: what a caller asks for, and what becomes of it."""
+
+from __future__ import annotations
+
+import enum
+
+from tarragonhall_model._codec import record
+
+
+class CallKind(enum.Enum):
+    """Whether a call goes to a model engine or to a plain service."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class Execution(enum.Enum):
+    """What is known of whether a refused call ran."""
+
+    NOT_RUN = "not_run"
+    COMPLETED = "completed"
+    UNKNOWN = "unknown"
+
+
+class RefusalCode(enum.Enum):
+    """Why a call or request was refused; callers match on these values."""
+
+    BAD_INPUT = "bad_input"
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    PROGRAM_ENDED = "program_ended"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    RATE_EXCEEDED = "rate_exceeded"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    NO_SERVER = "no_server"
+    STALE = "stale"
+    SERVER_FAILED = "server_failed"
+    CANCELLED = "cancelled"
+    SHUTTING_DOWN = "shutting_down"
+    UNAVAILABLE = "unavailable"
+
+
+@record
+class Refusal:
+    """Why something was not done, and whether it ran all the same."""
+
+    code: RefusalCode
+    message: str
+    execution: Execution = Execution.NOT_RUN
+    retry_after_ms: int | None = None
+
+
+@record
+class CallSpec:
+    """One call as its caller stated it.
+
+    `body` is the prompt of a model call or the JSON text of a service call. `target` names a model
+    or a service. `timeout_ms` counts from the arrival at an entry.
+    """
+
+    seq: int
+    kind: CallKind
+    target: str
+    body: str
+    repeatable: bool = True
+    max_tokens: int = 0
+    timeout_ms: int = 60_000
+    stream: bool = False
+
+
+@record
+class Usage:
+    """Tokens of one call: `prompt` includes `cached`, the part that a prefix cache held."""
+
+    prompt: int = 0
+    cached: int = 0
+    generated: int = 0
+
+
+@record
+class Answer:
+    """The whole answer of a backend server to one call; `status` is a service's HTTP status."""
+
+    text: str
+    usage: Usage = Usage()
+    status: int = 200
+
+
+@record
+class Turn:
+    """One finished model call in a program's history."""
+
+    prompt: str
+    answer: str
+
+
+@record
+class Budget:
+    """What a program and its sub-agents together may use.
+
+    `tokens` counts generated tokens, `calls` every call that was dispatched, `seconds` the wall
+    time since the root program was opened.
+    """
+
+    tokens: int = 100_000
+    calls: int = 200
+    seconds: int = 3_600
+
+
+@record
+class Spent:
+    """Part of a budget that is used up (`tokens`, `calls`) or reserved by open calls."""
+
+    tokens: int = 0
+    calls: int = 0
+    reserved_tokens: int = 0
+    reserved_calls: int = 0
+
+
+class ProgramStatus(enum.Enum):
+    """The life of a program; all but `OPEN` are final."""
+
+    OPEN = "open"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    EXPIRED = "expired"
+
+
+@record
+class AttemptId:
+    """Names one try at running a call on one life of one backend server.
+
+    `incarnation` changes each time the sidecar of that server starts: a later life knows nothing of
+    the attempts of an earlier one and must not run them.
+    """
+
+    program_id: str
+    seq: int
+    number: int
+    server_id: str
+    incarnation: str
+
+    @property
+    def key(self) -> str:
+        """Return the text form used as a map key and on the engine's protocol."""
+        return f"{self.program_id}/{self.seq}/{self.number}"
--- /dev/null
+++ b/libs/model/tarragonhall_model/_codec.py
@@ -0,0 +1,139 @@
+"""CBOR encoding of the project's data classes, driven by their type hints.
+
+A record travels as the array `[type name, {field: value}]`. Unknown fields are ignored and missing
+ones take their default, so that two versions can talk during a rolling upgrade. Only classes
+marked with `@record` can be decoded: a peer cannot make this process build anything else.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import types
+import typing
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import cbor2
+
+from tarragonhall_model._errors import CodecError
+
+T = TypeVar("T")
+
+_class_by_name: dict[str, type] = {}
+_decoders_by_class: dict[type, dict[str, Callable[[Any], Any]]] = {}
+
+
+def record(cls: type[T]) -> type[T]:
+    """Make a class a frozen slotted data class that the codec can encode and decode."""
+    made = dataclasses.dataclass(slots=True, frozen=True)(cls)
+    if made.__name__ in _class_by_name:
+        raise ValueError(f"two records are named {made.__name__}")
+    _class_by_name[made.__name__] = made
+    return made
+
+
+def encode(value: Any) -> bytes:
+    """Encode a record, or a plain value made of records, lists, maps and scalars."""
+    return cbor2.dumps(to_plain(value))
+
+
+def decode(data: bytes) -> Any:
+    """Decode one record; raise `CodecError` for anything else."""
+    try:
+        plain = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, EOFError) as error:
+        raise CodecError(f"not CBOR: {error}") from error
+    return from_plain(plain)
+
+
+def to_plain(value: Any) -> Any:
+    """Turn a record into nested lists, maps and scalars."""
+    if isinstance(value, enum.Enum):
+        return value.value
+    if value is None or isinstance(value, (str, bytes, int, float, bool)):
+        return value
+    if isinstance(value, (list, tuple)):
+        return [to_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: to_plain(item) for key, item in value.items()}
+    name = type(value).__name__
+    if name not in _class_by_name:
+        raise CodecError(f"{name} is not a record")
+    return [name, {slot: to_plain(getattr(value, slot)) for slot in value.__slots__}]
+
+
+def from_plain(plain: Any) -> Any:
+    """Turn what `to_plain` made of a record back into that record."""
+    if not isinstance(plain, list) or len(plain) != 2 or not isinstance(plain[1], dict):
+        raise CodecError("expected a record as [name, fields]")
+    cls = _class_by_name.get(plain[0]) if isinstance(plain[0], str) else None
+    if cls is None:
+        raise CodecError(f"unknown record {plain[0]!r}")
+    return _build(cls, plain[1])
+
+
+def _build(cls: type, fields: dict[str, Any]) -> Any:
+    decoders = _decoders_by_class.get(cls)
+    if decoders is None:
+        hints = typing.get_type_hints(cls)
+        decoders = {f.name: _decoder(hints[f.name]) for f in dataclasses.fields(cls)}
+        _decoders_by_class[cls] = decoders
+    try:
+        known = {name: decoders[name](item) for name, item in fields.items() if name in decoders}
+        return cls(**known)
+    except CodecError:
+        raise
+    except (TypeError, ValueError, AttributeError, KeyError) as error:
+        raise CodecError(f"{cls.__name__}: {error}") from error
+
+
+def _decoder(hint: Any) -> Callable[[Any], Any]:
+    origin = typing.get_origin(hint)
+    if origin in (typing.Union, types.UnionType):
+        return _union_decoder(hint)
+    if origin in (list, tuple):
+        item = _decoder(typing.get_args(hint)[0])
+        made = list if origin is list else tuple
+        return lambda value: made(item(part) for part in value)
+    if origin is dict:
+        item = _decoder(typing.get_args(hint)[1])
+        return lambda value: {key: item(part) for key, part in value.items()}
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return hint
+    if dataclasses.is_dataclass(hint):
+        return from_plain
+    if hint in (str, int, bytes, bool):
+        return _exactly(hint)
+    if hint is float:
+        return float
+    if hint is object:
+        return _any_record
+    return lambda value: value
+
+
+def _union_decoder(hint: Any) -> Callable[[Any], Any]:
+    members = [member for member in typing.get_args(hint) if member is not type(None)]
+    optional = len(members) < len(typing.get_args(hint))
+    inner = _decoder(members[0]) if len(members) == 1 else from_plain
+    if not optional:
+        return inner
+    return lambda value: None if value is None else inner(value)
+
+
+def _any_record(value: Any) -> Any:
+    """Decode a field declared as `object`: a record of any kind, a list of them, or a scalar."""
+    if isinstance(value, list) and len(value) == 2 and isinstance(value[1], dict):
+        return from_plain(value)
+    if isinstance(value, list):
+        return [_any_record(item) for item in value]
+    return value
+
+
+def _exactly(expected: type) -> Callable[[Any], Any]:
+    def check(value: Any) -> Any:
+        if not isinstance(value, expected):
+            raise CodecError(f"expected {expected.__name__}, got {type(value).__name__}")
+        return value
+
+    return check
--- /dev/null
+++ b/libs/model/tarragonhall_model/_errors.py
@@ -0,0 +1,49 @@
+"""The exception tree. Every error the project raises on purpose descends from one base."""
+
+from __future__ import annotations
+
+from tarragonhall_model._findings import Finding
+
+
+class TarragonhallError(Exception):
+    """Base of all errors raised on purpose; shown to users without a traceback."""
+
+
+class InputError(TarragonhallError):
+    """Input that was checked and found wrong; carries every finding at once."""
+
+    def __init__(self, findings: list[Finding]) -> None:
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
+
+
+class CodecError(TarragonhallError):
+    """Bytes from a link, a log or a snapshot that do not decode to a known record."""
+
+
+class LinkError(TarragonhallError):
+    """A link between two processes failed."""
+
+
+class LinkClosedError(LinkError):
+    """The link is closed; whether the last message arrived is unknown."""
+
+
+class LinkOverloadedError(LinkError):
+    """The send queue of the link is full; the message was not sent."""
+
+
+class RequestTimeoutError(LinkError):
+    """No reply came in time; whether the peer acted on the request is unknown."""
+
+
+class StorageError(TarragonhallError):
+    """The data folder cannot be used: disk full, failed sync, corruption or a second process."""
+
+
+class NotLeaderError(TarragonhallError):
+    """The control member asked is not the leader; `leader` names it where known."""
+
+    def __init__(self, leader: str | None) -> None:
+        super().__init__(f"not the leader; leader is {leader or 'unknown'}")
+        self.leader = leader
--- /dev/null
+++ b/libs/model/tarragonhall_model/_options.py
@@ -0,0 +1,238 @@
+"""Declared options: each checks its own value, and a group reports all findings at once.
+
+A settings file is one `Group` of options, nested. `Group.load` never stops at the first problem:
+an operator who fixes a file sees every finding, each with its JSON pointer, in one run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from tarragonhall_model._findings import Finding, unknown_name
+
+REQUIRED: Any = object()
+MAX_PORT = 65_535
+
+Loaded = tuple[Any, list[Finding]]
+
+
+def _expected(place: str, what: str, value: object) -> Loaded:
+    return None, [Finding(place, f"expected {what}, got {value!r}")]
+
+
+@dataclass(slots=True, frozen=True)
+class Text:
+    """A non-empty string."""
+
+    default: Any = REQUIRED
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check one value."""
+        if not isinstance(value, str) or not value:
+            return _expected(place, "a non-empty string", value)
+        return value, []
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"type": "string", "minLength": 1}
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    """`host:port`, where the host is an IP number or `localhost`."""
+
+    default: Any = REQUIRED
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check one value."""
+        if not isinstance(value, str):
+            return _expected(place, "host:port", value)
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+            return _expected(place, "host:port", value)
+        return value, []
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"type": "string", "pattern": "^.+:[0-9]+$"}
+
+
+@dataclass(slots=True, frozen=True)
+class Whole:
+    """A whole number within bounds."""
+
+    default: Any = REQUIRED
+    minimum: int = 0
+    maximum: int = 2**53
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check one value."""
+        if isinstance(value, bool) or not isinstance(value, int):
+            return _expected(place, "a whole number", value)
+        if not self.minimum <= value <= self.maximum:
+            return _expected(place, f"a number from {self.minimum} to {self.maximum}", value)
+        return value, []
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"type": "integer", "minimum": self.minimum, "maximum": self.maximum}
+
+
+@dataclass(slots=True, frozen=True)
+class Number:
+    """A finite number within bounds."""
+
+    default: Any = REQUIRED
+    minimum: float = 0.0
+    maximum: float = 1e15
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check one value."""
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            return _expected(place, "a number", value)
+        if not self.minimum <= value <= self.maximum:
+            return _expected(place, f"a number from {self.minimum} to {self.maximum}", value)
+        return float(value), []
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"type": "number", "minimum": self.minimum, "maximum": self.maximum}
+
+
+@dataclass(slots=True, frozen=True)
+class Flag:
+    """True or false."""
+
+    default: Any = REQUIRED
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check one value."""
+        if not isinstance(value, bool):
+            return _expected(place, "true or false", value)
+        return value, []
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"type": "boolean"}
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """One of a few words; `made` turns the word into the value that the code uses."""
+
+    words: tuple[str, ...]
+    default: Any = REQUIRED
+    made: Callable[[str], Any] = str
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check one value."""
+        if value not in self.words:
+            if isinstance(value, str):
+                return None, [unknown_name(place, value, self.words)]
+            return _expected(place, f"one of {', '.join(self.words)}", value)
+        return self.made(value), []
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"enum": list(self.words)}
+
+
+@dataclass(slots=True, frozen=True)
+class ListOf:
+    """A list whose items are all of one kind."""
+
+    item: Any
+    default: Any = REQUIRED
+    at_least: int = 0
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check each item."""
+        if not isinstance(value, list):
+            return _expected(place, "a list", value)
+        if len(value) < self.at_least:
+            return None, [Finding(place, f"expected at least {self.at_least} item(s)")]
+        loaded, findings = [], []
+        for index, part in enumerate(value):
+            item, found = self.item.load(part, f"{place}/{index}")
+            loaded.append(item)
+            findings.extend(found)
+        return loaded, findings
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"type": "array", "items": self.item.schema(), "minItems": self.at_least}
+
+
+@dataclass(slots=True, frozen=True)
+class MapOf:
+    """An object with free names whose values are all of one kind."""
+
+    item: Any
+    default: Any = REQUIRED
+
+    def load(self, value: object, place: str) -> Loaded:
+        """Check each value."""
+        if not isinstance(value, dict):
+            return _expected(place, "an object", value)
+        loaded, findings = {}, []
+        for name, part in value.items():
+            loaded[name], found = self.item.load(part, f"{place}/{escape(name)}")
+            findings.extend(found)
+        return loaded, findings
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of this option."""
+        return {"type": "object", "additionalProperties": self.item.schema()}
+
+
+@dataclass(slots=True, frozen=True)
+class Group:
+    """An object with declared names; `made` builds the typed settings from them.
+
+    `check` looks at the built settings as a whole, for what no option can see alone.
+    """
+
+    made: Callable[..., Any]
+    options: dict[str, Any]
+    default: Any = REQUIRED
+    check: Callable[[Any, str], Iterable[Finding]] = field(default=lambda _made, _place: ())
+
+    def load(self, value: object, place: str = "") -> Loaded:
+        """Check every option, then the whole."""
+        if not isinstance(value, dict):
+            return _expected(place, "an object", value)
+        findings = [
+            unknown_name(f"{place}/{escape(name)}", name, self.options)
+            for name in value
+            if name not in self.options
+        ]
+        loaded = {}
+        for name, option in self.options.items():
+            here = f"{place}/{name}"
+            if name not in value:
+                if option.default is REQUIRED:
+                    findings.append(Finding(here, "is required"))
+                loaded[name] = option.default
+                continue
+            loaded[name], found = option.load(value[name], here)
+            findings.extend(found)
+        if findings:
+            return None, findings
+        made = self.made(**loaded)
+        return made, list(self.check(made, place))
+
+    def schema(self) -> dict:
+        """Return the JSON Schema of the group."""
+        return {
+            "type": "object",
+            "properties": {name: option.schema() for name, option in self.options.items()},
+            "required": [n for n, option in self.options.items() if option.default is REQUIRED],
+            "additionalProperties": False,
+        }
+
+
+def escape(name: str) -> str:
+    """Escape a name for use in a JSON pointer (RFC 6901)."""
+    return name.replace("~", "~0").replace("/", "~1")
--- /dev/null
+++ b/libs/model/tarragonhall_model/_policy.py
@@ -0,0 +1,111 @@
+"""What is in force: the resolved settings that entries and sidecars act on."""
+
+from __future__ import annotations
+
+import enum
+
+from tarragonhall_model._calls import Budget
+from tarragonhall_model._codec import record
+
+
+@record
+class Rate:
+    """Calls a second and burst of one organisation over all entries together."""
+
+    per_second: float = 10.0
+    burst: float = 20.0
+
+
+@record
+class OrganisationPolicy:
+    """All that is in force for one organisation, with inheritance already resolved."""
+
+    org_id: str
+    path: str
+    rate: Rate = Rate()
+    weight: float = 1.0
+    budget: Budget = Budget()
+    idle_seconds: int = 600
+    enabled: bool = True
+
+
+@record
+class KeyPolicy:
+    """One caller key, by its hash. Absent or withdrawn keys are refused."""
+
+    key_hash: str
+    org_id: str
+    expires_at_ms: int | None = None
+
+
+@record
+class ModelPolicy:
+    """One model and the version in force for it."""
+
+    name: str
+    version: str
+    min_replicas: int = 1
+    max_tokens: int = 4_096
+
+
+@record
+class PolicyDelta:
+    """Changes that lead from one settings revision to another.
+
+    With `full` set, the lists hold everything and replace what the receiver had; `base` is then
+    ignored. Removed entries are named by id, hash or model name.
+    """
+
+    base: int
+    revision: int
+    full: bool = False
+    organisations: tuple[OrganisationPolicy, ...] = ()
+    keys: tuple[KeyPolicy, ...] = ()
+    models: tuple[ModelPolicy, ...] = ()
+    removed_organisations: tuple[str, ...] = ()
+    removed_keys: tuple[str, ...] = ()
+    removed_models: tuple[str, ...] = ()
+
+
+class ServerKind(enum.Enum):
+    """What a backend server is: a model engine or a plain service."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+@record
+class ServerRecord:
+    """A backend server as its sidecar announced it. `serves` names models or services."""
+
+    server_id: str
+    incarnation: str
+    address: str
+    availability_zone: str
+    kind: ServerKind
+    serves: list[str]
+    slots: int = 8
+    draining: bool = False
+
+
+@record
+class EntryRecord:
+    """An entry process as it announced itself; `address` is where its peers' links reach it."""
+
+    entry_id: str
+    incarnation: str
+    address: str
+    availability_zone: str
+
+
+@record
+class View:
+    """The members of the system in one epoch. Each change of membership raises the epoch by one.
+
+    `changed_at_ms` is the leader's clock when this epoch was committed; it is for display only.
+    """
+
+    epoch: int
+    entries: list[EntryRecord]
+    servers: list[ServerRecord]
+    changed_at_ms: int = 0
--- /dev/null
+++ b/libs/model/tarragonhall_model/_timeline.py
@@ -0,0 +1,50 @@
+"""Events of the time line, and the questions that collect them from all processes."""
+
+from __future__ import annotations
+
+from dataclasses import field
+
+from tarragonhall_model._codec import record
+
+
+@record
+class Stamp:
+    """A hybrid logical clock reading: wall time in ms, a counter, and the instance as tie-break.
+
+    Stamps order an effect after its cause even where the clocks of two instances differ.
+    """
+
+    wall_ms: int
+    counter: int
+    instance: str
+
+    def sort_key(self) -> tuple[int, int, str]:
+        """Return the key that orders stamps."""
+        return (self.wall_ms, self.counter, self.instance)
+
+
+@record
+class TimelineEvent:
+    """Something that happened in one process. `program_id` is empty for matters of no program."""
+
+    stamp: Stamp
+    kind: str
+    program_id: str = ""
+    fields: dict[str, str] = field(default_factory=dict)
+
+
+@record
+class QueryTimeline:
+    """Ask a process for its events. Reply: `TimelineEvents`."""
+
+    program_id: str = ""
+    since_ms: int = 0
+    limit: int = 1_000
+
+
+@record
+class TimelineEvents:
+    """The newest events that match, oldest first. `dropped` were lost to the bound of the ring."""
+
+    events: list[TimelineEvent]
+    dropped: int = 0
--- /dev/null
+++ b/libs/sidecar/tarragonhall_sidecar/_settings.py
@@ -0,0 +1,35 @@
+"""Settings of the sidecar role."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonhall_model import Address, Choice, Group, ListOf, ServerKind, Text, Whole
+
+
+@dataclass(slots=True, frozen=True)
+class SidecarSettings:
+    """One backend server. `server` is its own HTTP address; `serves` names models or services.
+
+    `fencing` says whether the engine itself refuses orders with an old fencing number.
+    """
+
+    server_id: str
+    server: str
+    kind: ServerKind
+    serves: list[str]
+    slots: int
+    fencing: str
+
+
+OPTIONS = Group(
+    SidecarSettings,
+    {
+        "server_id": Text(),
+        "server": Address(),
+        "kind": Choice(("model", "service"), made=ServerKind),
+        "serves": ListOf(Text(), at_least=1),
+        "slots": Whole(8, minimum=1, maximum=4_096),
+        "fencing": Choice(("enforced", "ignored"), default="ignored"),
+    },
+)
--- /dev/null
+++ b/libs/wire/tarragonhall_wire/__init__.py
@@ -0,0 +1,35 @@
+"""Links between processes, HTTP serving, logs, metrics and the time line."""
+
+from __future__ import annotations
+
+from tarragonhall_wire._context import ProcessContext, Role, make_context
+from tarragonhall_wire._control_client import ControlClient, UnavailableError
+from tarragonhall_wire._handshake import HandshakeError, Peer
+from tarragonhall_wire._http import HttpRequest, HttpResponse, HttpServer, sse_event
+from tarragonhall_wire._hub import Hub, split_address
+from tarragonhall_wire._link import Link
+from tarragonhall_wire._logs import set_up_logs
+from tarragonhall_wire._metrics import Metrics, make_metrics
+from tarragonhall_wire._timeline import HybridClock, Timeline
+
+__all__ = [
+    "ControlClient",
+    "HandshakeError",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "Hub",
+    "HybridClock",
+    "Link",
+    "Metrics",
+    "Peer",
+    "ProcessContext",
+    "Role",
+    "Timeline",
+    "UnavailableError",
+    "make_context",
+    "make_metrics",
+    "set_up_logs",
+    "split_address",
+    "sse_event",
+]
--- /dev/null
+++ b/libs/wire/tarragonhall_wire/_context.py
@@ -0,0 +1,75 @@
+"""What every role of a process shares."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from tarragonhall_wire._handshake import Peer
+from tarragonhall_wire._hub import Hub
+from tarragonhall_wire._metrics import Metrics
+from tarragonhall_wire._timeline import HybridClock, Timeline
+
+
+@dataclass(slots=True)
+class ProcessContext:
+    """The links, metrics, time line and clocks of one process.
+
+    `control_addresses` are the link addresses of all control members, from the settings.
+    """
+
+    instance: str
+    incarnation: str
+    availability_zone: str
+    link_address: str
+    control_addresses: list[str]
+    hub: Hub
+    metrics: Metrics
+    timeline: Timeline
+    rng: random.Random
+    monotonic: Callable[[], float] = time.monotonic
+    wall_ms: Callable[[], int] = lambda: int(time.time() * 1000)
+
+
+class Role(Protocol):
+    """One role of a process, as the daemon drives it."""
+
+    def ready(self) -> bool:
+        """Return whether the role can do its work now."""
+
+    def drain(self, timeout_s: float) -> bool:
+        """Take no new work and finish what is at hand; return whether all of it ended in time."""
+
+    def stop(self) -> None:
+        """Release everything at once."""
+
+
+def make_context(
+    instance: str,
+    availability_zone: str,
+    link_address: str,
+    control_addresses: list[str],
+    secret: bytes,
+    metrics: Metrics,
+) -> ProcessContext:
+    """Return the context of a new life of this process, with its listener open."""
+    incarnation = secrets.token_hex(8)
+    rng = random.Random(secrets.randbits(64))
+    timeline = Timeline(HybridClock(instance))
+    hub = Hub(Peer(instance, incarnation, link_address), secret, timeline, rng)
+    hub.listen(link_address)
+    return ProcessContext(
+        instance=instance,
+        incarnation=incarnation,
+        availability_zone=availability_zone,
+        link_address=link_address,
+        control_addresses=control_addresses,
+        hub=hub,
+        metrics=metrics,
+        timeline=timeline,
+        rng=rng,
+    )
--- /dev/null
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -0,0 +1,144 @@
+"""How entries and sidecars reach the control members: find the leader, propose, ask, follow."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import eventlet
+import structlog
+from tarragonhall_model import (
+    Busy,
+    EntryRecord,
+    Fresh,
+    Heartbeat,
+    Leaving,
+    LinkError,
+    News,
+    NotLeader,
+    PolicyDelta,
+    Propose,
+    Proposed,
+    ServerRecord,
+    TarragonhallError,
+    View,
+    new_id,
+)
+
+from tarragonhall_wire._context import ProcessContext
+
+log = structlog.get_logger(__name__)
+
+HEARTBEAT_SECONDS = 1.0
+# One member that answers nothing must not use up the whole time of a request: the next is tried.
+ATTEMPT_SECONDS = 1.5
+RETRY_SECONDS = 0.05
+
+
+class UnavailableError(TarragonhallError):
+    """No control member led or answered in time; whether the command takes effect is unknown."""
+
+
+class FollowerApi(Protocol):
+    """The part of `state.Follower` that is fed from here."""
+
+    settings_revision: int
+    view: View
+
+    def apply_policy(self, delta: PolicyDelta) -> bool: ...
+
+    def apply_view(self, view: View) -> bool: ...
+
+    def confirm(self, fresh: Fresh, sent_at: float) -> None: ...
+
+
+class ControlClient:
+    """Talks to whichever control member leads."""
+
+    __slots__ = ("_context", "_leader", "_next", "_stopped", "followers")
+
+    def __init__(self, context: ProcessContext) -> None:
+        self._context = context
+        self._leader: str | None = None
+        self._next = 0
+        self._stopped = False
+        self.followers: list[FollowerApi] = []
+        context.hub.handle(News, self._on_news)
+
+    def propose(self, body: object, timeout_s: float, request_id: str | None = None) -> object:
+        """Commit a command and return its result.
+
+        The request id stays the same over every resend, so that a command whose reply was lost
+        takes effect once.
+        """
+        request_id = request_id or new_id("req", self._context.rng)
+        reply = self.ask(Propose(request_id, body), timeout_s)
+        if not isinstance(reply, Proposed):
+            raise UnavailableError(f"unexpected reply {type(reply).__name__}")
+        return reply.result
+
+    def ask(self, message: object, timeout_s: float) -> object:
+        """Send a request to the leader until it is answered, or raise `UnavailableError`."""
+        deadline = self._context.monotonic() + timeout_s
+        while True:
+            left = deadline - self._context.monotonic()
+            if left <= 0:
+                raise UnavailableError("no control member answered in time")
+            address = self._candidate()
+            try:
+                link = self._context.hub.wait_for(address, min(left, ATTEMPT_SECONDS))
+                reply = link.request(message, min(left, ATTEMPT_SECONDS))
+            except LinkError:
+                self._leader = None
+                eventlet.sleep(RETRY_SECONDS)
+                continue
+            match reply:
+                case NotLeader(leader=leader):
+                    self._leader = leader
+                    eventlet.sleep(RETRY_SECONDS)
+                case Busy(retry_after_ms=pause_ms):
+                    eventlet.sleep(min(left, pause_ms / 1000))
+                case _:
+                    self._leader = address
+                    return reply
+
+    def follow(self, node: Callable[[], EntryRecord | ServerRecord], follower: FollowerApi) -> None:
+        """Keep a follower fresh and `node` announced, from a green thread, until `stop`."""
+        self.followers.append(follower)
+        eventlet.spawn_n(self._follow_loop, node, follower)
+
+    def leave(self, node: EntryRecord | ServerRecord, timeout_s: float) -> None:
+        """Leave the view; after a failure the missing heartbeats do the same, later."""
+        self._stopped = True
+        try:
+            self.ask(Leaving(node), timeout_s)
+        except UnavailableError as error:
+            log.warning("control.leave_failed", error=str(error))
+
+    def _follow_loop(self, node: Callable, follower: FollowerApi) -> None:
+        while not self._stopped:
+            sent_at = self._context.monotonic()
+            beat = Heartbeat(node(), follower.settings_revision, follower.view.epoch)
+            try:
+                reply = self.ask(beat, ATTEMPT_SECONDS * 2)
+            except UnavailableError:
+                self._context.metrics.count("control.heartbeat_failed")
+                continue
+            # `sent_at` precedes every resend, so the lease errs on the short side.
+            if isinstance(reply, Fresh):
+                follower.confirm(reply, sent_at)
+            eventlet.sleep(HEARTBEAT_SECONDS * self._context.rng.uniform(0.8, 1.0))
+
+    def _on_news(self, _link: object, news: News) -> None:
+        for follower in self.followers:
+            if news.policy is not None:
+                follower.apply_policy(news.policy)
+            if news.view is not None:
+                follower.apply_view(news.view)
+
+    def _candidate(self) -> str:
+        if self._leader is not None:
+            return self._leader
+        addresses = self._context.control_addresses
+        self._next += 1
+        return addresses[self._next % len(addresses)]
--- /dev/null
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -0,0 +1,212 @@
+"""One authenticated connection to a peer, carrying requests, replies and one-way messages."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import time
+from collections.abc import Callable
+
+import cbor2
+import eventlet
+import structlog
+from eventlet.event import Event
+from tarragonhall_model import (
+    CodecError,
+    LinkClosedError,
+    LinkOverloadedError,
+    RequestTimeoutError,
+    TarragonhallError,
+    from_plain,
+    to_plain,
+)
+from websockets.exceptions import ConnectionClosed
+
+from tarragonhall_wire._handshake import Peer
+from tarragonhall_wire._timeline import HybridClock
+
+log = structlog.get_logger(__name__)
+
+# A link that carries nothing else costs about 2 x 60 bytes a second each way at this interval.
+HEARTBEAT_SECONDS = 1.0
+# Three lost heartbeats: a firewall that forgot the connection drops packets without a reset, and
+# the kernel would go on sending again for minutes.
+SILENCE_SECONDS = 3.5
+SEND_QUEUE_MESSAGES = 10_000
+
+ONE_WAY, REQUEST, REPLY, FAILURE, PING = range(5)
+
+Handler = Callable[["Link", object], object]
+
+
+class Link:
+    """One connection. Messages keep their order each way; a closed link never opens again."""
+
+    __slots__ = (
+        "_clock",
+        "_correlations",
+        "_handler",
+        "_last_heard",
+        "_outbox",
+        "_pending",
+        "_socket",
+        "_wake",
+        "closed",
+        "peer",
+        "received_bytes",
+        "sent_bytes",
+    )
+
+    def __init__(self, socket, peer: Peer, handler: Handler, clock: HybridClock) -> None:
+        self._socket = socket
+        self._handler = handler
+        self._clock = clock
+        self._correlations = itertools.count(1)
+        self._pending: dict[int, Event] = {}
+        self._outbox: collections.deque[bytes] = collections.deque()
+        self._wake = eventlet.semaphore.Semaphore(0)
+        self._last_heard = time.monotonic()
+        self.peer = peer
+        self.closed = False
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def send(self, message: object) -> None:
+        """Queue a one-way message; whether it arrives is unknown."""
+        self._put(ONE_WAY, 0, to_plain(message))
+
+    def request(self, message: object, timeout_s: float) -> object:
+        """Send a request and wait for the reply."""
+        correlation = next(self._correlations)
+        waiter = Event()
+        self._pending[correlation] = waiter
+        try:
+            self._put(REQUEST, correlation, to_plain(message))
+            with eventlet.Timeout(timeout_s, False):
+                return waiter.wait()
+            raise RequestTimeoutError(f"{self.peer.instance}: no reply in {timeout_s} s")
+        finally:
+            self._pending.pop(correlation, None)
+
+    def close(self) -> None:
+        """Close the link; every request still waiting fails with `LinkClosedError`."""
+        if self.closed:
+            return
+        self.closed = True
+        self._wake.release()
+        for waiter in list(self._pending.values()):
+            if not waiter.ready():
+                waiter.send_exception(LinkClosedError(f"link to {self.peer.instance} closed"))
+        self._pending.clear()
+        eventlet.spawn_n(self._close_socket)
+
+    def run(self) -> None:
+        """Read until the link closes. Call once, in a green thread of its own."""
+        eventlet.spawn_n(self._write_loop)
+        eventlet.spawn_n(self._heartbeat_loop)
+        try:
+            self._read_loop()
+        except ConnectionClosed:
+            pass
+        except CodecError as error:
+            log.warning("link.undecodable", peer=self.peer.instance, error=str(error))
+        finally:
+            self.close()
+
+    def _put(self, kind: int, correlation: int, plain: object) -> None:
+        if self.closed:
+            raise LinkClosedError(f"link to {self.peer.instance} is closed")
+        if len(self._outbox) >= SEND_QUEUE_MESSAGES:
+            raise LinkOverloadedError(f"send queue to {self.peer.instance} is full")
+        stamp = self._clock.now()
+        self._outbox.append(cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter, plain]))
+        self._wake.release()
+
+    def _write_loop(self) -> None:
+        while not self.closed:
+            self._wake.acquire()
+            if not self._outbox:
+                continue
+            data = self._outbox.popleft()
+            try:
+                self._socket.send(data)
+            except (ConnectionClosed, OSError):
+                self.close()
+                return
+            self.sent_bytes += len(data)
+
+    def _heartbeat_loop(self) -> None:
+        while not self.closed:
+            eventlet.sleep(HEARTBEAT_SECONDS)
+            if self.closed:
+                return
+            if time.monotonic() - self._last_heard > SILENCE_SECONDS:
+                log.warning("link.silent", peer=self.peer.instance)
+                self.close()
+                return
+            try:
+                self._put(PING, 0, None)
+            except LinkOverloadedError:
+                continue
+
+    def _read_loop(self) -> None:
+        while not self.closed:
+            data = self._socket.recv()
+            self._last_heard = time.monotonic()
+            self.received_bytes += len(data)
+            self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            kind, correlation, wall_ms, counter, plain = cbor2.loads(data)
+        except (cbor2.CBORDecodeError, ValueError, TypeError, EOFError) as error:
+            raise CodecError(f"bad envelope: {error}") from error
+        self._clock.hear(wall_ms, counter)
+        if kind == PING:
+            return
+        if kind in (REPLY, FAILURE):
+            self._resolve(kind, correlation, plain)
+            return
+        message = from_plain(plain)
+        if kind == REQUEST:
+            eventlet.spawn_n(self._answer, correlation, message)
+            return
+        self._handle_one_way(message)
+
+    def _handle_one_way(self, message: object) -> None:
+        # Handled in this thread so that one-way messages keep their order; handlers must not block.
+        try:
+            self._handler(self, message)
+        except TarragonhallError as error:
+            log.warning("link.message_failed", kind=type(message).__name__, error=str(error))
+
+    def _resolve(self, kind: int, correlation: int, plain: object) -> None:
+        waiter = self._pending.get(correlation)
+        if waiter is None or waiter.ready():
+            return
+        if kind == FAILURE:
+            waiter.send_exception(LinkClosedError(f"{self.peer.instance}: {plain}"))
+            return
+        waiter.send(from_plain(plain))
+
+    def _answer(self, correlation: int, message: object) -> None:
+        try:
+            reply = self._handler(self, message)
+            self._put(REPLY, correlation, to_plain(reply))
+        except LinkClosedError:
+            return
+        except Exception as error:  # noqa: BLE001 - the peer must not wait for its timeout
+            log.exception("link.request_failed", kind=type(message).__name__)
+            self._fail(correlation, f"{type(error).__name__}: {error}")
+
+    def _fail(self, correlation: int, text: str) -> None:
+        try:
+            self._put(FAILURE, correlation, text)
+        except (LinkClosedError, LinkOverloadedError):
+            return
+
+    def _close_socket(self) -> None:
+        try:
+            self._socket.close()
+        except (ConnectionClosed, OSError):
+            return
