Add the daemon and the operators' tool

Cause: the whole path needs a process that runs the roles, and a way to set it up. Conclusion: both are ready to be joined with the roles.

--- /dev/null
+++ b/libs/cli/tarragonhall_cli/_cluster.py
@@ -0,0 +1,54 @@
+"""Commands on backend servers, control members and the state as a whole."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from tarragonhall_cli._client import AdminClient, path_part
+from tarragonhall_cli._files import write_json
+from tarragonhall_cli._output import Output
+
+
+def show_status(client: AdminClient, out: Output) -> None:
+    """Show the control member that answers, and what it leads."""
+    out.fields(client.get("status"))
+
+
+def list_servers(client: AdminClient, out: Output) -> None:
+    """List the backend servers in the view."""
+    answer = client.get("servers")
+    columns = ["server_id", "kind", "serves", "availability_zone", "slots", "draining", "address"]
+    out.rows(answer, answer["servers"], columns)
+
+
+def drain_server(client: AdminClient, out: Output, server_id: str, draining: bool) -> None:
+    """Start or end the drain of a backend server."""
+    out.fields(client.post(f"servers/{path_part(server_id)}/drain", {"draining": draining}))
+
+
+def list_members(client: AdminClient, out: Output) -> None:
+    """List the control members."""
+    answer = client.get("members")
+    columns = ["member_id", "identity", "address", "voting", "leader", "match_index"]
+    out.rows(answer, answer["members"], columns)
+
+
+def add_member(client: AdminClient, out: Output, member_id: str, address: str) -> None:
+    """Add a control member; it votes once it has caught up."""
+    out.fields(client.post("members", {"member_id": member_id, "address": address}))
+
+
+def remove_member(client: AdminClient, out: Output, member_id: str) -> None:
+    """Remove a control member."""
+    out.fields(client.delete(f"members/{path_part(member_id)}"))
+
+
+def replace_member(client: AdminClient, out: Output, member_id: str, address: str | None) -> None:
+    """Take a member whose data folder was lost back in, under its new identity."""
+    body = {} if address is None else {"address": address}
+    out.fields(client.post(f"members/{path_part(member_id)}/replace", body))
+
+
+def save_snapshot(client: AdminClient, file: Path) -> None:
+    """Write the whole state to a file, for safekeeping off the instance."""
+    write_json(file, client.get("snapshot"))
--- /dev/null
+++ b/libs/daemon/tarragonhall_daemon/__main__.py
@@ -0,0 +1,74 @@
+"""`tarragonhalld`: run the roles that a settings file names."""
+
+from __future__ import annotations
+
+import warnings
+
+# The deprecation is known and weighed in the docs; on every start it would only hide other lines.
+warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+# Before any other import: a module that took the unpatched socket would block the whole loop.
+eventlet.monkey_patch()
+
+import json  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import click  # noqa: E402
+from tarragonhall_model import TarragonhallError  # noqa: E402
+
+from tarragonhall_daemon._init import initialise  # noqa: E402
+from tarragonhall_daemon._run import run_daemon  # noqa: E402
+from tarragonhall_daemon._settings import OPTIONS, load_settings, read_secret  # noqa: E402
+
+VERSION = "0.1.0"
+EXIT_INPUT = 2
+
+SETTINGS_HELP = "Settings file of this process, in JSON."
+CHECK_HELP = "Check the settings file, print every finding, and exit."
+SCHEMA_HELP = "Print the JSON Schema of the settings file and exit."
+INIT_HELP = "Make the link secret, the data folder and the first operator; print its token once."
+
+
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(VERSION)
+@click.option("--settings", "settings_file", type=click.Path(path_type=Path), help=SETTINGS_HELP)
+@click.option("--check", is_flag=True, help=CHECK_HELP)
+@click.option("--schema", is_flag=True, help=SCHEMA_HELP)
+@click.option("--init", "first_start", is_flag=True, help=INIT_HELP)
+def cli(settings_file: Path | None, check: bool, schema: bool, first_start: bool) -> None:
+    """Run the roles of tarragonhall that a settings file names."""
+    if schema:
+        click.echo(json.dumps(OPTIONS.schema(), indent=2))
+        return
+    if settings_file is None:
+        raise click.UsageError("--settings is required")
+    settings = load_settings(settings_file)
+    if check:
+        read_secret(Path(settings.link.secret_file))
+        click.echo(f"{settings_file}: no findings")
+        return
+    if first_start:
+        click.echo(initialise(settings))
+        return
+    sys.exit(run_daemon(settings))
+
+
+def main() -> None:
+    """Run the command; show mistakes of the user without a traceback."""
+    try:
+        cli(standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except click.Abort:
+        sys.exit(1)
+    except TarragonhallError as error:
+        click.echo(f"tarragonhalld: {type(error).__name__}\n{error}", err=True)
+        sys.exit(EXIT_INPUT)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/daemon/tarragonhall_daemon/_settings.py
@@ -0,0 +1,160 @@
+"""The settings file of one process: which roles it runs, and how it reaches the others."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import tarragonhall_control
+import tarragonhall_entry
+import tarragonhall_sidecar
+from tarragonhall_control import ControlSettings
+from tarragonhall_entry import EntrySettings
+from tarragonhall_model import Address, Choice, Finding, Group, InputError, ListOf, Text, Whole
+from tarragonhall_sidecar import SidecarSettings
+
+MIN_SECRET_BYTES = 32
+
+
+@dataclass(slots=True, frozen=True)
+class LinkSettings:
+    """How this process links to the others.
+
+    `controls` are the link addresses of all control members. `secret_file` holds the secret that
+    all processes of one deployment share.
+    """
+
+    listen: str
+    secret_file: str
+    controls: list[str]
+
+
+@dataclass(slots=True, frozen=True)
+class StatsdSettings:
+    """Where metrics go."""
+
+    host: str
+    port: int
+
+
+@dataclass(slots=True, frozen=True)
+class DaemonSettings:
+    """All settings of one process. A role that is absent does not run here."""
+
+    instance: str
+    availability_zone: str
+    region: str
+    link: LinkSettings
+    control: ControlSettings | None
+    entry: EntrySettings | None
+    sidecars: list[SidecarSettings]
+    statsd: StatsdSettings | None
+    log_level: str
+    stop_timeout_ms: int
+
+
+def _check_whole(made: DaemonSettings, place: str) -> Iterable[Finding]:
+    if made.control is None and made.entry is None and not made.sidecars:
+        yield Finding(place, "no role: set at least one of control, entry and sidecars")
+    yield from _check_control(made, place)
+    seen: set[str] = set()
+    for index, sidecar in enumerate(made.sidecars):
+        if sidecar.server_id in seen:
+            here = f"{place}/sidecars/{index}/server_id"
+            yield Finding(here, f"{sidecar.server_id!r} is used twice")
+        seen.add(sidecar.server_id)
+
+
+def _check_control(made: DaemonSettings, place: str) -> Iterable[Finding]:
+    if made.control is None:
+        return
+    own = made.control.members.get(made.instance)
+    if own is None:
+        yield Finding(f"{place}/control/members", f"does not name this instance {made.instance!r}")
+    elif own != made.link.listen:
+        here = f"{place}/control/members/{made.instance}"
+        yield Finding(here, f"is {own}, but link/listen is {made.link.listen}")
+    for name, address in made.control.members.items():
+        if address in made.link.controls:
+            continue
+        here = f"{place}/link/controls"
+        yield Finding(here, f"does not hold the address of member {name!r}, {address}")
+
+
+OPTIONS = Group(
+    DaemonSettings,
+    {
+        "instance": Text(),
+        "availability_zone": Text(),
+        "region": Text(default="local"),
+        "link": Group(
+            LinkSettings,
+            {
+                "listen": Address(),
+                "secret_file": Text(),
+                "controls": ListOf(Address(), at_least=1),
+            },
+        ),
+        "control": replace(tarragonhall_control.OPTIONS, default=None),
+        "entry": replace(tarragonhall_entry.OPTIONS, default=None),
+        "sidecars": ListOf(tarragonhall_sidecar.OPTIONS, default=[]),
+        "statsd": Group(
+            StatsdSettings,
+            {"host": Text(), "port": Whole(8125, minimum=1, maximum=65_535)},
+            default=None,
+        ),
+        "log_level": Choice(("debug", "info", "warning", "error"), default="info"),
+        # Long enough for the longest stream that callers use; the platform's own limit comes next.
+        "stop_timeout_ms": Whole(120_000, minimum=1_000),
+    },
+    check=_check_whole,
+)
+
+
+def load_settings(path: Path) -> DaemonSettings:
+    """Read and check a settings file; raise `InputError` with every finding."""
+    try:
+        value = json.loads(path.read_text(), object_pairs_hook=_refuse_doubled)
+    except OSError as error:
+        raise InputError([Finding(str(path), error.strerror or str(error))]) from error
+    except (ValueError, RecursionError) as error:
+        raise InputError([Finding(str(path), f"malformed JSON: {error}")]) from error
+    made, findings = OPTIONS.load(value)
+    if findings:
+        raise InputError(findings)
+    return _resolve_paths(made, path.parent)
+
+
+def read_secret(path: Path) -> bytes:
+    """Return the link secret; raise `InputError` where it is missing or short."""
+    try:
+        secret = path.read_bytes().strip()
+    except OSError as error:
+        raise InputError([Finding("/link/secret_file", f"{path}: {error.strerror}")]) from error
+    if len(secret) < MIN_SECRET_BYTES:
+        message = f"{path}: holds {len(secret)} bytes, at least {MIN_SECRET_BYTES} are needed"
+        raise InputError([Finding("/link/secret_file", message)])
+    return secret
+
+
+def _refuse_doubled(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    # The plain parser keeps the last of two equal names, so half of an operator's file would
+    # silently not count.
+    made: dict[str, Any] = {}
+    for name, value in pairs:
+        if name in made:
+            raise ValueError(f"the name {name!r} stands twice in one object")
+        made[name] = value
+    return made
+
+
+def _resolve_paths(made: DaemonSettings, folder: Path) -> DaemonSettings:
+    """Make the file paths relative to the settings file's folder."""
+    link = replace(made.link, secret_file=str(folder / made.link.secret_file))
+    control = made.control
+    if control is not None:
+        control = replace(control, data_folder=str(folder / control.data_folder))
+    return replace(made, link=link, control=control)
