--- /dev/null
+++ b/libs/fakes/tarragonhall_fakes/_faults.py
@@ -0,0 +1,69 @@
+"""Faults on demand: what a test or operator asks a fake to do wrong, and to which requests."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+
+class FaultKind(enum.Enum):
+    """What goes wrong. Docs: `docs/dev-guide/engine-protocol.md`."""
+
+    HANG = "hang"
+    CRASH = "crash"
+    SLOW = "slow"
+    LATE = "late"
+    CROSSED = "crossed"
+    DOUBLED = "doubled"
+    TRUNCATED = "truncated"
+    SILENT = "silent"
+
+
+@dataclass(slots=True)
+class Fault:
+    """Befalls the next `times` requests whose body holds `match` (all, with `times` 0)."""
+
+    kind: FaultKind
+    match: str = ""
+    times: int = 1
+    seconds: float = 1.0
+
+
+@dataclass(slots=True)
+class Faults:
+    """The faults of one fake, in the order in which they were asked for."""
+
+    _pending: list[Fault] = field(default_factory=list)
+
+    def add(self, fault: Fault) -> None:
+        """Ask for a fault."""
+        self._pending.append(fault)
+
+    def clear(self) -> None:
+        """Forget all faults."""
+        self._pending.clear()
+
+    def take(self, body: str) -> Fault | None:
+        """Return the fault that befalls a request with this body."""
+        for fault in self._pending:
+            if fault.match not in body:
+                continue
+            if fault.times == 1:
+                self._pending.remove(fault)
+            elif fault.times > 1:
+                fault.times -= 1
+            return fault
+        return None
+
+    def handle(self, exchange) -> bool:
+        """Serve `/faults`; return whether the request was for it."""
+        request = exchange.request_seen
+        if request.path != "/faults":
+            return False
+        if request.method == "DELETE":
+            self.clear()
+        if request.method == "POST":
+            fields = request.json()
+            self.add(Fault(**{**fields, "kind": FaultKind(fields["kind"])}))
+        exchange.reply({"pending": len(self._pending)})
+        return True
