Say what a rejection proves, and name the server of an engine order

Cause: a sidecar that restarted knows nothing of attempts sent to its earlier life, so its rejection cannot prove that they never ran; and a process beside two servers could not tell whose order it was. Change: INCARNATION is documented as unknown for resends; orders carry a server id.

--- a/libs/model/tarragonhall_model/_messages.py
+++ b/libs/model/tarragonhall_model/_messages.py
@@ -196,7 +196,13 @@
 
 
 class RejectReason(enum.Enum):
-    """Why a sidecar did not take an attempt. None of these attempts ran or will run."""
+    """Why a sidecar did not take an attempt. None of these attempts will run from now on.
+
+    All but `INCARNATION` also prove that it never ran. `INCARNATION` says that the attempt belongs
+    to another life of the sidecar, or to a part of this life that it no longer remembers: an
+    earlier message may have started it. Only a sender that recorded the attempt itself and has sent
+    its one `Dispatch` may take it as "not run"; after a resend or an `Attach` it is unknown.
+    """
 
     TOMBSTONE = "tombstone"
     INCARNATION = "incarnation"
@@ -208,7 +214,7 @@
 
 @record
 class Rejected:
-    """The attempt did not run here and never will: the sidecar keeps a tombstone for it."""
+    """The attempt will never run here; see `RejectReason` for what is known of the past."""
 
     reason: RejectReason
 
@@ -309,7 +315,8 @@
     """Change what an engine has loaded or its role. Reply: `OrderDone`.
 
     `fencing` is the leader's number; lower ones than the highest seen are refused by the sidecar,
-    and by engines that check it.
+    and by engines that check it. `action` is `load_model`, `load_adapter`, `unload` or `role`.
+    `server_id` may be empty where the process stands beside one backend server only.
     """
 
     order_id: str
@@ -317,6 +324,7 @@
     action: str
     model: str
     version: str
+    server_id: str = ""
 
 
 @record
