--- a/libs/fakes/tarragonhall_fakes/__init__.py
+++ b/libs/fakes/tarragonhall_fakes/__init__.py
@@ -5,6 +5,7 @@
 from tarragonhall_fakes._batch import EngineOptions, answer_to
 from tarragonhall_fakes._engine import Engine, start_engine
 from tarragonhall_fakes._faults import Fault, FaultKind
+from tarragonhall_fakes._processes import LocalProcess, ProcessError, run_script, script
 from tarragonhall_fakes._server import FakeServer
 from tarragonhall_fakes._service import ATTEMPT_HEADER, Service, start_service
 
@@ -15,8 +16,12 @@
     "FakeServer",
     "Fault",
     "FaultKind",
+    "LocalProcess",
+    "ProcessError",
     "Service",
     "answer_to",
+    "run_script",
+    "script",
     "start_engine",
     "start_service",
 ]
