Prove links and HTTP serving under silence, closing and stops

Cause: tests with a relay that swallows packets, and stops with a full backlog, found four faults: the listener's loop failed on a closed socket; a stop interrupted a thread that no longer waited; a stop reset connections whose request nobody had read yet; a link did not expect eventlet's EOFError. Change: an accept loop of our own for links, an interrupt that checks for the waiter, a moment for open connections at a stop, and the wider except clauses; a relay among the fakes.

--- a/libs/fakes/tarragonhall_fakes/__init__.py
+++ b/libs/fakes/tarragonhall_fakes/__init__.py
@@ -6,6 +6,7 @@
 from tarragonhall_fakes._engine import Engine, start_engine
 from tarragonhall_fakes._faults import Fault, FaultKind
 from tarragonhall_fakes._processes import LocalProcess, ProcessError, run_script, script
+from tarragonhall_fakes._relay import Relay
 from tarragonhall_fakes._server import FakeServer
 from tarragonhall_fakes._service import ATTEMPT_HEADER, Service, start_service
 
@@ -18,6 +19,7 @@
     "FaultKind",
     "LocalProcess",
     "ProcessError",
+    "Relay",
     "Service",
     "answer_to",
     "run_script",
--- a/libs/wire/tarragonhall_wire/_http.py
+++ b/libs/wire/tarragonhall_wire/_http.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import re
+import time
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -20,6 +22,9 @@
 # A connection that sends nothing for this long holds a green thread for no one.
 IDLE_SECONDS = 75
 BACKLOG = 1_024
+# A client that got no response yet has its request under way; it needs a round trip, not a minute.
+LINGER_SECONDS = 1.0
+LINGER_POLL_SECONDS = 0.02
 STATUS_TEXT_BY_CODE = {
     200: "OK", 201: "Created", 202: "Accepted", 400: "Bad Request", 401: "Unauthorized",
     403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
@@ -90,6 +95,11 @@
         self._finished = eventlet.event.Event()
         self.draining = False
 
+    @property
+    def port(self) -> int:
+        """Return the port listened on, for an address whose port was 0."""
+        return self._listener.getsockname()[1]
+
     def route(self, method: str, pattern: str, handler: Callable) -> None:
         """Serve paths like `/v1/programs/{program_id}` with a handler."""
         expression = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", pattern)
@@ -195,30 +205,37 @@
 class _StoppableListener:
     """A listening socket whose `accept` ends the server once told to, but not before.
 
-    Clients whose connections the kernel already completed believe that they are served. Closing the
-    socket at once would reset them, so the backlog is emptied first.
+    Clients whose connections the kernel already completed believe that they are served, and so do
+    those that have sent a request on an open connection which nobody has read yet. The server
+    would reset both, as idle. So the backlog is emptied first, and open connections get a moment
+    for the response that asks them to close.
     """
 
-    __slots__ = ("_socket", "_stopping", "_waiter")
+    __slots__ = ("_open", "_socket", "_stopping", "_waiter")
 
     def __init__(self, listening_socket) -> None:
         self._socket = listening_socket
+        self._open: list = []
         self._stopping = False
         self._waiter = None
 
     def stop(self) -> None:
         """Make `accept` give out the backlog and then end the server."""
         self._stopping = True
+        # Thrown from the loop itself: thrown from here, this thread would never go on.
+        eventlet.hubs.get_hub().schedule_call_global(0, self._interrupt)
+
+    def _interrupt(self) -> None:
+        # A connection may have ended the wait since the stop was asked for.
         if self._waiter is not None:
-            # Thrown from the loop itself: thrown from here, this thread would never go on.
-            eventlet.hubs.get_hub().schedule_call_global(0, self._waiter.throw, _Stop)
+            self._waiter.throw(_Stop)
 
     def accept(self):
         if self._stopping:
             return self._accept_from_backlog()
         self._waiter = eventlet.getcurrent()
         try:
-            return self._socket.accept()
+            return self._keep(self._socket.accept())
         except _Stop:
             return self._accept_from_backlog()
         finally:
@@ -226,11 +243,23 @@
 
     def _accept_from_backlog(self):
         self._socket.settimeout(0)
-        try:
-            return self._socket.accept()
-        except (BlockingIOError, TimeoutError):
-            self._socket.close()
-            raise SystemExit from None
+        deadline = time.monotonic() + LINGER_SECONDS
+        while True:
+            with contextlib.suppress(BlockingIOError, TimeoutError):
+                return self._keep(self._socket.accept())
+            self._forget_closed()
+            if not self._open or time.monotonic() > deadline:
+                self._socket.close()
+                raise SystemExit
+            eventlet.sleep(LINGER_POLL_SECONDS)
+
+    def _keep(self, accepted):
+        self._forget_closed()
+        self._open.append(accepted[0])
+        return accepted
+
+    def _forget_closed(self) -> None:
+        self._open = [connection for connection in self._open if connection.fileno() >= 0]
 
     def __getattr__(self, name: str):
         return getattr(self._socket, name)
--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -21,6 +21,10 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 OPEN_TIMEOUT_SECONDS = 2.0
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
+# The peer of a silent link never answers the closing frame; its socket must not wait for it long.
+CLOSE_TIMEOUT_SECONDS = 0.5
+# Out of file descriptors, for example: the loop goes on once some are free again.
+ACCEPT_PAUSE_SECONDS = 0.1
 RECONNECT_MIN_SECONDS = 0.1
 RECONNECT_MAX_SECONDS = 2.0
 
@@ -33,6 +37,7 @@
     """
 
     __slots__ = (
+        "_acceptor",
         "_dialled_by_address",
         "_handler_by_class",
         "_listeners",
@@ -58,6 +63,7 @@
         self._dialled_by_address: dict[str, Link] = {}
         self._wanted: set[str] = set()
         self._server = None
+        self._acceptor = None
         self._stopped = False
         self.handle(QueryTimeline, lambda _link, query: timeline.find(query))
 
@@ -86,9 +92,9 @@
             ping_interval=None,
             max_size=MAX_MESSAGE_BYTES,
             open_timeout=OPEN_TIMEOUT_SECONDS,
-            close_timeout=1,
+            close_timeout=CLOSE_TIMEOUT_SECONDS,
         )
-        eventlet.spawn_n(self._server.serve_forever)
+        self._acceptor = eventlet.spawn(self._accept_loop)
 
     def link_to(self, address: str) -> Link:
         """Return the open link to an address, or raise `LinkClosedError` while there is none."""
@@ -127,8 +133,10 @@
         """Close the listener and every link."""
         self._stopped = True
         self._wanted.clear()
-        if self._server is not None:
-            self._server.shutdown()
+        if self._acceptor is not None:
+            # Ended before its socket is closed: the loop must not find a closed socket to wait on.
+            self._acceptor.kill()
+            self._server.socket.close()
         for link in self.links():
             link.close()
 
@@ -138,11 +146,22 @@
             raise LinkError(f"no handler for {type(message).__name__} in this process")
         return handler(link, message)
 
+    def _accept_loop(self) -> None:
+        # The server's own loop selects on its socket and fails loudly when that is closed.
+        while True:
+            try:
+                connection, address = self._server.socket.accept()
+            except OSError as error:
+                log.warning("link.accept_failed", error=str(error))
+                eventlet.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            eventlet.spawn_n(self._server.handler, connection, address)
+
     def _accept(self, socket) -> None:
         try:
             with eventlet.Timeout(HANDSHAKE_TIMEOUT_SECONDS, HandshakeError("too slow")):
                 peer = answer_greeting(socket.send, socket.recv, self._secret, self.me)
-        except (HandshakeError, WebSocketException, OSError) as error:
+        except (HandshakeError, WebSocketException, OSError, EOFError) as error:
             log.warning("link.refused", error=str(error))
             return
         link = Link(socket, peer, self._dispatch, self.timeline.clock)
@@ -161,38 +180,38 @@
     def _dial_loop(self, address: str) -> None:
         pause = RECONNECT_MIN_SECONDS
         while address in self._wanted and not self._stopped:
-            link = self._dial(address)
-            if link is None:
-                # Jitter: after an instance returns, its peers must not all dial at once.
-                eventlet.sleep(pause * self._rng.uniform(0.5, 1.5))
-                pause = min(pause * 2, RECONNECT_MAX_SECONDS)
+            if self._dial_and_run(address):
+                pause = RECONNECT_MIN_SECONDS
                 continue
-            pause = RECONNECT_MIN_SECONDS
-            self._dialled_by_address[address] = link
-            self._run(link)
-            if self._dialled_by_address.get(address) is link:
-                del self._dialled_by_address[address]
+            # Jitter: after an instance returns, its peers must not all dial at once.
+            eventlet.sleep(pause * self._rng.uniform(0.5, 1.5))
+            pause = min(pause * 2, RECONNECT_MAX_SECONDS)
 
-    def _dial(self, address: str) -> Link | None:
-        socket = None
+    def _dial_and_run(self, address: str) -> bool:
+        """Open a link and read it until it closes; return whether it opened."""
+        opened = False
         try:
-            socket = connect(
+            with connect(
                 f"ws://{address}/",
                 compression=None,
                 ping_interval=None,
                 proxy=None,
                 max_size=MAX_MESSAGE_BYTES,
                 open_timeout=OPEN_TIMEOUT_SECONDS,
-                close_timeout=1,
-            )
-            with eventlet.Timeout(HANDSHAKE_TIMEOUT_SECONDS, HandshakeError("too slow")):
-                peer = greet(socket.send, socket.recv, self._secret, self.me)
+                close_timeout=CLOSE_TIMEOUT_SECONDS,
+            ) as socket:
+                with eventlet.Timeout(HANDSHAKE_TIMEOUT_SECONDS, HandshakeError("too slow")):
+                    peer = greet(socket.send, socket.recv, self._secret, self.me)
+                link = Link(socket, peer, self._dispatch, self.timeline.clock)
+                self._dialled_by_address[address] = link
+                opened = True
+                self._run(link)
         except (HandshakeError, WebSocketException, OSError, EOFError) as error:
             log.debug("link.dial_failed", address=address, error=str(error))
-            if socket is not None:
-                socket.close()
-            return None
-        return Link(socket, peer, self._dispatch, self.timeline.clock)
+        finally:
+            if opened and self._dialled_by_address.get(address) is link:
+                del self._dialled_by_address[address]
+        return opened
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -106,8 +106,8 @@
         eventlet.spawn_n(self._heartbeat_loop)
         try:
             self._read_loop()
-        except ConnectionClosed:
-            pass
+        except (ConnectionClosed, OSError, EOFError):
+            log.debug("link.ended", peer=self.peer.instance)
         except CodecError as error:
             log.warning("link.undecodable", peer=self.peer.instance, error=str(error))
         finally:
@@ -130,7 +130,7 @@
             data = self._outbox.popleft()
             try:
                 self._socket.send(data)
-            except (ConnectionClosed, OSError):
+            except (ConnectionClosed, OSError, EOFError):
                 self.close()
                 return
             self.sent_bytes += len(data)
@@ -208,5 +208,5 @@
     def _close_socket(self) -> None:
         try:
             self._socket.close()
-        except (ConnectionClosed, OSError):
+        except (ConnectionClosed, OSError, EOFError):
             return
--- /dev/null
+++ b/libs/wire/tests/conftest.py
@@ -0,0 +1,5 @@
+from __future__ import annotations
+
+import eventlet
+
+eventlet.monkey_patch()
