Give consensus synced storage and a member that works alone

The control role needs the replicated log at once. Storage keeps one frame with a CRC for each batch, syncs once for it, cuts a torn end by writing the last segment anew, and reports damage in the middle. The parts for several members are in place; nothing has shown them to work yet.

--- a/libs/consensus/tarragonhall_consensus/__init__.py
+++ b/libs/consensus/tarragonhall_consensus/__init__.py
@@ -1,6 +1,59 @@
 """Replicated log: election, replication, membership, snapshots and synced storage.
 
 The factory is `open_replica(folder, member_id, address, bootstrap, machine, rng, now)`; it returns
-a `ReplicaApi`. `bootstrap` lists the founding members (one for a single member) and is used only
-where the folder is new.
+a `ReplicaApi`. `bootstrap` lists the founding members (one for a single member) with empty
+identities and is used only where the folder is new.
 """
+
+from __future__ import annotations
+
+from tarragonhall_consensus._files import AppendFile, Files, disk_files
+from tarragonhall_consensus._interface import (
+    ChangeMember,
+    ConfirmRead,
+    Event,
+    Machine,
+    Output,
+    ProposalDone,
+    ProposalLost,
+    ProposeData,
+    ReadConfirmed,
+    ReadLost,
+    Received,
+    ReplicaApi,
+    RoleChanged,
+    SendTo,
+    Status,
+    TakeSnapshot,
+    Tick,
+)
+from tarragonhall_consensus._limits import TICK_SECONDS, Limits
+from tarragonhall_consensus._messages import Member
+from tarragonhall_consensus._replica import open_replica
+
+__all__ = [
+    "TICK_SECONDS",
+    "AppendFile",
+    "ChangeMember",
+    "ConfirmRead",
+    "Event",
+    "Files",
+    "Limits",
+    "Machine",
+    "Member",
+    "Output",
+    "ProposalDone",
+    "ProposalLost",
+    "ProposeData",
+    "ReadConfirmed",
+    "ReadLost",
+    "Received",
+    "ReplicaApi",
+    "RoleChanged",
+    "SendTo",
+    "Status",
+    "TakeSnapshot",
+    "Tick",
+    "disk_files",
+    "open_replica",
+]
--- a/libs/consensus/tarragonhall_consensus/_interface.py
+++ b/libs/consensus/tarragonhall_consensus/_interface.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from tarragonhall_model import record
+from tarragonhall_consensus._messages import Member
 
 
 class Machine(Protocol):
@@ -26,16 +26,6 @@
         """Replace the whole state."""
 
 
-@record
-class Member:
-    """One member of the group. `identity` is drawn anew whenever a data folder is made."""
-
-    member_id: str
-    identity: str
-    address: str
-    voting: bool = True
-
-
 @dataclass(slots=True, frozen=True)
 class Tick:
     """Time has passed. Feed one every `TICK_SECONDS` or so."""
@@ -66,14 +56,25 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangeMember:
-    """Add (as learner, then voter), or remove, one member. Ends like a proposal."""
+    """Add, remove or replace one member. Ends like a proposal, once an added one votes.
+
+    `replace` is for a member that lost its data folder: the old identity loses its vote at once,
+    the new one is caught up first. Leave the identity empty to take the one that answers at the
+    address.
+    """
 
     token: int
     member: Member
     remove: bool = False
+    replace: bool = False
 
 
-Event = Tick | Received | ProposeData | ConfirmRead | ChangeMember
+@dataclass(slots=True, frozen=True)
+class TakeSnapshot:
+    """Write a snapshot of what is applied and shorten the log, without waiting for its size."""
+
+
+Event = Tick | Received | ProposeData | ConfirmRead | ChangeMember | TakeSnapshot
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,6 +143,7 @@
     last_index: int
     applied_index: int
     members: list[Member]
+    identity: str
 
 
 class ReplicaApi(Protocol):
@@ -155,3 +157,6 @@
 
     def is_leader(self, now: float) -> bool:
         """Return whether this member leads and its lease has not run out by `now`."""
+
+    def close(self) -> None:
+        """Release the data folder."""
--- /dev/null
+++ b/libs/consensus/tarragonhall_consensus/_limits.py
@@ -0,0 +1,44 @@
+"""Times and sizes of the replicated log, with the grounds for each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# The shell feeds a `Tick` this often; every time below is kept to about this accuracy.
+TICK_SECONDS = 0.05
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Times in seconds, sizes in bytes. Tests make them small; the defaults are for service."""
+
+    # A member stands for election after this long without a leader, up to twice as long at random
+    # so that two seldom stand together. A slow sync stops the whole loop of a member, so the time
+    # lies far above the slowest sync measured; and a change must be in force within 5 s, so a
+    # failover (2 s, then two round trips and two syncs) must leave time for distribution.
+    election_seconds: float = 1.0
+    # Members refuse to vote for `election_seconds` after they heard the leader. The lease ends a
+    # tenth earlier, for clocks that run at different speeds.
+    lease_seconds: float = 0.9
+    # Four may be lost before anyone stands for election.
+    heartbeat_seconds: float = 0.2
+    # Messages not acknowledged within this time are taken for lost and sent again.
+    retry_seconds: float = 0.5
+    # A batch large enough to share one sync among hundreds of entries, small enough that a
+    # heartbeat behind it is not late on a link of 10 MB/s (26 ms).
+    message_bytes: int = 256 * 1024
+    # Enough to keep a peer busy over one round trip; bounds what waits for one peer at 2 MB.
+    in_flight_messages: int = 8
+    # Without a majority nothing commits; beyond this a proposal is refused, known not logged.
+    uncommitted_bytes: int = 8 * 1024 * 1024
+    # A snapshot costs time in proportion to the state, so it waits until the log has grown by
+    # this much and by as much as the last snapshot was large.
+    snapshot_bytes: int = 8 * 1024 * 1024
+    # Replaying this many entries is a restart of well under a second.
+    snapshot_entries: int = 20_000
+    # Kept behind a snapshot, so that a member a moment behind needs no whole snapshot.
+    trailing_entries: int = 1_000
+    # The last segment is written again at each start: some tens of milliseconds at this size.
+    segment_bytes: int = 4 * 1024 * 1024
+    # A learner this close behind the end becomes a voter: one message brings it the rest.
+    catch_up_entries: int = 100
--- /dev/null
+++ b/libs/consensus/tarragonhall_consensus/_replica.py
@@ -0,0 +1,258 @@
+"""One member of the group: hands each event to the part that owns it, syncs once, then speaks."""
+
+from __future__ import annotations
+
+import random
+import zlib
+
+from tarragonhall_model import StorageError
+
+from tarragonhall_consensus._core import Core
+from tarragonhall_consensus._election import Election
+from tarragonhall_consensus._files import Files, disk_files
+from tarragonhall_consensus._following import Following
+from tarragonhall_consensus._founding import Founding
+from tarragonhall_consensus._interface import (
+    ChangeMember,
+    ConfirmRead,
+    Event,
+    Machine,
+    Output,
+    ProposalLost,
+    ProposeData,
+    ReadLost,
+    Received,
+    Status,
+    TakeSnapshot,
+    Tick,
+)
+from tarragonhall_consensus._leadership import Leadership
+from tarragonhall_consensus._limits import Limits
+from tarragonhall_consensus._messages import (
+    AppendReply,
+    AppendRequest,
+    EntryKind,
+    FoundingQuery,
+    FoundingReply,
+    Member,
+    SnapshotChunk,
+    SnapshotMeta,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from tarragonhall_consensus._storage import open_storage
+
+
+def open_replica(
+    folder: str,
+    member_id: str,
+    address: str,
+    bootstrap: list[Member],
+    machine: Machine,
+    rng: random.Random,
+    now: float,
+    limits: Limits | None = None,
+    files: Files | None = None,
+) -> Replica:
+    """Open the data folder and return the member in the state it had reached.
+
+    `bootstrap` lists the founding members, this one included, with empty identities; it is used
+    only where the folder is new. An empty list makes a member that waits to be added to a group.
+    Raises `StorageError` where the folder cannot be used.
+    """
+    limits = limits or Limits()
+    storage = open_storage(files or disk_files(), folder, member_id, rng, limits.segment_bytes)
+    if storage.snapshot is not None:
+        machine.restore(storage.snapshot_data)
+        storage.snapshot_data = b""
+    core = Core(storage, machine, rng, limits, now)
+    return Replica(core, bootstrap, address)
+
+
+class Replica:
+    """One member. Not safe for threads; one loop feeds it."""
+
+    __slots__ = ("_core", "_election", "_following", "_founding", "_snapshot_wanted", "address")
+
+    def __init__(self, core: Core, bootstrap: list[Member], address: str) -> None:
+        self._core = core
+        self._election = Election(core)
+        self._following = Following(core)
+        self._founding = Founding(core, bootstrap)
+        self._snapshot_wanted = False
+        self.address = address
+
+    def step(self, events: list[Event], now: float) -> list[Output]:
+        """Handle a batch of events and return what is to be done, after one sync at most.
+
+        Raises `StorageError` when the data folder fails. The member must then be stopped: nothing
+        of the step has left it, and every later step raises again.
+        """
+        core = self._core
+        core.now = max(now, core.now)
+        core.outputs = []
+        self._check_majority()
+        for event in events:
+            self._handle(event)
+        self._tick()
+        # Nothing below is promised to anyone before this returns.
+        core.storage.sync()
+        self._advance()
+        self._take_snapshot_if_due()
+        core.report_role()
+        return core.outputs
+
+    def status(self) -> Status:
+        """Return what operators see."""
+        core = self._core
+        return Status(
+            member_id=core.member_id,
+            role=core.role.value,
+            term=core.term,
+            leader=core.leader,
+            commit_index=core.commit_index,
+            last_index=core.storage.log.last_index,
+            applied_index=core.applied_index,
+            members=list(core.membership.members),
+            identity=core.identity,
+        )
+
+    def is_leader(self, now: float) -> bool:
+        """Return whether this member leads and its lease has not run out by `now`."""
+        leadership = self._core.leadership
+        return leadership is not None and leadership.holds_lease(now)
+
+    def close(self) -> None:
+        """Release the data folder."""
+        self._core.storage.close()
+
+    def _check_majority(self) -> None:
+        core = self._core
+        if core.leadership is not None and not core.leadership.has_majority():
+            core.follow(core.term, None)
+
+    def _handle(self, event: Event) -> None:
+        leadership = self._core.leadership
+        match event:
+            case Tick():
+                pass
+            case Received(peer, message):
+                self._receive(peer, message)
+            case TakeSnapshot():
+                self._snapshot_wanted = True
+            case ProposeData(token) | ChangeMember(token) if leadership is None:
+                lost = ProposalLost(token, self._core.leader, not_logged=True, reason="no leader")
+                self._core.outputs.append(lost)
+            case ConfirmRead(token) if leadership is None:
+                self._core.outputs.append(ReadLost(token, self._core.leader))
+            case ProposeData():
+                leadership.propose(event)
+            case ConfirmRead():
+                leadership.ask_read(event)
+            case ChangeMember():
+                leadership.change_member(event)
+
+    def _receive(self, peer: str, message: object) -> None:
+        core = self._core
+        match message:
+            case FoundingQuery():
+                self._founding.on_query(peer, message)
+                return
+            case FoundingReply():
+                self._founding.on_reply(peer, message)
+                return
+        envelope = message.envelope
+        if not core.is_from_this_group(envelope) or not core.is_for_this_identity(envelope):
+            return
+        match message:
+            case VoteRequest():
+                core.join_group(envelope.group)
+                self._election.on_request(peer, message)
+            case AppendRequest():
+                core.join_group(envelope.group)
+                self._following.on_append(peer, message)
+            case SnapshotChunk():
+                core.join_group(envelope.group)
+                self._following.on_chunk(peer, message)
+            case VoteReply():
+                if self._election.on_reply(peer, message):
+                    core.lead(Leadership(core))
+            case AppendReply() | SnapshotReply():
+                self._receive_answer(peer, message)
+
+    def _receive_answer(self, peer: str, reply: AppendReply | SnapshotReply) -> None:
+        core = self._core
+        # A removed member must not depose the leader with a term of its own.
+        if not core.membership.is_member(peer, reply.envelope.from_identity):
+            return
+        if reply.envelope.term > core.term:
+            core.follow(reply.envelope.term, None)
+            return
+        if core.leadership is None or reply.envelope.term < core.term:
+            return
+        match reply:
+            case AppendReply():
+                core.leadership.on_append_reply(peer, reply)
+            case SnapshotReply():
+                core.leadership.on_snapshot_reply(peer, reply)
+
+    def _tick(self) -> None:
+        core = self._core
+        self._founding.tick()
+        if self._election.tick():
+            core.lead(Leadership(core))
+        if core.leadership is not None:
+            core.leadership.promote_learners()
+
+    def _advance(self) -> None:
+        """Commit, apply and answer; what is counted here is synced."""
+        core = self._core
+        leadership = core.leadership
+        if leadership is not None:
+            leadership.advance_commit()
+        self._apply()
+        if leadership is None:
+            return
+        leadership.finish()
+        if leadership.is_removed():
+            core.follow(core.term, None)
+
+    def _apply(self) -> None:
+        core = self._core
+        while core.applied_index < core.commit_index:
+            index = core.applied_index + 1
+            entry = core.storage.log.entry(index)
+            result = None
+            if entry.kind is EntryKind.DATA:
+                result = core.machine.apply(index, entry.data)
+            core.applied_index = index
+            if core.leadership is not None:
+                core.leadership.applied(index, result)
+
+    def _take_snapshot_if_due(self) -> None:
+        if not self._snapshot_wanted and not self._is_snapshot_due():
+            return
+        self._snapshot_wanted = False
+        core = self._core
+        index = core.applied_index
+        if core.storage.snapshot is not None and core.storage.snapshot.index >= index:
+            return
+        term = core.storage.log.term_at(index)
+        if term is None:
+            raise StorageError(f"entry {index} is applied but not in the log")
+        data = core.machine.snapshot()
+        members = core.membership.at(index)
+        meta = SnapshotMeta(index, term, core.group, members, len(data), zlib.crc32(data))
+        core.storage.save_snapshot(meta, data)
+        core.storage.compact(index - core.limits.trailing_entries)
+
+    def _is_snapshot_due(self) -> bool:
+        core = self._core
+        limits = core.limits
+        last = core.storage.snapshot
+        since = core.applied_index - (last.index if last else 0)
+        if since >= limits.snapshot_entries:
+            return True
+        size = core.storage.log.bytes
+        return since > 0 and size >= max(limits.snapshot_bytes, 2 * (last.size if last else 0))
--- /dev/null
+++ b/libs/consensus/tarragonhall_consensus/_snapshots.py
@@ -0,0 +1,66 @@
+"""Snapshot files: written aside, synced, renamed; the newest is the only one kept."""
+
+from __future__ import annotations
+
+import zlib
+
+from tarragonhall_model import CodecError, StorageError, decode, encode
+
+from tarragonhall_consensus._files import Files
+from tarragonhall_consensus._frames import frame, scan
+from tarragonhall_consensus._messages import SnapshotMeta
+
+SNAPSHOT_SUFFIX = ".snapshot"
+ASIDE_SUFFIX = ".tmp"
+PART_BYTES = 256 * 1024
+
+
+class SnapshotStore:
+    """The snapshots of one data folder."""
+
+    __slots__ = ("_files", "_folder")
+
+    def __init__(self, files: Files, folder: str) -> None:
+        self._files = files
+        self._folder = folder
+
+    def save(self, meta: SnapshotMeta, data: bytes) -> None:
+        """Store a snapshot so that a crash leaves either the old one or the whole new one."""
+        path = self._path(meta.index)
+        file = self._files.create(path + ASIDE_SUFFIX)
+        try:
+            file.write(frame(1, encode(meta)))
+            for number, start in enumerate(range(0, len(data), PART_BYTES), 2):
+                file.write(frame(number, data[start : start + PART_BYTES]))
+            file.sync()
+        finally:
+            file.close()
+        self._files.rename(path + ASIDE_SUFFIX, path)
+        self._files.sync_folder(self._folder)
+        for name in self._names()[:-1]:
+            self._files.remove(f"{self._folder}/{name}")
+
+    def load(self) -> tuple[SnapshotMeta, bytes] | None:
+        """Return the newest snapshot, None where there is none."""
+        names = self._names()
+        if not names:
+            return None
+        path = f"{self._folder}/{names[-1]}"
+        found = scan(self._files.read(path), 1)
+        # An older snapshot would not do: the log that led from it to this one is gone.
+        if found.bad_at is not None or not found.payloads:
+            raise StorageError(f"{path}: corrupt; the member must be replaced")
+        try:
+            meta = decode(found.payloads[0])
+        except CodecError as error:
+            raise StorageError(f"{path}: {error}") from error
+        data = b"".join(found.payloads[1:])
+        if len(data) != meta.size or zlib.crc32(data) != meta.crc:
+            raise StorageError(f"{path}: corrupt; the member must be replaced")
+        return meta, data
+
+    def _names(self) -> list[str]:
+        return [name for name in self._files.names(self._folder) if name.endswith(SNAPSHOT_SUFFIX)]
+
+    def _path(self, index: int) -> str:
+        return f"{self._folder}/{index:020d}{SNAPSHOT_SUFFIX}"
--- /dev/null
+++ b/libs/consensus/tarragonhall_consensus/_storage.py
@@ -0,0 +1,257 @@
+"""Synced storage of one member: hard state, log and snapshot under one data folder.
+
+Changes gather in a batch that `sync` writes as one frame with one sync. Nothing that depends on
+them may leave the member before `sync` has returned.
+"""
+
+from __future__ import annotations
+
+import random
+
+import cbor2
+from tarragonhall_model import StorageError, encode, new_id
+
+from tarragonhall_consensus._files import AppendFile, Files
+from tarragonhall_consensus._frames import frame
+from tarragonhall_consensus._log import Log
+from tarragonhall_consensus._messages import Entry, SnapshotMeta
+from tarragonhall_consensus._segments import (
+    FORMAT_VERSION,
+    SEGMENT_SUFFIX,
+    HardState,
+    Segment,
+    SegmentReader,
+    SegmentStart,
+    entry_item,
+    put_entry,
+    reset_item,
+    segment_name,
+    sequence_of,
+    state_item,
+)
+from tarragonhall_consensus._snapshots import ASIDE_SUFFIX, SnapshotStore
+
+LOCK_NAME = "lock"
+
+
+def open_storage(
+    files: Files, folder: str, member_id: str, rng: random.Random, segment_bytes: int
+) -> Storage:
+    """Open the data folder, or make a new one under a new identity."""
+    files.make_folder(folder)
+    lock = files.lock(f"{folder}/{LOCK_NAME}")
+    try:
+        storage = Storage(files, folder, lock, segment_bytes)
+        storage._recover(member_id, rng)
+    except BaseException:
+        lock.close()
+        raise
+    return storage
+
+
+class Storage:
+    """The data folder of one member. After a `StorageError` it refuses everything."""
+
+    __slots__ = (
+        "_batch",
+        "_failed",
+        "_file",
+        "_files",
+        "_folder",
+        "_lock",
+        "_next_sequence",
+        "_segment_bytes",
+        "_segments",
+        "_snapshots",
+        "_written_bytes",
+        "identity",
+        "log",
+        "member_id",
+        "snapshot",
+        "snapshot_data",
+        "state",
+        "syncs",
+    )
+
+    def __init__(self, files: Files, folder: str, lock: object, segment_bytes: int) -> None:
+        self._files = files
+        self._folder = folder
+        self._lock = lock
+        self._segment_bytes = segment_bytes
+        self._snapshots = SnapshotStore(files, folder)
+        self._batch: list[list] = []
+        self._failed = False
+        self._file: AppendFile | None = None
+        self._written_bytes = 0
+        self._segments: list[Segment] = []
+        self._next_sequence = 1
+        self.syncs = 0
+        self.log = Log()
+        self.state = HardState()
+        self.snapshot: SnapshotMeta | None = None
+        self.snapshot_data = b""
+
+    def save_state(self, term: int, vote: str, group: str) -> None:
+        """Set term, vote and group with the next sync."""
+        self.state = HardState(term, vote, group)
+        self._batch.append(state_item(self.state))
+
+    def append(self, entry: Entry) -> int:
+        """Put an entry at the end of the log with the next sync and return its index."""
+        index = self.log.append(entry)
+        self._batch.append(entry_item(index, entry))
+        return index
+
+    def put(self, index: int, entry: Entry) -> None:
+        """Put an entry at `index` with the next sync, dropping what was there and after it."""
+        put_entry(self.log, index, entry)
+        self._batch.append(entry_item(index, entry))
+
+    def sync(self) -> None:
+        """Make the batch last; does nothing where it is empty."""
+        self._check()
+        if not self._batch:
+            return
+        data = frame(self._next_sequence, cbor2.dumps(self._batch))
+        self._batch = []
+        # After a failed sync the system may drop the pages and report success the next time.
+        # The bytes would be missing and nobody would notice, so there is no next time.
+        self._failed = True
+        self._file.write(data)
+        self._file.sync()
+        self._failed = False
+        self.syncs += 1
+        self._next_sequence += 1
+        self._written_bytes += len(data)
+        if self._written_bytes >= self._segment_bytes:
+            self._roll()
+
+    def save_snapshot(self, meta: SnapshotMeta, data: bytes) -> None:
+        """Store a snapshot. Where the log does not lead to it, the log starts anew after it."""
+        self.sync()
+        self._failed = True
+        self._snapshots.save(meta, data)
+        self._failed = False
+        self.snapshot = meta
+        self._fit_log_to_snapshot()
+        self.sync()
+
+    def compact(self, index: int) -> None:
+        """Forget entries up to `index`, and remove the segments that hold only such."""
+        self._check()
+        self.log.compact(min(index, self.log.last_index))
+        if len(self._segments) > 1 and self._segments[1].base_index <= index:
+            self._failed = True
+            while len(self._segments) > 1 and self._segments[1].base_index <= index:
+                self._files.remove(self._segments.pop(0).path)
+                # Removals may reach the disk in any order. A segment gone while one before it is
+                # still there would look like a lost segment at the next start.
+                self._files.sync_folder(self._folder)
+            self._failed = False
+
+    def load_snapshot(self) -> bytes:
+        """Read the newest snapshot's bytes again."""
+        found = self._snapshots.load()
+        if found is None:
+            raise StorageError(f"{self._folder}: the snapshot is gone")
+        return found[1]
+
+    def close(self) -> None:
+        """Release the folder; what was not synced is lost."""
+        self._failed = True
+        if self._file is not None:
+            self._file.close()
+        self._lock.close()
+
+    def _check(self) -> None:
+        if self._failed:
+            raise StorageError(f"{self._folder}: storage has failed or was closed; restart")
+
+    def _recover(self, member_id: str, rng: random.Random) -> None:
+        self._remove_leftovers()
+        self.member_id = member_id
+        found = self._snapshots.load()
+        reader = SegmentReader()
+        names = [n for n in self._files.names(self._folder) if n.endswith(SEGMENT_SUFFIX)]
+        for name in names:
+            path = f"{self._folder}/{name}"
+            last = name == names[-1]
+            reader.read(path, sequence_of(name), self._files.read(path), last)
+        replay = reader.result()
+        if replay is None:
+            if found is not None:
+                raise StorageError(f"{self._folder}: a snapshot but no log; replace the member")
+            self.identity = new_id("member", rng)
+            self._roll()
+            return
+        if replay.start.member_id != member_id:
+            raise StorageError(
+                f"{self._folder}: belongs to member {replay.start.member_id}, not {member_id}"
+            )
+        self.identity = replay.start.identity
+        self.log = replay.log
+        self.state = replay.state
+        self._segments = replay.segments
+        self._next_sequence = replay.next_sequence
+        self._write_anew(replay.segments[-1].path, replay.last_good)
+        if found is not None:
+            self.snapshot, self.snapshot_data = found
+            self._fit_log_to_snapshot()
+            self.sync()
+        elif self.log.base_index > 0:
+            raise StorageError(f"{self._folder}: the snapshot is missing; replace the member")
+
+    def _fit_log_to_snapshot(self) -> None:
+        meta = self.snapshot
+        if self.log.base_index > meta.index:
+            raise StorageError(f"{self._folder}: entries after {meta.index} are missing")
+        if self.log.term_at(meta.index) == meta.term:
+            return
+        self.log.reset(meta.index, meta.term)
+        self._batch.append(reset_item(meta.index, meta.term))
+
+    def _write_anew(self, path: str, good: bytes) -> None:
+        """Write the last segment again without its torn end and go on appending to the copy.
+
+        What was read may never have reached the disk: the process may have died before its sync,
+        or the sync may have failed. Such bytes would vanish in the next power cut after this
+        member had acted on them. A copy that is synced before use cannot.
+        """
+        self._file = self._create(path, good)
+        self._written_bytes = len(good)
+
+    def _roll(self) -> None:
+        """Begin a new segment. The one before it is synced to its end."""
+        state = self.state
+        base_index, base_term = self.log.last_index, self.log.last_term
+        start = SegmentStart(
+            FORMAT_VERSION, self.member_id, self.identity, base_index, base_term, state
+        )
+        path = f"{self._folder}/{segment_name(self._next_sequence)}"
+        data = frame(self._next_sequence, encode(start))
+        if self._file is not None:
+            self._file.close()
+        self._failed = True
+        self._file = self._create(path, data)
+        self._failed = False
+        self._segments.append(Segment(path, self._next_sequence, base_index))
+        self._next_sequence += 1
+        self._written_bytes = len(data)
+
+    def _create(self, path: str, data: bytes) -> AppendFile:
+        """Make a synced file that has its name only once it is whole."""
+        file = self._files.create(path + ASIDE_SUFFIX)
+        try:
+            file.write(data)
+            file.sync()
+            self._files.rename(path + ASIDE_SUFFIX, path)
+            self._files.sync_folder(self._folder)
+        except BaseException:
+            file.close()
+            raise
+        return file
+
+    def _remove_leftovers(self) -> None:
+        for name in self._files.names(self._folder):
+            if name.endswith(ASIDE_SUFFIX):
+                self._files.remove(f"{self._folder}/{name}")
--- /dev/null
+++ b/libs/consensus/tests/single_member_tests.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+from tarragonhall_consensus import (
+    ConfirmRead,
+    Limits,
+    Member,
+    ProposalDone,
+    ProposeData,
+    ReadConfirmed,
+    TakeSnapshot,
+    Tick,
+    open_replica,
+)
+from tarragonhall_model import StorageError
+
+ALONE = [Member("solo", "", "127.0.0.1:1")]
+
+
+class Journal:
+    """A machine that keeps every entry."""
+
+    def __init__(self) -> None:
+        self.entries: list[bytes] = []
+
+    def apply(self, index: int, data: bytes) -> int:
+        self.entries.append(data)
+        return len(self.entries)
+
+    def snapshot(self) -> bytes:
+        return b"\n".join(self.entries)
+
+    def restore(self, data: bytes) -> None:
+        self.entries = data.split(b"\n") if data else []
+
+
+def open_alone(folder, machine, now=0.0, **limits):
+    rng = random.Random(folder.name + str(now))
+    return open_replica(
+        str(folder), "solo", "127.0.0.1:1", ALONE, machine, rng, now, Limits(**limits)
+    )
+
+
+def test_a_single_member_leads_at_once_and_answers_in_the_same_step(tmp_path):
+    replica = open_alone(tmp_path / "data", Journal())
+    replica.step([Tick()], 0.0)
+    assert replica.is_leader(0.0)
+    outputs = replica.step([ProposeData(1, b"a"), ProposeData(2, b"b"), ConfirmRead(3)], 0.1)
+    done = [output for output in outputs if isinstance(output, ProposalDone)]
+    assert [(output.token, output.result) for output in done] == [(1, 1), (2, 2)]
+    assert ReadConfirmed(3) in outputs
+
+
+def test_a_restart_recovers_everything(tmp_path):
+    replica = open_alone(tmp_path / "data", Journal())
+    replica.step([Tick()], 0.0)
+    for token in range(20):
+        replica.step([ProposeData(token, b"%d" % token)], 0.1)
+    identity, term = replica.status().identity, replica.status().term
+    replica.close()
+    machine = Journal()
+    again = open_alone(tmp_path / "data", machine, 1.0)
+    again.step([Tick()], 1.0)
+    assert machine.entries == [b"%d" % token for token in range(20)]
+    assert again.status().identity == identity
+    assert again.status().term == term + 1
+
+
+@pytest.mark.parametrize("trailing", [0, 5])
+def test_a_restart_recovers_from_snapshots_and_many_small_segments(tmp_path, trailing):
+    limits = {"segment_bytes": 200, "snapshot_entries": 10, "trailing_entries": trailing}
+    replica = open_alone(tmp_path / "data", Journal(), **limits)
+    for token in range(57):
+        replica.step([ProposeData(token, b"%d" % token)] if token else [Tick()], 0.1)
+    replica.step([TakeSnapshot()], 0.2)
+    replica.step([ProposeData(57, b"57")], 0.2)
+    replica.close()
+    machine = Journal()
+    again = open_alone(tmp_path / "data", machine, 1.0, **limits)
+    again.step([Tick()], 1.0)
+    assert machine.entries == [b"%d" % token for token in range(1, 58)]
+    assert len(list((tmp_path / "data").glob("*.snapshot"))) == 1
+
+
+def test_a_second_process_is_kept_out_of_the_folder(tmp_path):
+    open_alone(tmp_path / "data", Journal())
+    with pytest.raises(StorageError, match="another process"):
+        open_alone(tmp_path / "data", Journal())
+
+
+def test_a_folder_of_another_member_is_refused(tmp_path):
+    open_alone(tmp_path / "data", Journal()).close()
+    with pytest.raises(StorageError, match="belongs to member solo"):
+        open_replica(str(tmp_path / "data"), "other", "", [], Journal(), random.Random(1), 0.0)
