--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -21,6 +21,7 @@
     decode,
     encode,
     from_plain,
+    mutable_record,
     record,
     to_plain,
 )
@@ -258,6 +259,7 @@
     "escape",
     "fingerprint",
     "from_plain",
+    "mutable_record",
     "new_id",
     "new_secret",
     "record",
--- a/libs/model/tarragonhall_model/_codec.py
+++ b/libs/model/tarragonhall_model/_codec.py
@@ -26,7 +26,15 @@
 
 def record(cls: type[T]) -> type[T]:
     """Make a class a frozen slotted data class that the codec can encode and decode."""
-    made = dataclasses.dataclass(slots=True, frozen=True)(cls)
+    return _registered(dataclasses.dataclass(slots=True, frozen=True)(cls))
+
+
+def mutable_record(cls: type[T]) -> type[T]:
+    """Make a class a slotted data class that can change, and that a snapshot can hold."""
+    return _registered(dataclasses.dataclass(slots=True)(cls))
+
+
+def _registered(made: type[T]) -> type[T]:
     if made.__name__ in _class_by_name:
         raise ValueError(f"two records are named {made.__name__}")
     _class_by_name[made.__name__] = made
--- a/libs/model/tests/codec_tests.py
+++ b/libs/model/tests/codec_tests.py
@@ -18,6 +18,7 @@
     decode,
     encode,
     from_plain,
+    mutable_record,
 )
 
 text = st.text(max_size=20)
@@ -66,3 +67,15 @@
 def test_bytes_that_are_no_known_record_are_refused(data):
     with pytest.raises(CodecError):
         decode(data)
+
+
+@mutable_record
+class Shelf:
+    turn_by_number: dict[int, Turn]
+    size: int = 0
+
+
+def test_a_mutable_record_comes_back_with_its_changes():
+    shelf = Shelf({3: Turn("a", "b")})
+    shelf.size = 7
+    assert decode(encode(shelf)) == Shelf({3: Turn("a", "b")}, 7)
