--- /dev/null
+++ b/libs/state/tarragonhall_state/_configuration.py
@@ -0,0 +1,393 @@
+"""Everything operators decide: organisations, settings, keys and operators, under one revision.
+
+There is one number for all of it. Racing operators who expect the same number cannot both be
+accepted, whatever they change, and a follower needs to compare a single number.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import field
+
+from tarragonhall_model import (
+    Finding,
+    OrganisationPolicy,
+    PolicyDelta,
+    RefusalCode,
+    mutable_record,
+)
+
+from tarragonhall_state._commands import (
+    ChangeAccepted,
+    ChangeRecord,
+    ChangeRefused,
+    CreateFirstOperator,
+    CreateOperator,
+    CreateOrganisation,
+    GrantKey,
+    KeyGranted,
+    PlacedFinding,
+    RemoveOperator,
+    SettingChange,
+    SettingsChange,
+    WithdrawKey,
+)
+from tarragonhall_state._keys import KeyRecord, Keys, key_id_of
+from tarragonhall_state._names import (
+    OPTION_BY_NAME,
+    ROOT_PATH,
+    check_path,
+)
+from tarragonhall_state._operators import MAX_OPERATORS, Operator, OperatorRole, Operators
+from tarragonhall_state._policy import (
+    Touched,
+    TouchLog,
+    empty_delta,
+    model_names,
+    organisations_under,
+    resolve_model,
+    resolve_organisation,
+)
+from tarragonhall_state._tree import SettingsTree
+
+ID_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
+HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
+# 15,000 are planned; the bound keeps a runaway script from filling every control member.
+MAX_ORGANISATIONS = 30_000
+MAX_KEYS = 200_000
+FIRST_AUTHOR = "init"
+
+
+@mutable_record
+class ConfigurationSnapshot:
+    """The whole configuration."""
+
+    revision: int = 0
+    tree: SettingsTree = field(default_factory=SettingsTree)
+    path_by_org_id: dict[str, str] = field(default_factory=dict)
+    keys: Keys = field(default_factory=Keys)
+    operators: Operators = field(default_factory=Operators)
+    touch_log: TouchLog = field(default_factory=TouchLog)
+
+
+class Configuration:
+    """The configuration in force; each accepted change raises the revision by one."""
+
+    __slots__ = ("_policy_by_org_id", "_stored")
+
+    def __init__(self) -> None:
+        self._stored = ConfigurationSnapshot()
+        # Resolving 15,000 organisations for each follower that starts would stop the loop.
+        self._policy_by_org_id: dict[str, OrganisationPolicy] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the number of the last accepted change."""
+        return self._stored.revision
+
+    @property
+    def tree(self) -> SettingsTree:
+        """Return the settings tree, to be read only."""
+        return self._stored.tree
+
+    @property
+    def path_by_org_id(self) -> dict[str, str]:
+        """Return where each organisation stands, to be read only."""
+        return self._stored.path_by_org_id
+
+    @property
+    def keys(self) -> Keys:
+        """Return the keys, to be read only."""
+        return self._stored.keys
+
+    @property
+    def operators(self) -> Operators:
+        """Return the operators, to be read only."""
+        return self._stored.operators
+
+    def apply(self, body: object, request_id: str, now_ms: int) -> object:
+        """Carry out a command of operators; return None for any other."""
+        if isinstance(body, SettingsChange):
+            return self._change_settings(body, request_id, now_ms)
+        match body:
+            case GrantKey():
+                return self._grant_key(body, request_id, now_ms)
+            case WithdrawKey():
+                return self._withdraw_key(body, request_id, now_ms)
+            case CreateOperator():
+                return self._create_operator(body, request_id, now_ms)
+            case CreateFirstOperator():
+                return self._create_first_operator(body, request_id, now_ms)
+            case RemoveOperator():
+                return self._remove_operator(body, request_id, now_ms)
+        return None
+
+    def preview(self, change: SettingsChange) -> ChangeAccepted | ChangeRefused:
+        """Return what a change would give now, without changing anything (a dry run)."""
+        refused = self._check_revision(change)
+        if refused is not None:
+            return refused
+        changes, findings = self._plan(change)
+        if findings:
+            return self._refused(RefusalCode.BAD_INPUT, "the change was not accepted", findings)
+        return ChangeAccepted(self.revision, tuple(changes))
+
+    def policy_since(self, revision: int) -> PolicyDelta:
+        """Return what leads from a revision to the one in force; all of it to one far behind."""
+        if revision >= self.revision:
+            return empty_delta(self.revision)
+        touched = self._stored.touch_log.since(revision)
+        if touched is None:
+            return self._full_policy()
+        return self._delta(revision, touched)
+
+    def organisation(self, org_id: str) -> OrganisationPolicy | None:
+        """Return what is in force for an organisation."""
+        path = self.path_by_org_id.get(org_id)
+        if path is None:
+            return None
+        policy = self._policy_by_org_id.get(org_id)
+        if policy is None:
+            policy = resolve_organisation(self.tree, org_id, path)
+            self._policy_by_org_id[org_id] = policy
+        return policy
+
+    def snapshot(self) -> ConfigurationSnapshot:
+        """Return the whole configuration."""
+        return self._stored
+
+    def restore(self, snapshot: ConfigurationSnapshot) -> None:
+        """Replace the whole configuration."""
+        self._stored = snapshot
+        self._policy_by_org_id.clear()
+
+    def _change_settings(
+        self, change: SettingsChange, request_id: str, now_ms: int
+    ) -> ChangeAccepted | ChangeRefused:
+        planned = self.preview(change)
+        if isinstance(planned, ChangeRefused):
+            return planned
+        touched = []
+        if isinstance(change, CreateOrganisation):
+            self._stored.path_by_org_id[change.org_id] = change.path
+            touched.append(change.org_id)
+        kind = type(change).__name__
+        self._commit(kind, change.path, change.author, request_id, now_ms, planned.changes)
+        self._touch(planned.changes, touched)
+        return ChangeAccepted(self.revision, planned.changes)
+
+    def _plan(self, change: SettingsChange) -> tuple[list[SettingChange], list[Finding]]:
+        findings = []
+        if isinstance(change, CreateOrganisation):
+            findings = self._check_organisation(change)
+        changes, found = self.tree.plan(change)
+        return changes, findings + found
+
+    def _check_organisation(self, change: CreateOrganisation) -> list[Finding]:
+        findings = []
+        if ID_PATTERN.fullmatch(change.org_id) is None:
+            text = "expected 1 to 64 lower-case letters, digits, . _ and -"
+            findings.append(Finding("/org_id", text))
+        if change.org_id in self.path_by_org_id:
+            findings.append(Finding("/org_id", f"{change.org_id!r} exists already"))
+        if change.path in self.path_by_org_id.values():
+            findings.append(Finding("/path", "another organisation stands there"))
+        if len(self.path_by_org_id) >= MAX_ORGANISATIONS:
+            findings.append(Finding("", f"more than {MAX_ORGANISATIONS} organisations"))
+        return findings
+
+    def _check_revision(self, change: SettingsChange) -> ChangeRefused | None:
+        expected = change.expected_revision
+        if expected is None or expected == self.revision:
+            return None
+        last = self.tree.history[-1] if self.tree.history else None
+        by = f", by {last.author}" if last is not None else ""
+        message = f"revision {expected} was expected, {self.revision} is in force{by}"
+        in_force = {}
+        if not check_path(change.path, ""):
+            in_force = {one.name: one.value for one in self.tree.explain(change.path)}
+        return ChangeRefused(RefusalCode.CONFLICT, message, self.revision, (), in_force)
+
+    def _grant_key(
+        self, command: GrantKey, request_id: str, now_ms: int
+    ) -> KeyGranted | ChangeRefused:
+        key_id = key_id_of(command.key_hash)
+        existing = self.keys.by_id.get(key_id)
+        findings = self._check_grant(command, existing, now_ms)
+        if findings:
+            return self._refused(RefusalCode.BAD_INPUT, "the key was not granted", findings)
+        if existing is not None:
+            return KeyGranted(self.revision, key_id)
+        key = KeyRecord(
+            key_id=key_id,
+            key_hash=command.key_hash,
+            org_id=command.org_id,
+            author=command.author,
+            granted_at_ms=now_ms,
+            expires_at_ms=command.expires_at_ms,
+        )
+        self.keys.grant(key)
+        touched = [key.key_hash]
+        if command.replaces is not None:
+            ends_at_ms = now_ms + command.overlap_seconds * 1_000
+            touched.append(self.keys.replace(command.replaces, key_id, ends_at_ms).key_hash)
+        touched.extend(dropped.key_hash for dropped in self.keys.drop_ended(now_ms))
+        path = self.path_by_org_id[command.org_id]
+        self._commit("GrantKey", path, command.author, request_id, now_ms)
+        self._touch((), keys=touched)
+        return KeyGranted(self.revision, key_id)
+
+    def _check_grant(
+        self, command: GrantKey, existing: KeyRecord | None, now_ms: int
+    ) -> list[Finding]:
+        findings = []
+        if command.org_id not in self.path_by_org_id:
+            findings.append(Finding("/org_id", f"no organisation {command.org_id!r}"))
+        if HASH_PATTERN.fullmatch(command.key_hash) is None:
+            findings.append(Finding("/key_hash", "expected a SHA-256 hash of 64 hex digits"))
+        if existing is not None and existing.org_id != command.org_id:
+            findings.append(Finding("/key_hash", "this key belongs to another organisation"))
+        if existing is not None and existing.withdrawn_at_ms is not None:
+            findings.append(Finding("/key_hash", "this key was withdrawn"))
+        if existing is None and len(self.keys.by_id) >= MAX_KEYS:
+            findings.append(Finding("", f"more than {MAX_KEYS} keys"))
+        if command.expires_at_ms is not None and command.expires_at_ms <= now_ms:
+            findings.append(Finding("/expires_at_ms", "is in the past"))
+        if command.overlap_seconds < 0:
+            findings.append(Finding("/overlap_seconds", "expected 0 or more"))
+        replaced = self.keys.by_id.get(command.replaces) if command.replaces else None
+        if command.replaces and (replaced is None or replaced.org_id != command.org_id):
+            findings.append(Finding("/replaces", "no such key of this organisation"))
+        return findings
+
+    def _withdraw_key(
+        self, command: WithdrawKey, request_id: str, now_ms: int
+    ) -> ChangeAccepted | ChangeRefused:
+        key = self.keys.by_id.get(command.key_id)
+        if key is None:
+            return self._refused(RefusalCode.NOT_FOUND, f"no key {command.key_id!r}")
+        if key.withdrawn_at_ms is not None:
+            return ChangeAccepted(self.revision)
+        self.keys.withdraw(command.key_id, now_ms)
+        path = self.path_by_org_id[key.org_id]
+        self._commit("WithdrawKey", path, command.author, request_id, now_ms)
+        self._touch((), keys=[key.key_hash])
+        return ChangeAccepted(self.revision)
+
+    def _create_operator(
+        self, command: CreateOperator, request_id: str, now_ms: int
+    ) -> ChangeAccepted | ChangeRefused:
+        findings = self._check_operator(command)
+        if findings:
+            return self._refused(RefusalCode.BAD_INPUT, "the operator was not made", findings)
+        self._add_operator(command, now_ms)
+        self._commit("CreateOperator", command.path, command.author, request_id, now_ms)
+        self._touch(())
+        return ChangeAccepted(self.revision)
+
+    def _create_first_operator(
+        self, command: CreateFirstOperator, request_id: str, now_ms: int
+    ) -> ChangeAccepted | ChangeRefused:
+        existing = self.operators.by_name.get(command.name)
+        if existing is not None and existing.token_hash == command.token_hash:
+            return ChangeAccepted(self.revision)
+        if self.operators.by_name:
+            return self._refused(RefusalCode.CONFLICT, "there is an operator already")
+        first = CreateOperator(
+            name=command.name,
+            token_hash=command.token_hash,
+            path=ROOT_PATH,
+            role=OperatorRole.ADMIN.value,
+            author=FIRST_AUTHOR,
+        )
+        return self._create_operator(first, request_id, now_ms)
+
+    def _remove_operator(
+        self, command: RemoveOperator, request_id: str, now_ms: int
+    ) -> ChangeAccepted | ChangeRefused:
+        operator = self.operators.by_name.get(command.name)
+        if operator is None:
+            return self._refused(RefusalCode.NOT_FOUND, f"no operator {command.name!r}")
+        others = [one for one in self.operators.by_name.values() if one is not operator]
+        if not any(one.may(OperatorRole.ADMIN, ROOT_PATH) for one in others):
+            message = "this is the last admin over everything; nobody could make another"
+            return self._refused(RefusalCode.CONFLICT, message)
+        del self.operators.by_name[command.name]
+        self._commit("RemoveOperator", operator.path, command.author, request_id, now_ms)
+        self._touch(())
+        return ChangeAccepted(self.revision)
+
+    def _check_operator(self, command: CreateOperator) -> list[Finding]:
+        findings = check_path(command.path, "/path")
+        if ID_PATTERN.fullmatch(command.name) is None:
+            findings.append(Finding("/name", "expected 1 to 64 letters, digits, . _ and -"))
+        if command.name in self.operators.by_name:
+            findings.append(Finding("/name", f"{command.name!r} exists already"))
+        if command.role not in [role.value for role in OperatorRole]:
+            findings.append(Finding("/role", "expected reader, editor or admin"))
+        if HASH_PATTERN.fullmatch(command.token_hash) is None:
+            findings.append(Finding("/token_hash", "expected a SHA-256 hash of 64 hex digits"))
+        if len(self.operators.by_name) >= MAX_OPERATORS:
+            findings.append(Finding("", f"more than {MAX_OPERATORS} operators"))
+        return findings
+
+    def _add_operator(self, command: CreateOperator, now_ms: int) -> None:
+        role = OperatorRole(command.role)
+        self.operators.add(
+            Operator(command.name, command.token_hash, command.path, role, now_ms, command.author)
+        )
+
+    def _commit(
+        self,
+        kind: str,
+        path: str,
+        author: str,
+        request_id: str,
+        now_ms: int,
+        changes: tuple[SettingChange, ...] = (),
+    ) -> None:
+        self._stored.revision += 1
+        entry = ChangeRecord(self.revision, now_ms, author, request_id, kind, path, changes)
+        self.tree.commit(entry)
+
+    def _touch(
+        self,
+        changes: tuple[SettingChange, ...],
+        organisations: Iterable[str] = (),
+        keys: Iterable[str] = (),
+    ) -> None:
+        inherited = {change.path for change in changes if change.name in OPTION_BY_NAME}
+        touched_ids = dict.fromkeys(organisations)
+        touched_ids.update(dict.fromkeys(organisations_under(self.path_by_org_id, inherited)))
+        for org_id in touched_ids:
+            self._policy_by_org_id.pop(org_id, None)
+        models = model_names([change.name for change in changes])
+        touched = Touched(self.revision, tuple(touched_ids), tuple(keys), tuple(models))
+        self._stored.touch_log.add(touched)
+
+    def _delta(self, base: int, touched: Touched) -> PolicyDelta:
+        keys = {key_hash: self.keys.policy(key_hash) for key_hash in touched.keys}
+        models = {name: resolve_model(self.tree, name) for name in touched.models}
+        return PolicyDelta(
+            base=base,
+            revision=self.revision,
+            organisations=tuple(self.organisation(org_id) for org_id in touched.organisations),
+            keys=tuple(key for key in keys.values() if key is not None),
+            models=tuple(model for model in models.values() if model is not None),
+            removed_keys=tuple(key_hash for key_hash, key in keys.items() if key is None),
+            removed_models=tuple(name for name, model in models.items() if model is None),
+        )
+
+    def _full_policy(self) -> PolicyDelta:
+        models = model_names(list(self.tree.values_at(ROOT_PATH)))
+        keys = tuple(key.key_hash for key in self.keys.by_id.values())
+        touched = Touched(self.revision, tuple(self.path_by_org_id), keys, tuple(models))
+        delta = self._delta(0, touched)
+        return PolicyDelta(0, self.revision, True, delta.organisations, delta.keys, delta.models)
+
+    def _refused(
+        self, code: RefusalCode, message: str, findings: list[Finding] = ()
+    ) -> ChangeRefused:
+        placed = tuple(PlacedFinding(one.place, one.message) for one in findings)
+        return ChangeRefused(code, message, self.revision, placed)
--- /dev/null
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -0,0 +1,257 @@
+"""The state machine over the log: decodes a command, sends it to its part, remembers the result."""
+
+from __future__ import annotations
+
+from dataclasses import field
+
+from tarragonhall_model import (
+    AnnounceEntry,
+    AnnounceServer,
+    CallClosed,
+    CallOpened,
+    CallRunning,
+    CodecError,
+    Command,
+    DrainServer,
+    Living,
+    PolicyDelta,
+    ProgramInfo,
+    ProgramReport,
+    ProgramStatus,
+    Quarantined,
+    Refusal,
+    RefusalCode,
+    RemoveEntry,
+    RemoveServer,
+    View,
+    decode,
+    encode,
+    record,
+    shard_of,
+)
+
+from tarragonhall_state._configuration import Configuration, ConfigurationSnapshot
+from tarragonhall_state._journal import JOURNAL_SHARDS, Journal, JournalSnapshot
+from tarragonhall_state._requests import (
+    JOURNAL_ENTRIES,
+    JOURNAL_WINDOW_MS,
+    OPERATOR_ENTRIES,
+    OPERATOR_WINDOW_MS,
+    CallReference,
+    Remembered,
+    RequestTable,
+    body_digest,
+)
+from tarragonhall_state._views import Views
+
+SNAPSHOT_FORMAT = 1
+
+
+@record
+class StateSnapshot:
+    """The whole state at one index of the log."""
+
+    format: int
+    clock_ms: int
+    configuration: ConfigurationSnapshot
+    views: Views
+    operator_requests: RequestTable
+    journal_requests: RequestTable
+    journals: list[JournalSnapshot] = field(default_factory=list)
+
+
+class ControlState:
+    """All state of the control members. `apply` gives the same result on every one of them."""
+
+    __slots__ = (
+        "_clock_ms",
+        "_journal_requests",
+        "_journals",
+        "_operator_requests",
+        "_views",
+        "configuration",
+    )
+
+    def __init__(self) -> None:
+        self.configuration = Configuration()
+        self._views = Views()
+        self._journals = [Journal() for _ in range(JOURNAL_SHARDS)]
+        self._operator_requests = RequestTable(OPERATOR_WINDOW_MS, OPERATOR_ENTRIES)
+        self._journal_requests = RequestTable(JOURNAL_WINDOW_MS, JOURNAL_ENTRIES)
+        # Leaders' clocks differ; time in the log must not run backwards when the leader changes.
+        self._clock_ms = 0
+
+    def apply(self, index: int, data: bytes) -> object:
+        """Apply one committed command and return its result."""
+        try:
+            command = decode(data)
+        except CodecError as error:
+            return Refusal(RefusalCode.BAD_INPUT, f"undecodable command: {error}")
+        if not isinstance(command, Command):
+            return Refusal(RefusalCode.BAD_INPUT, "expected a command")
+        self._clock_ms = max(self._clock_ms, command.at_ms)
+        digest = body_digest(command.body)
+        earlier = self.remembered(command.request_id)
+        if earlier is not None:
+            if earlier.digest != digest:
+                message = "this request id was used for something else"
+                return Refusal(RefusalCode.CONFLICT, message)
+            return self.recall(earlier)
+        return self._carry_out(command, digest)
+
+    def remembered(self, request_id: str) -> Remembered | None:
+        """Return what is remembered of a request that was carried out."""
+        found = self._operator_requests.find(request_id)
+        return found if found is not None else self._journal_requests.find(request_id)
+
+    def recall(self, remembered: Remembered) -> object:
+        """Return the result of a request that was carried out before."""
+        result = remembered.result
+        if not isinstance(result, CallReference):
+            return result
+        return self._journal(result.program_id).recall(result.program_id, result.seq)
+
+    @property
+    def revision(self) -> int:
+        """Return the settings revision in force."""
+        return self.configuration.revision
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the view."""
+        return self._views.epoch
+
+    def policy_since(self, revision: int) -> PolicyDelta:
+        """Return what leads a follower from a revision to the one in force."""
+        return self.configuration.policy_since(revision)
+
+    def view(self) -> View:
+        """Return the entries and backend servers of this epoch."""
+        return self._views.view()
+
+    def announced(self, node_id: str) -> object | None:
+        """Return an entry or server as it announced itself, without the operators' drain."""
+        return self._views.entry_by_id.get(node_id) or self._views.server_by_id.get(node_id)
+
+    def call(
+        self, program_id: str, seq: int, org_id: str
+    ) -> CallOpened | CallRunning | CallClosed | Refusal:
+        """Return what is known of a call."""
+        entries = self._views.entry_by_id
+        return self._journal(program_id).call(program_id, seq, org_id, entries)
+
+    def program(self, program_id: str, org_id: str | None) -> ProgramReport | Refusal:
+        """Return a program and its closed calls; operators may leave the organisation out."""
+        return self._journal(program_id).program(program_id, org_id)
+
+    def programs(
+        self, org_id: str | None = None, status: ProgramStatus | None = None, limit: int = 200
+    ) -> list[ProgramInfo]:
+        """Return the programs opened last, newest first."""
+        found: list[ProgramInfo] = []
+        for journal in self._journals:
+            found.extend(journal.programs(org_id, status, limit))
+        found.sort(key=lambda info: info.opened_at_ms, reverse=True)
+        return found[:limit]
+
+    def program_count(self) -> int:
+        """Return how many programs are kept, ended ones included."""
+        return sum(journal.count() for journal in self._journals)
+
+    def living(self, program_ids: list[str]) -> Living:
+        """Return those of the programs that are open."""
+        return Living([one for one in program_ids if self._journal(one).living([one])])
+
+    def quarantine(self, fingerprint: str, now_ms: int) -> Quarantined:
+        """Return whether a request is quarantined."""
+        return self._journal("").quarantine(fingerprint, now_ms)
+
+    def next_due_ms(self) -> int | None:
+        """Return when `ExpirePrograms` may next have something to do."""
+        due = [journal.next_due_ms() for journal in self._journals]
+        return min((one for one in due if one is not None), default=None)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return encode(
+            StateSnapshot(
+                format=SNAPSHOT_FORMAT,
+                clock_ms=self._clock_ms,
+                configuration=self.configuration.snapshot(),
+                views=self._views,
+                operator_requests=self._operator_requests,
+                journal_requests=self._journal_requests,
+                journals=[journal.snapshot() for journal in self._journals],
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        snapshot = decode(data)
+        if not isinstance(snapshot, StateSnapshot) or snapshot.format != SNAPSHOT_FORMAT:
+            raise CodecError("this snapshot has a format that this version cannot read")
+        self._clock_ms = snapshot.clock_ms
+        self.configuration.restore(snapshot.configuration)
+        self._views = snapshot.views
+        self._operator_requests = snapshot.operator_requests
+        self._journal_requests = snapshot.journal_requests
+        for journal, saved in zip(self._journals, snapshot.journals, strict=True):
+            journal.restore(saved)
+
+    def _carry_out(self, command: Command, digest: bytes) -> object:
+        now_ms = self._clock_ms
+        result = self.configuration.apply(command.body, command.request_id, now_ms)
+        if result is not None:
+            self._operator_requests.add(command.request_id, digest, now_ms, result)
+            return result
+        result = self._change_view(command.body, now_ms)
+        if result is None:
+            result = self._change_journal(command.body, now_ms)
+        if result is None:
+            kind = type(command.body).__name__
+            result = Refusal(RefusalCode.BAD_INPUT, f"unknown command {kind}")
+        kept = _compact(command.body, result)
+        self._journal_requests.add(command.request_id, digest, now_ms, kept)
+        return result
+
+    def _change_view(self, body: object, now_ms: int) -> object:
+        match body:
+            case AnnounceEntry(entry=entry):
+                return self._views.announce_entry(entry, now_ms)
+            case RemoveEntry(entry_id=entry_id, incarnation=incarnation):
+                return self._views.remove_entry(entry_id, incarnation, now_ms)
+            case AnnounceServer(server=server):
+                return self._views.announce_server(server, now_ms)
+            case RemoveServer(server_id=server_id, incarnation=incarnation):
+                return self._views.remove_server(server_id, incarnation, now_ms)
+            case DrainServer(server_id=server_id, draining=draining):
+                return self._views.drain_server(server_id, draining, now_ms)
+        return None
+
+    def _change_journal(self, body: object, now_ms: int) -> object:
+        journal = self._journal(_program_of(body))
+        return journal.apply(body, self._views.entry_by_id, now_ms)
+
+    def _journal(self, program_id: str) -> Journal:
+        return self._journals[shard_of(program_id, JOURNAL_SHARDS)]
+
+
+def _program_of(body: object) -> str:
+    """Return the program whose shard a command belongs to."""
+    attempt = getattr(body, "attempt", None)
+    if attempt is not None:
+        return attempt.program_id
+    return getattr(body, "program_id", "")
+
+
+def _compact(body: object, result: object) -> object:
+    """Return what to remember: histories and answers stay in the journal, which tells them again.
+
+    A second copy of each answer for five minutes would double the memory of a busy member.
+    """
+    if not isinstance(result, (CallOpened, CallClosed)):
+        return result
+    attempt = getattr(body, "attempt", None)
+    if attempt is not None:
+        return CallReference(attempt.program_id, attempt.seq)
+    return CallReference(body.program_id, body.spec.seq if hasattr(body, "spec") else body.seq)
--- /dev/null
+++ b/libs/state/tarragonhall_state/_names.py
@@ -0,0 +1,106 @@
+"""The names that the settings tree knows, and the checks of paths, names and values."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+from tarragonhall_model import (
+    Finding,
+    Flag,
+    Number,
+    Text,
+    Whole,
+    escape,
+    unknown_name,
+)
+
+ROOT_PATH = "/"
+# Deep enough for region/association/team/sub-team; each level costs one look-up per resolution.
+MAX_DEPTH = 8
+PATH_PATTERN = re.compile(r"/([a-z0-9][a-z0-9._-]{0,63}(/[a-z0-9][a-z0-9._-]{0,63})*)?")
+MODEL_NAME_PATTERN = re.compile(r"model\.(?P<model>.{1,64})\.(?P<field>[a-z_]+)")
+
+OPTION_BY_NAME: dict[str, Any] = {
+    "rate.per_second": Number(10.0, minimum=0.001, maximum=1e6),
+    # A burst below one call would never let a call through.
+    "rate.burst": Number(20.0, minimum=1.0, maximum=1e6),
+    "weight": Number(1.0, minimum=0.01, maximum=1_000.0),
+    "budget.tokens": Whole(100_000, minimum=1),
+    "budget.calls": Whole(200, minimum=1),
+    "budget.seconds": Whole(3_600, minimum=1, maximum=30 * 24 * 3_600),
+    "idle_seconds": Whole(600, minimum=1, maximum=24 * 3_600),
+    "enabled": Flag(True),
+}
+
+# Names of the form `model.NAME.version`; models are the same for all teams, so only at the root.
+OPTION_BY_MODEL_FIELD: dict[str, Any] = {
+    "version": Text(),
+    "min_replicas": Whole(1, minimum=0, maximum=100_000),
+    "max_tokens": Whole(4_096, minimum=1, maximum=10_000_000),
+}
+
+
+def ancestors(path: str) -> list[str]:
+    """Return the path and its ancestors, the path itself first and the root last."""
+    found = [path]
+    while path != ROOT_PATH:
+        path = path.rpartition("/")[0] or ROOT_PATH
+        found.append(path)
+    return found
+
+
+def is_within(path: str, subtree: str) -> bool:
+    """Return whether a path lies in a subtree."""
+    return subtree == ROOT_PATH or path == subtree or path.startswith(subtree + "/")
+
+
+def check_path(path: object, place: str) -> list[Finding]:
+    """Return what is wrong with a path."""
+    if not isinstance(path, str) or PATH_PATTERN.fullmatch(path) is None:
+        text = "expected a path such as /team/routing, of lower-case letters, digits, . _ and -"
+        return [Finding(place, f"{text}; got {path!r}")]
+    if path.count("/") > MAX_DEPTH:
+        return [Finding(place, f"deeper than {MAX_DEPTH} levels")]
+    return []
+
+
+def check_name(path: str, name: str, place: str) -> list[Finding]:
+    """Return what is wrong with a name at a path."""
+    if name in OPTION_BY_NAME:
+        return []
+    match = MODEL_NAME_PATTERN.fullmatch(name)
+    if match is None:
+        return [unknown_name(place, name, OPTION_BY_NAME)]
+    if match["field"] not in OPTION_BY_MODEL_FIELD:
+        known = [f"model.{match['model']}.{field}" for field in OPTION_BY_MODEL_FIELD]
+        return [unknown_name(place, name, known)]
+    if path != ROOT_PATH:
+        return [Finding(place, "models are set at the root path / only")]
+    return []
+
+
+def check_value(path: str, name: str, value: object, place: str) -> list[Finding]:
+    """Return what is wrong with a value for a name at a path."""
+    findings = check_name(path, name, place)
+    if findings:
+        return findings
+    return option_of(name).load(value, place)[1]
+
+
+def check_values(path: str, values: object, place: str) -> list[Finding]:
+    """Return what is wrong with a whole object of names and values."""
+    if not isinstance(values, dict):
+        return [Finding(place, f"expected an object, got {values!r}")]
+    findings = []
+    for name, value in values.items():
+        findings.extend(check_value(path, name, value, f"{place}/{escape(name)}"))
+    return findings
+
+
+def option_of(name: str) -> Any:
+    """Return the option that declares a known name."""
+    option = OPTION_BY_NAME.get(name)
+    if option is not None:
+        return option
+    return OPTION_BY_MODEL_FIELD[name.rpartition(".")[2]]
