Serve the control role: log loop, links of followers, admin API

Entries and sidecars had no leader to propose to, and operators no API. The role feeds the log one batch a loop turn, confirms the lead for each heartbeat after it arrived, announces and removes nodes, pushes news, and answers the admin API on any member, which forwards to the leader.

--- a/libs/control/tarragonhall_control/__init__.py
+++ b/libs/control/tarragonhall_control/__init__.py
@@ -4,11 +4,13 @@
 
 from tarragonhall_wire import ProcessContext, Role
 
+from tarragonhall_control._first_operator import initialise
+from tarragonhall_control._role import ControlRole
 from tarragonhall_control._settings import OPTIONS, ControlSettings
 
-__all__ = ["OPTIONS", "ControlSettings", "start_control"]
+__all__ = ["OPTIONS", "ControlSettings", "initialise", "start_control"]
 
 
 def start_control(settings: ControlSettings, context: ProcessContext) -> Role:
     """Open the data folder, join the group and serve links and the admin API."""
-    raise NotImplementedError
+    return ControlRole(settings, context)
--- /dev/null
+++ b/libs/control/tarragonhall_control/_admin.py
@@ -0,0 +1,195 @@
+"""The admin HTTP API: any member takes a request and the leader answers it."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable
+from urllib.parse import parse_qsl
+
+import structlog
+from tarragonhall_model import (
+    Finding,
+    InputError,
+    LinkError,
+    RequestTimeoutError,
+    TarragonhallError,
+    new_id,
+    secret_hash,
+)
+from tarragonhall_wire import HttpRequest, HttpResponse, HttpServer, Link
+
+from tarragonhall_control._admin_keys import KeyHandlers
+from tarragonhall_control._admin_settings import SettingsHandlers
+from tarragonhall_control._admin_system import SystemHandlers
+from tarragonhall_control._loop import LeadUnknownError, LoopBusyError
+from tarragonhall_control._member import ControlMember
+from tarragonhall_control._messages import AdminCall, AdminResult
+from tarragonhall_control._request import AdminError, AdminReply, AdminRequest
+
+log = structlog.get_logger(__name__)
+
+PREFIX = "/admin/v1"
+# Longer than a membership change may take, so that its outcome is told.
+FORWARD_SECONDS = 65.0
+RETRY_AFTER_SECONDS = "1"
+
+Handler = Callable[[AdminRequest], AdminReply]
+
+
+class AdminApi:
+    """Checks tokens, sends each request to its handler and turns errors into responses."""
+
+    __slots__ = ("_member", "_routes", "_server")
+
+    def __init__(self, member: ControlMember, address: str) -> None:
+        self._member = member
+        self._server = HttpServer(address, _on_error)
+        self._routes: list[tuple[str, re.Pattern[str], Handler]] = []
+        for method, pattern, handler in _routes_of(member):
+            expression = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", PREFIX + pattern)
+            self._routes.append((method, re.compile(expression), handler))
+            self._server.route(method, PREFIX + pattern, self._serve)
+
+    def start(self) -> None:
+        """Begin to serve, also what other members forward."""
+        self._member.context.hub.handle(AdminCall, self._on_call)
+        self._server.start()
+
+    def stop(self, timeout_s: float) -> bool:
+        """Finish every request at hand; return whether all ended in time."""
+        return self._server.stop(timeout_s)
+
+    def _serve(self, request: HttpRequest) -> HttpResponse:
+        call = AdminCall(
+            request.method, request.path, request.query, request.bearer() or "", request.body
+        )
+        result = self._answer(call) if self._member.is_leader() else self._forward(call)
+        return HttpResponse(result.status, json.loads(result.json), headers=result.headers)
+
+    def _forward(self, call: AdminCall) -> AdminResult:
+        """Hand a request to the leader, so that operators need not know who leads."""
+        address = self._member.leader_address()
+        if address is None:
+            return _unavailable("no leader is known; try again with the same request id")
+        try:
+            link = self._member.context.hub.wait_for(address, 1.0)
+            return link.request(call, FORWARD_SECONDS)
+        except (LinkError, RequestTimeoutError) as error:
+            return _unavailable(f"the leader did not answer ({error}); send the request again")
+
+    def _on_call(self, _link: Link, call: AdminCall) -> AdminResult:
+        if not self._member.is_leader():
+            return _unavailable("the leader has just changed; send the request again")
+        return self._answer(call)
+
+    def _answer(self, call: AdminCall) -> AdminResult:
+        try:
+            reply = self._handle(call)
+        except Exception as error:  # noqa: BLE001 - every error becomes a response
+            response = _on_error(error)
+            value = response.value | {"revision": self._member.state.revision}
+            if isinstance(error, AdminError):
+                value |= error.more
+            return AdminResult(response.status, json.dumps(value), response.headers)
+        return AdminResult(reply.status, json.dumps(reply.value))
+
+    def _handle(self, call: AdminCall) -> AdminReply:
+        handler, parts = self._route(call)
+        # What is read below must not be older than what another member may have accepted.
+        if not self._member.confirm():
+            raise LeadUnknownError("the lead could not be confirmed")
+        operators = self._member.state.configuration.operators
+        operator = operators.with_token(secret_hash(call.token)) if call.token else None
+        if operator is None:
+            raise AdminError(401, "unauthenticated", "expected the token of an operator")
+        self._member.context.metrics.count("control.admin_requests")
+        query, body, request_id = self._read(call)
+        return handler(AdminRequest(operator, request_id, query, body, parts))
+
+    def _route(self, call: AdminCall) -> tuple[Handler, dict[str, str]]:
+        for method, expression, handler in self._routes:
+            match = expression.fullmatch(call.path)
+            if match is not None and method == call.method:
+                return handler, match.groupdict()
+        raise AdminError(404, "not_found", f"no such path {call.path}")
+
+    def _read(self, call: AdminCall) -> tuple[str, dict, str]:
+        """Return query, body and request id; a request without an id gets one of its own."""
+        body = HttpRequest(call.method, call.path, call.query, {}, call.body).json()
+        given = body.get("request_id")
+        if given is None and call.method == "DELETE":
+            given = dict(parse_qsl(call.query)).get("request_id")
+        if given is not None and (not isinstance(given, str) or not given):
+            raise InputError([Finding("/request_id", "expected a non-empty string")])
+        return call.query, body, given or new_id("req", self._member.context.rng)
+
+
+def _routes_of(member: ControlMember) -> list[tuple[str, str, Handler]]:
+    settings = SettingsHandlers(member)
+    keys = KeyHandlers(member)
+    system = SystemHandlers(member)
+    return [
+        ("GET", "/status", system.status),
+        ("POST", "/organisations", settings.create_organisation),
+        ("GET", "/organisations", settings.list_organisations),
+        ("POST", "/keys", keys.grant),
+        ("GET", "/keys", keys.list_keys),
+        ("DELETE", "/keys/{key_id}", keys.withdraw),
+        ("GET", "/settings", settings.get),
+        ("POST", "/settings", settings.change),
+        ("GET", "/settings/explain", settings.explain),
+        ("GET", "/settings/history", settings.history),
+        ("GET", "/settings/diff", settings.diff),
+        ("GET", "/settings/export", settings.export),
+        ("POST", "/settings/rollback", settings.roll_back),
+        ("POST", "/settings/import", settings.import_tree),
+        ("POST", "/models", settings.set_model),
+        ("GET", "/models", settings.list_models),
+        ("POST", "/operators", keys.create_operator),
+        ("GET", "/operators", keys.list_operators),
+        ("DELETE", "/operators/{name}", keys.remove_operator),
+        ("GET", "/programs", system.list_programs),
+        ("GET", "/programs/{program_id}", system.show_program),
+        ("POST", "/programs/{program_id}/cancel", system.cancel_program),
+        ("GET", "/servers", system.list_servers),
+        ("POST", "/servers/{server_id}/drain", system.drain_server),
+        ("GET", "/members", system.list_members),
+        ("POST", "/members", system.add_member),
+        ("DELETE", "/members/{member_id}", system.remove_member),
+        ("POST", "/members/{member_id}/replace", system.replace_member),
+        ("GET", "/timeline", system.timeline),
+        ("GET", "/snapshot", system.snapshot),
+        ("POST", "/snapshot", system.take_snapshot),
+    ]
+
+
+def _unavailable(message: str) -> AdminResult:
+    value = {"error": "unavailable", "message": message, "findings": []}
+    return AdminResult(503, json.dumps(value), {"Retry-After": RETRY_AFTER_SECONDS})
+
+
+def _on_error(error: Exception) -> HttpResponse:
+    """Turn any error into a response of the one form that all errors have."""
+    match error:
+        case AdminError():
+            return _error(error.status, error.error, str(error), error.findings)
+        case InputError():
+            return _error(422, "bad_input", "the request was not accepted", error.findings)
+        case LoopBusyError():
+            return _error(429, "busy", str(error), (), {"Retry-After": RETRY_AFTER_SECONDS})
+        case LeadUnknownError():
+            message = f"{error}; send the request again under the same request id"
+            return _error(503, "unavailable", message, (), {"Retry-After": RETRY_AFTER_SECONDS})
+        case TarragonhallError():
+            return _error(409, "conflict", str(error), ())
+    log.exception("admin.request_failed", exc_info=error)
+    return _error(500, "internal", "an error of the system; its log tells more", ())
+
+
+def _error(
+    status: int, error: str, message: str, findings: object, headers: dict | None = None
+) -> HttpResponse:
+    shown = [{"place": one.place, "message": one.message} for one in findings]
+    value = {"error": error, "message": message, "findings": shown}
+    return HttpResponse(status, value, headers=headers or {})
--- /dev/null
+++ b/libs/control/tarragonhall_control/_loop.py
@@ -0,0 +1,194 @@
+"""Feeds the replicated log: one green thread, one step and one sync for all events at hand."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+from eventlet.event import Event as Waiter
+from eventlet.queue import Empty, LightQueue
+from eventlet.timeout import Timeout
+from tarragonhall_consensus import (
+    TICK_SECONDS,
+    ChangeMember,
+    ConfirmRead,
+    Event,
+    Member,
+    ProposalDone,
+    ProposalLost,
+    ProposeData,
+    ReadConfirmed,
+    ReadLost,
+    Received,
+    ReplicaApi,
+    RoleChanged,
+    SendTo,
+    TakeSnapshot,
+    Tick,
+)
+from tarragonhall_model import StorageError, TarragonhallError
+
+log = structlog.get_logger(__name__)
+
+# Proposals that wait for a commit. At 2,000 commits a second this is one second of waiting; more
+# would only be answered after their senders gave up.
+MAX_WAITING_PROPOSALS = 2_000
+BUSY_RETRY_MS = 100
+
+
+class LoopBusyError(TarragonhallError):
+    """Too many proposals wait already; this one was not put in the log."""
+
+
+class LeadUnknownError(TarragonhallError):
+    """This member does not lead, or cannot tell what became of the request."""
+
+
+@dataclass(slots=True)
+class LoopHooks:
+    """What the loop calls: to send to a peer, on a change of role, and after each step."""
+
+    send: Callable[[str, object], None]
+    on_role: Callable[[RoleChanged], None]
+    after_step: Callable[[], None]
+
+
+class LogLoop:
+    """Queues events for the replica and hands its outputs to whoever waits for them."""
+
+    __slots__ = (
+        "_hooks",
+        "_monotonic",
+        "_queue",
+        "_stopped",
+        "_tokens",
+        "_waiter_by_token",
+        "failure",
+        "replica",
+    )
+
+    def __init__(
+        self, replica: ReplicaApi, monotonic: Callable[[], float], hooks: LoopHooks
+    ) -> None:
+        self.replica = replica
+        self.failure: StorageError | None = None
+        self._hooks = hooks
+        self._monotonic = monotonic
+        self._queue = LightQueue()
+        self._tokens = itertools.count(1)
+        self._waiter_by_token: dict[int, Waiter] = {}
+        self._stopped = False
+
+    def run(self) -> None:
+        """Step the replica until stopped, or until its data folder fails."""
+        try:
+            while not self._stopped:
+                self._step(self._gather())
+        except StorageError as error:
+            # What was not synced was promised to no one. Going on with a folder that failed could
+            # promise what is not there, so this member takes no further part.
+            log.error("control.storage_failed", error=str(error))
+            self.failure = error
+        finally:
+            self._release_all()
+            self.replica.close()
+
+    def stop(self) -> None:
+        """End the loop after the step at hand."""
+        self._stopped = True
+        self._queue.put(Tick())
+
+    def is_leader(self) -> bool:
+        """Return whether this member leads and its lease holds right now."""
+        if self._stopped or self.failure is not None:
+            return False
+        return self.replica.is_leader(self._monotonic())
+
+    def waiting(self) -> int:
+        """Return how many requests wait for the log."""
+        return len(self._waiter_by_token)
+
+    def propose(self, data: bytes, timeout_s: float) -> object:
+        """Commit data and return the machine's result."""
+        if len(self._waiter_by_token) >= MAX_WAITING_PROPOSALS:
+            raise LoopBusyError("too many proposals wait for the log")
+        token = next(self._tokens)
+        match self._ask(token, ProposeData(token, data), timeout_s):
+            case ProposalDone(result=result):
+                return result
+            case ProposalLost(not_logged=True, reason=reason) if self.is_leader():
+                raise LoopBusyError(reason)
+        raise LeadUnknownError("the proposal may or may not be committed")
+
+    def change_member(self, member: Member, remove: bool, replace: bool, timeout_s: float) -> None:
+        """Change the membership by one and wait until it is done."""
+        token = next(self._tokens)
+        event = ChangeMember(token, member, remove=remove, replace=replace)
+        match self._ask(token, event, timeout_s):
+            case ProposalDone():
+                return
+            case ProposalLost(reason=reason):
+                raise LeadUnknownError(reason or "the change may or may not be committed")
+        raise LeadUnknownError("the change has not ended yet; list the members to see it")
+
+    def confirm(self, timeout_s: float) -> bool:
+        """Return whether a majority confirmed the lead after this was asked."""
+        token = next(self._tokens)
+        outcome = self._ask(token, ConfirmRead(token), timeout_s)
+        return isinstance(outcome, ReadConfirmed)
+
+    def receive(self, peer: str, message: object) -> None:
+        """Queue a message of a peer."""
+        self._queue.put(Received(peer, message))
+
+    def take_snapshot(self) -> None:
+        """Have a snapshot written and the log shortened."""
+        self._queue.put(TakeSnapshot())
+
+    def _ask(self, token: int, event: Event, timeout_s: float) -> object:
+        if self._stopped or self.failure is not None:
+            return None
+        waiter = Waiter()
+        self._waiter_by_token[token] = waiter
+        self._queue.put(event)
+        try:
+            with Timeout(timeout_s, False):
+                return waiter.wait()
+            return None
+        finally:
+            self._waiter_by_token.pop(token, None)
+
+    def _gather(self) -> list[Event]:
+        """Wait for an event or the next tick, and take everything that is queued by then."""
+        events: list[Event] = [Tick()]
+        try:
+            events.append(self._queue.get(timeout=TICK_SECONDS))
+            while True:
+                events.append(self._queue.get_nowait())
+        except Empty:
+            return events
+
+    def _step(self, events: list[Event]) -> None:
+        for output in self.replica.step(events, self._monotonic()):
+            match output:
+                case SendTo(peer=peer, message=message):
+                    self._hooks.send(peer, message)
+                case ProposalDone(token=token) | ProposalLost(token=token):
+                    self._resolve(token, output)
+                case ReadConfirmed(token=token) | ReadLost(token=token):
+                    self._resolve(token, output)
+                case RoleChanged():
+                    self._hooks.on_role(output)
+        self._hooks.after_step()
+
+    def _resolve(self, token: int, output: object) -> None:
+        waiter = self._waiter_by_token.pop(token, None)
+        if waiter is not None:
+            waiter.send(output)
+
+    def _release_all(self) -> None:
+        self._stopped = True
+        for token in list(self._waiter_by_token):
+            self._resolve(token, None)
--- /dev/null
+++ b/libs/control/tarragonhall_control/_messages.py
@@ -0,0 +1,35 @@
+"""Messages that only control members send to one another."""
+
+from __future__ import annotations
+
+from dataclasses import field
+
+from tarragonhall_model import record
+
+
+@record
+class LogMessage:
+    """Carries a message of the replicated log; loss is allowed."""
+
+    sender: str
+    message: object
+
+
+@record
+class AdminCall:
+    """An operator's request that reached another member. Reply: `AdminResult`."""
+
+    method: str
+    path: str
+    query: str
+    token: str
+    body: bytes
+
+
+@record
+class AdminResult:
+    """The leader's response: an HTTP status and its JSON text."""
+
+    status: int
+    json: str
+    headers: dict[str, str] = field(default_factory=dict)
--- /dev/null
+++ b/libs/control/tarragonhall_control/_nodes.py
@@ -0,0 +1,92 @@
+"""Which entries and backend servers are alive, by their heartbeats, and who must be announced."""
+
+from __future__ import annotations
+
+from tarragonhall_model import EntryRecord, ServerRecord, View
+
+Node = EntryRecord | ServerRecord
+
+# Far above the interval of the checks: a gap like this means that this process itself was paused.
+PAUSE_SECONDS = 1.0
+
+
+class NodeWatch:
+    """Last signs of life, in the memory of the leader alone. Times are of one monotonic clock."""
+
+    __slots__ = (
+        "_checked_at",
+        "_granted_at",
+        "_heard_at_by_key",
+        "_replaced",
+        "entry_timeout_s",
+        "server_timeout_s",
+    )
+
+    def __init__(self, entry_timeout_s: float, server_timeout_s: float) -> None:
+        self.entry_timeout_s = entry_timeout_s
+        self.server_timeout_s = server_timeout_s
+        self._heard_at_by_key: dict[str, float] = {}
+        self._replaced: dict[str, str] = {}
+        self._granted_at = 0.0
+        self._checked_at = 0.0
+
+    def grant_all(self, now: float) -> None:
+        """Give everyone a full timeout from now on.
+
+        A new leader has heard no heartbeat yet. Without this it would take every node out of the
+        view within its first second, and all running work with it.
+        """
+        self._heard_at_by_key.clear()
+        self._granted_at = now
+        self._checked_at = now
+
+    def heard(self, node: Node, now: float) -> None:
+        """Note a heartbeat."""
+        self._heard_at_by_key[node_key(node)] = now
+
+    def is_replaced(self, node: Node) -> bool:
+        """Return whether a later life of the node was announced since.
+
+        A heartbeat of the earlier life that was stuck in a queue would otherwise put it back in the
+        view, and work would be sent to a process that is gone.
+        """
+        return self._replaced.get(node_key(node)) == node.incarnation
+
+    def retire(self, node: Node) -> None:
+        """Take no more heartbeats of a life that said that it leaves; one may be on its way."""
+        self._replaced[node_key(node)] = node.incarnation
+
+    def announce(self, node: Node, known: Node | None) -> bool:
+        """Return whether a node must be announced, being new or changed."""
+        if self.is_replaced(node) or node == known:
+            return False
+        if known is not None and known.incarnation != node.incarnation:
+            self._replaced[node_key(node)] = known.incarnation
+        return True
+
+    def expired(self, view: View, now: float) -> list[Node]:
+        """Return the nodes of the view whose heartbeats have stopped."""
+        if now - self._checked_at > PAUSE_SECONDS:
+            # This process was paused. The heartbeats of that time wait unread, or were lost.
+            self.grant_all(now)
+        self._checked_at = now
+        found: list[Node] = []
+        for entry in view.entries:
+            if now - self._last_sign(entry) > self.entry_timeout_s:
+                found.append(entry)
+        for server in view.servers:
+            if now - self._last_sign(server) > self.server_timeout_s:
+                found.append(server)
+        return found
+
+    def _last_sign(self, node: Node) -> float:
+        return self._heard_at_by_key.get(node_key(node), self._granted_at)
+
+
+def node_key(node: Node) -> str:
+    """Return a name that no other entry or backend server has."""
+    match node:
+        case EntryRecord():
+            return f"entry/{node.entry_id}"
+        case ServerRecord():
+            return f"server/{node.server_id}"
--- /dev/null
+++ b/libs/control/tarragonhall_control/_request.py
@@ -0,0 +1,97 @@
+"""One request to the admin API at the leader: who asks, what for, and how it may end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from tarragonhall_model import (
+    Finding,
+    InputError,
+    Refusal,
+    RefusalCode,
+    TarragonhallError,
+    to_plain,
+)
+from tarragonhall_state import ChangeRefused, Operator, OperatorRole, check_path
+
+HTTP_STATUS_BY_CODE = {
+    RefusalCode.BAD_INPUT: 422,
+    RefusalCode.CONFLICT: 409,
+    RefusalCode.NOT_FOUND: 404,
+    RefusalCode.OVERLOADED: 429,
+}
+
+
+class AdminError(TarragonhallError):
+    """A request that ends with an error response."""
+
+    def __init__(
+        self, status: int, error: str, message: str, findings: list[Finding] = (), **more: object
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.error = error
+        self.findings = findings
+        self.more = more
+
+
+@dataclass(slots=True)
+class AdminRequest:
+    """A request whose token was checked. `parts` are the groups matched in the path."""
+
+    operator: Operator
+    request_id: str
+    query: str
+    body: dict
+    parts: dict[str, str] = field(default_factory=dict)
+
+    def require(self, role: OperatorRole, path: str) -> None:
+        """Refuse the request unless the operator may act in the role at the path."""
+        findings = check_path(path, "/path")
+        if findings:
+            raise InputError(findings)
+        if not self.operator.may(role, path):
+            message = f"{self.operator.name} is no {role.value} at {path}"
+            raise AdminError(403, "forbidden", message)
+
+
+@dataclass(slots=True)
+class AdminReply:
+    """What a handler returns: an HTTP status and a JSON value."""
+
+    value: object
+    status: int = 200
+
+
+def checked(result: object) -> object:
+    """Return a result of the state machine, or raise what its refusal means over HTTP."""
+    match result:
+        case ChangeRefused():
+            findings = [Finding(one.place, one.message) for one in result.findings]
+            raise AdminError(
+                HTTP_STATUS_BY_CODE.get(result.code, 409),
+                result.code.value,
+                result.message,
+                findings,
+                revision=result.revision,
+                in_force=result.in_force,
+            )
+        case Refusal():
+            status = HTTP_STATUS_BY_CODE.get(result.code, 409)
+            raise AdminError(status, result.code.value, result.message)
+    return result
+
+
+def as_json(record: object) -> dict:
+    """Return the fields of a record, nested records included, without the codec's type names."""
+    return _untyped(to_plain(record))
+
+
+def _untyped(plain: object) -> object:
+    if isinstance(plain, dict):
+        return {name: _untyped(value) for name, value in plain.items()}
+    if not isinstance(plain, list):
+        return plain
+    if len(plain) == 2 and isinstance(plain[0], str) and isinstance(plain[1], dict):
+        return _untyped(plain[1])
+    return [_untyped(value) for value in plain]
--- /dev/null
+++ b/libs/control/tarragonhall_control/_role.py
@@ -0,0 +1,49 @@
+"""The control role as the daemon drives it."""
+
+from __future__ import annotations
+
+import eventlet
+from tarragonhall_wire import ProcessContext
+
+from tarragonhall_control._admin import AdminApi
+from tarragonhall_control._first_operator import propose_first_operator
+from tarragonhall_control._member import ControlMember
+from tarragonhall_control._service import LinkService
+from tarragonhall_control._settings import ControlSettings
+
+DRAIN_POLL_SECONDS = 0.02
+
+
+class ControlRole:
+    """One control member with its link handlers and its admin API."""
+
+    __slots__ = ("_admin", "_admin_stopped", "member")
+
+    def __init__(self, settings: ControlSettings, context: ProcessContext) -> None:
+        self.member = ControlMember(settings, context)
+        self._admin = AdminApi(self.member, settings.admin)
+        self._admin_stopped = False
+        LinkService(self.member).register()
+        self.member.start()
+        self._admin.start()
+        eventlet.spawn_n(propose_first_operator, self.member, settings)
+
+    def ready(self) -> bool:
+        """Return whether a leader is known that can be reached."""
+        return self.member.is_leader() or self.member.leader_address() is not None
+
+    def drain(self, timeout_s: float) -> bool:
+        """Answer the operators' requests at hand and wait for every proposal to end."""
+        deadline = self.member.context.monotonic() + timeout_s
+        self._admin_stopped = True
+        ended = self._admin.stop(timeout_s)
+        while self.member.loop.waiting() and self.member.context.monotonic() < deadline:
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+        return ended and not self.member.loop.waiting()
+
+    def stop(self) -> None:
+        """Release the data folder and the admin address."""
+        self.member.stop()
+        if not self._admin_stopped:
+            self._admin_stopped = True
+            self._admin.stop(0)
--- /dev/null
+++ b/libs/control/tarragonhall_control/_service.py
@@ -0,0 +1,141 @@
+"""Answers what entries and sidecars ask over links."""
+
+from __future__ import annotations
+
+from tarragonhall_model import (
+    AbandonCall,
+    Busy,
+    CloseCall,
+    DisproveAttempt,
+    EndProgram,
+    Fresh,
+    Heartbeat,
+    Leaving,
+    LinkError,
+    NotLeader,
+    OpenCall,
+    OpenProgram,
+    Propose,
+    Proposed,
+    QueryCall,
+    QueryLiving,
+    QueryProgram,
+    QueryQuarantine,
+    ReportCrash,
+    StartAttempt,
+)
+from tarragonhall_state import CreateFirstOperator
+from tarragonhall_wire import Link
+
+from tarragonhall_control._loop import BUSY_RETRY_MS, LeadUnknownError, LoopBusyError
+from tarragonhall_control._member import ControlMember
+
+# What other processes may put in the log. Operators' commands go through the admin API, which
+# checks their tokens; a process that knows the link secret must not get around that.
+PROPOSABLE = (
+    OpenProgram,
+    OpenCall,
+    StartAttempt,
+    DisproveAttempt,
+    CloseCall,
+    AbandonCall,
+    EndProgram,
+    ReportCrash,
+    # Refused by the state machine as soon as there is any operator.
+    CreateFirstOperator,
+)
+
+
+class LinkService:
+    """The handlers of the messages between any process and a control member."""
+
+    __slots__ = ("_member",)
+
+    def __init__(self, member: ControlMember) -> None:
+        self._member = member
+
+    def register(self) -> None:
+        """Take over the messages for control members."""
+        hub = self._member.context.hub
+        hub.handle(Propose, self.on_propose)
+        hub.handle(Heartbeat, self.on_heartbeat)
+        hub.handle(Leaving, self.on_leaving)
+        hub.handle(QueryCall, self._reader(self._call))
+        hub.handle(QueryProgram, self._reader(self._program))
+        hub.handle(QueryLiving, self._reader(self._living))
+        hub.handle(QueryQuarantine, self._reader(self._quarantine))
+
+    def on_propose(self, _link: Link, message: Propose) -> Proposed | NotLeader | Busy:
+        """Commit a command for another process."""
+        if not isinstance(message.body, PROPOSABLE):
+            raise LinkError(f"{type(message.body).__name__} is not for links to propose")
+        return self._committed(message.body, message.request_id)
+
+    def on_heartbeat(self, link: Link, beat: Heartbeat) -> Fresh | NotLeader:
+        """Tell a follower what it lacks, once a majority has confirmed the lead.
+
+        Confirmation must begin after the heartbeat arrived. One from before would let a leader
+        that was just cut off call settings fresh that a new leader has already changed.
+        """
+        member = self._member
+        if not member.is_leader():
+            return self._not_leader()
+        member.hear(beat.node)
+        if not member.confirm():
+            return self._not_leader()
+        state = member.state
+        behind = beat.settings_revision < state.revision
+        outdated = beat.view_epoch < state.epoch
+        member.followers.note(link, state.revision, state.epoch)
+        return Fresh(
+            settings_revision=state.revision,
+            view_epoch=state.epoch,
+            fencing=member.loop.replica.status().term,
+            policy=state.policy_since(beat.settings_revision) if behind else None,
+            view=state.view() if outdated else None,
+        )
+
+    def on_leaving(self, _link: Link, message: Leaving) -> Proposed | NotLeader | Busy:
+        """Take a process out of the view at its own wish."""
+        self._member.nodes.retire(message.node)
+        try:
+            return Proposed(self._member.remove(message.node))
+        except LoopBusyError:
+            return Busy(BUSY_RETRY_MS)
+        except LeadUnknownError:
+            return self._not_leader()
+
+    def _committed(self, body: object, request_id: str) -> Proposed | NotLeader | Busy:
+        try:
+            return Proposed(self._member.commit(body, request_id))
+        except LoopBusyError:
+            self._member.context.metrics.count("control.busy")
+            return Busy(BUSY_RETRY_MS)
+        except LeadUnknownError:
+            return self._not_leader()
+
+    def _not_leader(self) -> NotLeader:
+        return NotLeader(self._member.leader_address())
+
+    def _reader(self, read):
+        """Return a handler that reads only after a majority confirmed the lead."""
+
+        def handler(_link: Link, message: object) -> object:
+            if not self._member.confirm():
+                return self._not_leader()
+            return read(message)
+
+        return handler
+
+    def _call(self, query: QueryCall) -> object:
+        return self._member.state.call(query.program_id, query.seq, query.org_id)
+
+    def _program(self, query: QueryProgram) -> object:
+        return self._member.state.program(query.program_id, query.org_id)
+
+    def _living(self, query: QueryLiving) -> object:
+        return self._member.state.living(query.program_ids)
+
+    def _quarantine(self, query: QueryQuarantine) -> object:
+        now_ms = self._member.context.wall_ms()
+        return self._member.state.quarantine(query.fingerprint, now_ms)
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -116,6 +116,7 @@
 )
 from tarragonhall_model._options import (
     MAX_PORT,
+    REQUIRED,
     Address,
     Choice,
     Flag,
@@ -228,6 +229,7 @@
     "Recorded",
     "Refusal",
     "RefusalCode",
+    "REQUIRED",
     "RejectReason",
     "Rejected",
     "ReleaseProgram",
--- a/libs/state/tarragonhall_state/__init__.py
+++ b/libs/state/tarragonhall_state/__init__.py
@@ -35,6 +35,7 @@
     OPTION_BY_MODEL_FIELD,
     OPTION_BY_NAME,
     ROOT_PATH,
+    check_name,
     check_path,
     is_within,
 )
@@ -88,6 +89,7 @@
     "SettingsChange",
     "SettingsTree",
     "WithdrawKey",
+    "check_name",
     "check_path",
     "is_within",
     "key_id_of",
--- a/libs/state/tarragonhall_state/_commands.py
+++ b/libs/state/tarragonhall_state/_commands.py
@@ -28,13 +28,16 @@
 
 @record
 class ChangeSettings:
-    """Set and unset names at one path, if the revision in force is still the expected one."""
+    """Set and unset names at one path, if the revision in force is still the expected one.
+
+    Only the change of a model may leave the expected revision out: it names its version itself.
+    """
 
     path: str
     set: dict[str, object]
     unset: list[str]
     author: str
-    expected_revision: int
+    expected_revision: int | None = None
 
 
 @record
@@ -49,10 +52,10 @@
 
 @record
 class ImportSettings:
-    """Replace a subtree. `tree` maps each absolute path in it to the names set there."""
+    """Replace a subtree. `nodes` maps each absolute path in it to the names set there."""
 
     path: str
-    tree: dict[str, object]
+    nodes: dict[str, object]
     author: str
     expected_revision: int
 
--- a/libs/state/tarragonhall_state/_configuration.py
+++ b/libs/state/tarragonhall_state/_configuration.py
@@ -12,6 +12,7 @@
 
 from tarragonhall_model import (
     Finding,
+    ModelPolicy,
     OrganisationPolicy,
     PolicyDelta,
     RefusalCode,
@@ -153,6 +154,12 @@
             self._policy_by_org_id[org_id] = policy
         return policy
 
+    def models(self) -> list[ModelPolicy]:
+        """Return every model for which a version is in force."""
+        names = model_names(list(self.tree.values_at(ROOT_PATH)))
+        found = [resolve_model(self.tree, name) for name in names]
+        return [model for model in found if model is not None]
+
     def snapshot(self) -> ConfigurationSnapshot:
         """Return the whole configuration."""
         return self._stored
--- a/libs/state/tarragonhall_state/_machine.py
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -13,6 +13,7 @@
     CodecError,
     Command,
     DrainServer,
+    EntryRecord,
     Living,
     PolicyDelta,
     ProgramInfo,
@@ -23,6 +24,7 @@
     RefusalCode,
     RemoveEntry,
     RemoveServer,
+    ServerRecord,
     View,
     decode,
     encode,
@@ -129,9 +131,13 @@
         """Return the entries and backend servers of this epoch."""
         return self._views.view()
 
-    def announced(self, node_id: str) -> object | None:
-        """Return an entry or server as it announced itself, without the operators' drain."""
-        return self._views.entry_by_id.get(node_id) or self._views.server_by_id.get(node_id)
+    def announced(self, node: EntryRecord | ServerRecord) -> EntryRecord | ServerRecord | None:
+        """Return what the view holds under the id of a node, without the operators' drain."""
+        match node:
+            case EntryRecord(entry_id=entry_id):
+                return self._views.entry_by_id.get(entry_id)
+            case ServerRecord(server_id=server_id):
+                return self._views.server_by_id.get(server_id)
 
     def call(
         self, program_id: str, seq: int, org_id: str
--- a/libs/state/tarragonhall_state/_names.py
+++ b/libs/state/tarragonhall_state/_names.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tarragonhall_model import (
+    REQUIRED,
     Finding,
     Flag,
     Number,
@@ -98,6 +99,12 @@
     return findings
 
 
+def default_of(name: str) -> object:
+    """Return what holds where no level sets a known name; None where there is no default."""
+    default = option_of(name).default
+    return None if default is REQUIRED else default
+
+
 def option_of(name: str) -> Any:
     """Return the option that declares a known name."""
     option = OPTION_BY_NAME.get(name)
--- a/libs/state/tarragonhall_state/_tree.py
+++ b/libs/state/tarragonhall_state/_tree.py
@@ -21,6 +21,7 @@
     check_name,
     check_path,
     check_values,
+    default_of,
     is_within,
     option_of,
 )
@@ -41,6 +42,15 @@
     source: str
 
 
+@record
+class Level:
+    """What one level says about a name; the nearest level that sets it is in force."""
+
+    path: str
+    value: object
+    in_force: bool
+
+
 @mutable_record
 class SettingsTree:
     """What is set at each path. Plans are made without changing anything, then committed."""
@@ -58,7 +68,17 @@
             values = self.values_at(level)
             if name in values:
                 return Origin(name, values[name], level)
-        return Origin(name, option_of(name).default, DEFAULT_SOURCE)
+        return Origin(name, default_of(name), DEFAULT_SOURCE)
+
+    def levels(self, path: str, name: str) -> list[Level]:
+        """Return every level that sets a name, from the path upwards, and the default."""
+        found: list[Level] = []
+        for level in ancestors(path):
+            values = self.values_at(level)
+            if name in values:
+                found.append(Level(level, values[name], not found))
+        found.append(Level(DEFAULT_SOURCE, default_of(name), not found))
+        return found
 
     def explain(self, path: str) -> list[Origin]:
         """Return every inherited name in force at a path, and from where."""
@@ -158,8 +178,8 @@
         for path, values in self.export(change.path).items():
             wanted.update({(path, name): None for name in values})
         findings = []
-        for path, values in change.tree.items():
-            place = f"/tree/{escape(path)}"
+        for path, values in change.nodes.items():
+            place = f"/nodes/{escape(path)}"
             wrong = check_path(path, place)
             if not wrong and not is_within(path, change.path):
                 wrong = [Finding(place, f"is not within {change.path}")]
