Serve attempts through a sidecar that runs each at most once

Cause: entries need one process beside each backend server that owns what runs there. Ruled out: an empty body from the engine looked like a green socket closed too early; a trial showed that the library reads a response to its end unless told not to.

--- a/libs/fakes/tarragonhall_fakes/_engine.py
+++ b/libs/fakes/tarragonhall_fakes/_engine.py
@@ -8,6 +8,7 @@
 import uuid
 
 import eventlet
+from eventlet.queue import Empty
 
 from tarragonhall_fakes._batch import Batch, EngineOptions, Run, answer_to
 from tarragonhall_fakes._faults import Fault, FaultKind, Faults
@@ -15,6 +16,7 @@
 
 # A listing of load or cache events older than this tells nothing new.
 LOAD_SAMPLES_KEPT = 100
+PING_SECONDS = 1.0
 
 
 class Engine:
@@ -85,11 +87,12 @@
     def _stream(self, exchange: Exchange, run: Run, fault: Fault | None) -> None:
         kind = fault.kind if fault else None
         words: list[str] = []
-        while (word := run.tokens.get()) is not None:
+        attempt = "someone-else/1/1" if kind is FaultKind.CROSSED else run.attempt
+        while (word := self._next_token(exchange, run)) is not None:
             if kind is FaultKind.SLOW:
                 eventlet.sleep(fault.seconds)
             text = word if not words else f" {word}"
-            token = {"index": len(words), "text": text}
+            token = {"attempt": attempt, "index": len(words), "text": text}
             words.append(word)
             exchange.event("token", token)
             if kind is FaultKind.DOUBLED:
@@ -101,7 +104,7 @@
         if kind is FaultKind.LATE:
             eventlet.sleep(fault.seconds)
         end = {
-            "attempt": "someone-else/1/1" if kind is FaultKind.CROSSED else run.attempt,
+            "attempt": attempt,
             "reason": "cancelled" if run.cancelled else "stop",
             "tokens": len(words),
             "characters": len(" ".join(words)),
@@ -112,6 +115,14 @@
         if kind is FaultKind.DOUBLED:
             exchange.event("done", end)
 
+    def _next_token(self, exchange: Exchange, run: Run) -> str | None:
+        """Wait for the next token, telling the client each second that the request still waits."""
+        while True:
+            try:
+                return run.tokens.get(timeout=PING_SECONDS)
+            except Empty:
+                exchange.event("ping", {"attempt": run.attempt})
+
     def _cancel(self, exchange: Exchange) -> None:
         attempt = exchange.request_seen.json()["attempt"]
         exchange.reply({"cancelled": self.batch.cancel(attempt)})
--- /dev/null
+++ b/libs/sidecar/tarragonhall_sidecar/_reconcile.py
@@ -0,0 +1,58 @@
+"""Which programs an engine must be told to release.
+
+A program can end without anyone telling this sidecar: its process died, the message was lost, the
+sidecar was restarted. The engine would then hold its memory for good. So the engine's own listing
+is compared with the journal, again and again, and a release counts only once the listing no longer
+shows the program. Cache events play no part: they come late and with gaps.
+"""
+
+from __future__ import annotations
+
+# 40 ids of 29 bytes every two seconds are 0.6 KB a second of a node's 5 KB.
+ASKED_PER_ROUND = 40
+# A program may stay held after its end for one round over all held programs; until then it is in
+# use or idle, and asking more often tells nothing new.
+ASK_AGAIN_SECONDS = 20.0
+
+
+class Releases:
+    """Programs held by one engine, and what is known of their lives."""
+
+    __slots__ = ("_asked_at_by_program", "_ended", "held")
+
+    def __init__(self) -> None:
+        self._asked_at_by_program: dict[str, float] = {}
+        self._ended: set[str] = set()
+        self.held: list[str] = []
+
+    def program_ended(self, program_id: str) -> None:
+        """Take note that a program has ended for good."""
+        self._ended.add(program_id)
+
+    def listed(self, held: list[str]) -> None:
+        """Take the engine's listing: what it no longer shows is done with."""
+        self.held = held
+        shown = set(held)
+        self._ended &= shown
+        for program_id in set(self._asked_at_by_program) - shown:
+            del self._asked_at_by_program[program_id]
+
+    def to_ask(self, now: float) -> list[str]:
+        """Return the programs to ask the journal about, least recently asked first."""
+        due = []
+        for program_id in self.held:
+            asked_at = self._asked_at_by_program.get(program_id, -ASK_AGAIN_SECONDS)
+            if program_id not in self._ended and now - asked_at >= ASK_AGAIN_SECONDS:
+                due.append((asked_at, program_id))
+        due.sort()
+        return [program_id for _asked_at, program_id in due[:ASKED_PER_ROUND]]
+
+    def answered(self, asked: list[str], living: list[str], now: float) -> None:
+        """Take the journal's answer; the ids of ended programs are never used again."""
+        for program_id in asked:
+            self._asked_at_by_program[program_id] = now
+        self._ended.update(set(asked) - set(living))
+
+    def to_release(self, busy: set[str]) -> list[str]:
+        """Return the held programs to release; one with a run under way waits for its end."""
+        return [name for name in self.held if name in self._ended and name not in busy]
--- /dev/null
+++ b/libs/sidecar/tarragonhall_sidecar/_role.py
@@ -0,0 +1,100 @@
+"""The role as the daemon drives it: all sidecars of a process behind one set of handlers."""
+
+from __future__ import annotations
+
+import eventlet
+from tarragonhall_model import (
+    Attach,
+    AttemptAck,
+    CancelAttempt,
+    Dispatch,
+    EngineOrder,
+    OrderDone,
+    Rejected,
+    RejectReason,
+    ReleaseProgram,
+)
+from tarragonhall_wire import ControlClient, Link, ProcessContext, Role
+
+from tarragonhall_sidecar._settings import SidecarSettings
+from tarragonhall_sidecar._sidecar import Sidecar
+
+# Telling control that the server leaves; after a failure the missing heartbeats do the same.
+LEAVE_SECONDS = 2.0
+
+
+class Sidecars:
+    """All sidecars of one process."""
+
+    __slots__ = ("_control", "_sidecar_by_server")
+
+    def __init__(self, sidecar_by_server: dict[str, Sidecar], control: ControlClient) -> None:
+        self._sidecar_by_server = sidecar_by_server
+        self._control = control
+
+    def ready(self) -> bool:
+        """Return whether every server answers and is announced."""
+        return all(sidecar.ready() for sidecar in self._sidecar_by_server.values())
+
+    def drain(self, timeout_s: float) -> bool:
+        """Take no new work, finish what is at hand and leave the view."""
+        sidecars = list(self._sidecar_by_server.values())
+        pool = eventlet.GreenPool()
+        ended = list(pool.imap(lambda sidecar: sidecar.leave(timeout_s), sidecars))
+        for sidecar in sidecars:
+            self._control.leave(sidecar.record(), LEAVE_SECONDS)
+        return all(ended)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        for sidecar in self._sidecar_by_server.values():
+            sidecar.stop()
+
+    def on_request(self, link: Link, message: Dispatch | Attach | CancelAttempt) -> object:
+        """Route a request about an attempt to its server's sidecar."""
+        sidecar = self._sidecar_by_server.get(message.attempt.server_id)
+        if sidecar is None:
+            return Rejected(RejectReason.INCARNATION)
+        return sidecar.request(link, message)
+
+    def on_ack(self, link: Link, message: AttemptAck) -> None:
+        """Route an acknowledgement."""
+        sidecar = self._sidecar_by_server.get(message.attempt.server_id)
+        if sidecar is not None:
+            sidecar.one_way(link, message)
+
+    def on_release(self, _link: Link, message: ReleaseProgram) -> None:
+        """Release a program on every engine of this process."""
+        for sidecar in self._sidecar_by_server.values():
+            sidecar.program_ended(message.program_id)
+
+    def on_order(self, _link: Link, order: EngineOrder) -> OrderDone:
+        """Route an order to the engine it names."""
+        if not order.server_id and len(self._sidecar_by_server) == 1:
+            return next(iter(self._sidecar_by_server.values())).order(order)
+        sidecar = self._sidecar_by_server.get(order.server_id)
+        if sidecar is None:
+            return OrderDone(order.order_id, False, f"no server {order.server_id!r} here")
+        return sidecar.order(order)
+
+    def on_link_down(self, link: Link) -> None:
+        """Tell every sidecar that a link closed."""
+        for sidecar in self._sidecar_by_server.values():
+            sidecar.link_down(link)
+
+
+def start_sidecars(
+    settings: list[SidecarSettings], context: ProcessContext, control: ControlClient
+) -> Role:
+    """Serve the backend servers of this process; a process usually stands beside one."""
+    sidecar_by_server = {one.server_id: Sidecar(one, context, control) for one in settings}
+    role = Sidecars(sidecar_by_server, control)
+    for message_class in (Dispatch, Attach, CancelAttempt):
+        context.hub.handle(message_class, role.on_request)
+    context.hub.handle(AttemptAck, role.on_ack)
+    context.hub.handle(ReleaseProgram, role.on_release)
+    context.hub.handle(EngineOrder, role.on_order)
+    context.hub.on_down(role.on_link_down)
+    for sidecar in sidecar_by_server.values():
+        sidecar.start()
+    return role
--- a/libs/sidecar/tarragonhall_sidecar/_settings.py
+++ b/libs/sidecar/tarragonhall_sidecar/_settings.py
@@ -11,7 +11,8 @@
 class SidecarSettings:
     """One backend server. `server` is its own HTTP address; `serves` names models or services.
 
-    `fencing` says whether the engine itself refuses orders with an old fencing number.
+    `fencing` says whether the engine itself refuses orders with an old fencing number. A stream
+    that brings nothing for `progress_ms` is given up.
     """
 
     server_id: str
@@ -20,6 +21,7 @@
     serves: list[str]
     slots: int
     fencing: str
+    progress_ms: int = 10_000
 
 
 OPTIONS = Group(
@@ -31,5 +33,7 @@
         "serves": ListOf(Text(), at_least=1),
         "slots": Whole(8, minimum=1, maximum=4_096),
         "fencing": Choice(("enforced", "ignored"), default="ignored"),
+        # An engine pings each second while a request waits in it; ten lost pings are no accident.
+        "progress_ms": Whole(10_000, minimum=100),
     },
 )
--- /dev/null
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -0,0 +1,382 @@
+"""The eventlet shell around one backend server's core."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import secrets
+
+import eventlet
+import structlog
+from tarragonhall_model import (
+    AttemptOutcome,
+    EngineOrder,
+    LinkError,
+    Living,
+    LoadReport,
+    OrderDone,
+    QueryLiving,
+    ServerKind,
+    ServerRecord,
+)
+from tarragonhall_state import Follower
+from tarragonhall_wire import ControlClient, Link, ProcessContext, UnavailableError
+
+from tarragonhall_sidecar._backend import Backend, BackendError
+from tarragonhall_sidecar._commits import command_for, crash_report
+from tarragonhall_sidecar._events import (
+    Arrived,
+    CommitEnd,
+    Committed,
+    DrainChanged,
+    Input,
+    Output,
+    PeerClosed,
+    ProbeNow,
+    Produced,
+    Reply,
+    Send,
+    ServerCrashed,
+    StartRun,
+    StopRun,
+    Tick,
+)
+from tarragonhall_sidecar._execution import Execution, Identity, State
+from tarragonhall_sidecar._memory import AttemptMemory
+from tarragonhall_sidecar._orders import OrderGate
+from tarragonhall_sidecar._reconcile import Releases
+from tarragonhall_sidecar._reports import HELD_PROGRAMS, ReportPacer
+from tarragonhall_sidecar._settings import SidecarSettings
+
+log = structlog.get_logger(__name__)
+
+TICK_SECONDS = 0.1
+# A dead server is known within a second or two, and a probe costs one short connection.
+PROBE_SECONDS = 1.0
+# The runs that a crash takes with it break within this of one another; they are judged together.
+GATHER_SECONDS = 0.05
+RECONCILE_SECONDS = 2.0
+PROPOSE_SECONDS = 5.0
+# A leader change takes a second or two; asking more often only loads the new one.
+PROPOSE_AGAIN_SECONDS = 0.5
+# How much one run counts in the running mean of the time for each token.
+PACE_WEIGHT = 0.2
+
+
+class Sidecar:
+    """Serves one backend server until stopped."""
+
+    __slots__ = ("_backend", "_context", "_control", "_execution", "_follower", "_incarnation",
+                 "_leaving", "_link_by_peer", "_ms_per_token", "_order_lock", "_orders", "_outbox",
+                 "_outbox_wake", "_pacer", "_peer_by_link", "_peers", "_probing", "_releases",
+                 "_run_by_key", "_settings", "_stopped")  # fmt: skip
+
+    def __init__(
+        self, settings: SidecarSettings, context: ProcessContext, control: ControlClient
+    ) -> None:
+        self._settings = settings
+        self._context = context
+        self._control = control
+        self._incarnation = secrets.token_hex(8)
+        self._backend = Backend(settings.server, settings.progress_ms / 1000)
+        identity = Identity(settings.server_id, self._incarnation, settings.kind, settings.slots)
+        self._execution = Execution(identity, set(settings.serves), AttemptMemory())
+        self._follower = Follower()
+        self._releases = Releases()
+        self._orders = OrderGate()
+        self._order_lock = eventlet.semaphore.Semaphore(1)
+        self._pacer = ReportPacer()
+        self._peers = itertools.count(1)
+        self._peer_by_link: dict[Link, int] = {}
+        self._link_by_peer: dict[int, Link] = {}
+        self._outbox: collections.deque[Send] = collections.deque()
+        self._outbox_wake = eventlet.semaphore.Semaphore(0)
+        self._run_by_key: dict[str, tuple] = {}
+        self._ms_per_token = 0.0
+        self._probing = False
+        self._leaving = False
+        self._stopped = False
+
+    def start(self) -> None:
+        """Begin to announce, probe, report and reconcile."""
+        for loop in (self._send_loop, self._tick_loop, self._probe_loop):
+            eventlet.spawn_n(loop)
+        if self._settings.kind is ServerKind.MODEL:
+            eventlet.spawn_n(self._reconcile_loop)
+        self._control.follow(self.record, self._follower)
+
+    def record(self) -> ServerRecord:
+        """Return what this sidecar announces of its server."""
+        return ServerRecord(
+            server_id=self._settings.server_id,
+            incarnation=self._incarnation,
+            address=self._context.link_address,
+            availability_zone=self._context.availability_zone,
+            kind=self._settings.kind,
+            serves=sorted(self._execution.serves),
+            slots=self._settings.slots,
+            draining=self._leaving,
+        )
+
+    def ready(self) -> bool:
+        """Return whether the server answers and this sidecar is known to control."""
+        return self._execution.up and self._follower.is_fresh(self._context.monotonic())
+
+    def request(self, link: Link, message: object) -> object:
+        """Handle an entry's request and return the reply."""
+        return self._handle(Arrived(self._peer_of(link), message))
+
+    def one_way(self, link: Link, message: object) -> None:
+        """Handle an entry's one-way message."""
+        self._handle(Arrived(self._peer_of(link), message))
+
+    def link_down(self, link: Link) -> None:
+        """Forget a link that closed."""
+        peer = self._peer_by_link.pop(link, None)
+        if peer is not None:
+            del self._link_by_peer[peer]
+            self._handle(PeerClosed(peer))
+
+    def program_ended(self, program_id: str) -> None:
+        """Release what the engine holds for a program, now and until its listing shows it gone."""
+        if self._settings.kind is ServerKind.MODEL:
+            self._releases.program_ended(program_id)
+            eventlet.spawn_n(self._release_quietly, program_id)
+
+    def order(self, order: EngineOrder) -> OrderDone:
+        """Carry out an order, one at a time."""
+        with self._order_lock:
+            # Asked only now: the lease may have run out while another order was carried out.
+            fresh = self._follower.is_fresh(self._context.monotonic())
+            refused = self._orders.refusal(order, self._follower.fencing, fresh)
+            if refused is not None:
+                return refused
+            return self._carry_out(order)
+
+    def leave(self, timeout_s: float) -> bool:
+        """Take no new work and finish what is at hand; return whether all of it ended in time."""
+        self._leaving = True
+        self._handle(DrainChanged(True))
+        self._context.timeline.add("server.drain", server=self._settings.server_id)
+        with eventlet.Timeout(timeout_s, False):
+            # Ends are waited for as well: an answer that no one has taken yet is not finished.
+            while self._execution.count(*State):
+                eventlet.sleep(TICK_SECONDS)
+            return True
+        return False
+
+    def stop(self) -> None:
+        """Stop everything at once."""
+        self._stopped = True
+        for run, _dispatch in list(self._run_by_key.values()):
+            run.kill()
+
+    # The core, and what it asks for.
+
+    def _handle(self, happened: Input) -> object:
+        reply = None
+        for output in self._execution.handle(happened, self._context.monotonic()):
+            if isinstance(output, Reply):
+                reply = output.message
+                continue
+            self._perform(output)
+        return reply
+
+    def _perform(self, output: Output) -> None:
+        match output:
+            case Send():
+                # Sent by another green thread, so that the reply to a dispatch precedes its end.
+                self._outbox.append(output)
+                self._outbox_wake.release()
+            case StartRun(dispatch, seconds_left):
+                run = eventlet.spawn(self._run, dispatch, seconds_left)
+                self._run_by_key[dispatch.attempt.key] = (run, dispatch)
+            case StopRun(key, abandon):
+                self._stop_run(key, abandon)
+            case ProbeNow():
+                eventlet.spawn_after(GATHER_SECONDS, self._probe)
+            case CommitEnd():
+                eventlet.spawn_n(self._commit, output)
+            case ServerCrashed(dispatches):
+                self._note_crash(dispatches)
+
+    def _run(self, dispatch, seconds_left: float) -> None:
+        key = dispatch.attempt.key
+        program_id = dispatch.attempt.program_id
+        self._context.timeline.add("attempt.start", program_id, attempt=key)
+        started = self._context.monotonic()
+        try:
+            result = self._backend.run(
+                dispatch, seconds_left, lambda text: self._handle(Produced(key, text))
+            )
+        finally:
+            self._run_by_key.pop(key, None)
+        seconds = self._context.monotonic() - started
+        self._context.metrics.timing("sidecar.run_ms", seconds * 1000)
+        outcome = getattr(result, "outcome", None)
+        name = outcome.value if outcome else "broke"
+        self._context.metrics.count(f"sidecar.end.{name}")
+        self._context.timeline.add("attempt.end", program_id, attempt=key, outcome=name)
+        if outcome is AttemptOutcome.ANSWERED:
+            self._note_pace(seconds, result.answer.usage.generated)
+        self._handle(result)
+
+    def _stop_run(self, key: str, abandon: bool) -> None:
+        run, dispatch = self._run_by_key.get(key, (None, None))
+        if run is None:
+            return
+        if abandon:
+            self._run_by_key.pop(key)
+            run.kill()
+            return
+        self._backend.cancel_quietly(dispatch)
+
+    def _note_pace(self, seconds: float, tokens: int) -> None:
+        pace = seconds * 1000 / max(tokens, 1)
+        if self._ms_per_token == 0.0:
+            self._ms_per_token = pace
+        self._ms_per_token += PACE_WEIGHT * (pace - self._ms_per_token)
+
+    def _note_crash(self, dispatches: tuple) -> None:
+        server_id = self._settings.server_id
+        log.warning("server.crashed", server=server_id, attempts=len(dispatches))
+        self._context.metrics.count("sidecar.crash")
+        self._context.timeline.add("server.crash", server=server_id, attempts=len(dispatches))
+        report = crash_report(server_id, self._incarnation, dispatches)
+        eventlet.spawn_n(self._propose_until_done, report, f"crash-{secrets.token_hex(8)}")
+
+    # What goes to control.
+
+    def _commit(self, commit: CommitEnd) -> None:
+        key = commit.end.attempt.key
+        request_id = f"end-{self._incarnation}-{key}"
+        self._context.metrics.count("sidecar.late_end")
+        self._propose_until_done(command_for(commit), request_id)
+        self._handle(Committed(key))
+
+    def _propose_until_done(self, command: object, request_id: str) -> None:
+        while not self._stopped:
+            try:
+                self._control.propose(command, PROPOSE_SECONDS, request_id)
+                return
+            except UnavailableError:
+                eventlet.sleep(PROPOSE_AGAIN_SECONDS)
+
+    def _carry_out(self, order: EngineOrder) -> OrderDone:
+        try:
+            self._backend.order(order)
+        except BackendError as error:
+            return OrderDone(order.order_id, False, str(error))
+        if order.action.startswith("load"):
+            self._execution.serves.add(order.model)
+        if order.action == "unload":
+            self._execution.serves.discard(order.model)
+        done = OrderDone(order.order_id, True)
+        self._orders.carried_out(done)
+        self._context.timeline.add("engine.order", order=order.order_id, action=order.action)
+        return done
+
+    # Loops.
+
+    def _send_loop(self) -> None:
+        while not self._stopped:
+            self._outbox_wake.acquire()
+            if not self._outbox:
+                continue
+            send = self._outbox.popleft()
+            link = self._link_by_peer.get(send.peer)
+            if link is None:
+                continue
+            try:
+                link.send(send.message)
+            except LinkError:
+                # The end is kept until it is acknowledged, so nothing is lost with the link.
+                self._context.metrics.count("sidecar.send_failed")
+
+    def _tick_loop(self) -> None:
+        while not self._stopped:
+            eventlet.sleep(TICK_SECONDS)
+            self._handle(Tick())
+            self._handle(DrainChanged(self._leaving or self._told_to_drain()))
+            self._report_load()
+
+    def _probe_loop(self) -> None:
+        while not self._stopped:
+            self._probe()
+            eventlet.sleep(PROBE_SECONDS)
+
+    def _probe(self) -> None:
+        was_up = self._execution.up
+        self._handle(self._backend.probe())
+        if self._execution.up != was_up:
+            kind = "server.up" if self._execution.up else "server.down"
+            log.info(kind, server=self._settings.server_id)
+            self._context.timeline.add(kind, server=self._settings.server_id)
+
+    def _told_to_drain(self) -> bool:
+        for server in self._follower.view.servers:
+            if server.server_id == self._settings.server_id:
+                return server.draining
+        return False
+
+    def _report_load(self) -> None:
+        entries = {entry.entry_id for entry in self._follower.view.entries}
+        links = [link for link in self._context.hub.accepted if link.peer.instance in entries]
+        peers = frozenset(self._peer_of(link) for link in links)
+        report = self._load_report()
+        if not self._pacer.due(report, peers, self._context.monotonic()):
+            return
+        for peer in peers:
+            self._perform(Send(peer, report))
+
+    def _load_report(self) -> LoadReport:
+        return LoadReport(
+            server_id=self._settings.server_id,
+            incarnation=self._incarnation,
+            running=self._execution.count(State.RUNNING, State.BROKEN),
+            waiting=self._execution.count(State.WAITING),
+            slots=self._settings.slots,
+            ms_per_token=round(self._ms_per_token, 1),
+            healthy=self._execution.up,
+            draining=self._execution.draining,
+            held_programs=tuple(self._releases.held[:HELD_PROGRAMS]),
+        )
+
+    def _reconcile_loop(self) -> None:
+        while not self._stopped:
+            eventlet.sleep(RECONCILE_SECONDS)
+            if not self._execution.up:
+                continue
+            try:
+                self._reconcile()
+            except (BackendError, UnavailableError) as error:
+                self._context.metrics.count("sidecar.reconcile_failed")
+                log.debug("sidecar.reconcile_failed", error=str(error))
+
+    def _reconcile(self) -> None:
+        self._releases.listed(self._backend.held_programs())
+        asked = self._releases.to_ask(self._context.monotonic())
+        if asked:
+            reply = self._control.ask(QueryLiving(asked), PROPOSE_SECONDS)
+            if isinstance(reply, Living):
+                self._releases.answered(asked, reply.program_ids, self._context.monotonic())
+        for program_id in self._releases.to_release(self._execution.programs()):
+            self._context.metrics.count("sidecar.release")
+            self._backend.release(program_id)
+
+    def _release_quietly(self, program_id: str) -> None:
+        if program_id in self._execution.programs():
+            return
+        try:
+            self._backend.release(program_id)
+        except BackendError:
+            # The listing still shows it, so the next round asks again.
+            self._context.metrics.count("sidecar.release_failed")
+
+    def _peer_of(self, link: Link) -> int:
+        peer = self._peer_by_link.get(link)
+        if peer is None:
+            peer = next(self._peers)
+            self._peer_by_link[link] = peer
+            self._link_by_peer[peer] = link
+        return peer
