Let slices of rate tokens be ended one by one

The owner of a bucket must know which slices may still be spent: a slice granted from a full bucket and spent late would come on top of the tokens refilled meanwhile. A slice now has an id, and messages name finished ones.

--- a/libs/model/tarragonhall_model/_messages.py
+++ b/libs/model/tarragonhall_model/_messages.py
@@ -334,26 +334,31 @@
 @record
 class TakeTokens:
     """Ask the owner of an organisation's bucket for a slice. Reply: `TokensGranted` or
-    `NotOwner`. `holder` is the asking entry's id and incarnation.
+    `NotOwner`. `holder` is the asking entry's id and incarnation. `finished` names earlier slices
+    of which nothing is left to spend.
     """
 
     org_id: str
     holder: str
     wanted: float
     view_epoch: int
+    finished: tuple[str, ...] = ()
 
 
 @record
 class TokensGranted:
     """A slice of tokens, to be spent within `valid_ms` of the instant the request was sent.
 
-    `retry_after_ms` says when more are expected, where fewer than wanted were given.
+    `retry_after_ms` says when more are expected, where fewer than wanted were given. `backlog` is
+    how many tokens the other holders wait for. `slice_id` names the slice in later messages.
     """
 
     org_id: str
     tokens: float
     valid_ms: int
     retry_after_ms: int = 0
+    slice_id: str = ""
+    backlog: float = 0.0
 
 
 @record
@@ -366,17 +371,22 @@
 
 @record
 class ReturnTokens:
-    """Give unspent tokens back, before a slice ends or when an entry leaves."""
+    """End a slice: `tokens` of it were not spent and go back; the rest was spent."""
 
     org_id: str
     holder: str
     tokens: float
+    slice_id: str = ""
 
 
 @record
 class HandOver:
-    """The owner leaves and hands a bucket to its successor with its exact level."""
+    """The owner of a bucket in an earlier view hands it to the owner in view `view_epoch`.
+
+    `tokens` is its level, `outstanding` what is granted in slices that have not ended yet.
+    """
 
     org_id: str
     tokens: float
     view_epoch: int
+    outstanding: float = 0.0
