--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -1,1 +1,84 @@
 """Decisions under load. Each module stands alone: time and random come in, decisions go out."""
+
+from __future__ import annotations
+
+from tarragonhall_decisions._bucket import SLICE_VALID_S, Bucket
+from tarragonhall_decisions._cache import HeldPrefix, should_move, to_release
+from tarragonhall_decisions._deadlines import (
+    Deadline,
+    RunTimes,
+    bounded_retry_ms,
+    can_meet,
+    deadline_after,
+    deadline_refusal,
+)
+from tarragonhall_decisions._drain import DrainPhase, EntryDrain, HandBack, hand_back
+from tarragonhall_decisions._fair_queue import Dropped, FairQueue, QueuedCall
+from tarragonhall_decisions._model_orders import EngineState, LoadOrder, ModelDemand, ModelOrders
+from tarragonhall_decisions._quarantine import Quarantine, charged_by_crash
+from tarragonhall_decisions._rate import (
+    Admitted,
+    Ask,
+    RateLimiter,
+    RateOutput,
+    RateRefused,
+    Tell,
+)
+from tarragonhall_decisions._retry import (
+    Failure,
+    GiveUp,
+    LinkLost,
+    Proof,
+    RetryBudget,
+    TryAgain,
+    after_failure,
+    backoff_s,
+    proof_of,
+)
+from tarragonhall_decisions._routing import Need, RouteChoice, Router, subset
+
+__all__ = [
+    "Admitted",
+    "Ask",
+    "Bucket",
+    "Deadline",
+    "DrainPhase",
+    "Dropped",
+    "EngineState",
+    "EntryDrain",
+    "Failure",
+    "FairQueue",
+    "GiveUp",
+    "HandBack",
+    "HeldPrefix",
+    "LinkLost",
+    "LoadOrder",
+    "ModelDemand",
+    "ModelOrders",
+    "Need",
+    "Proof",
+    "Quarantine",
+    "QueuedCall",
+    "RateLimiter",
+    "RateOutput",
+    "RateRefused",
+    "RetryBudget",
+    "RouteChoice",
+    "Router",
+    "RunTimes",
+    "SLICE_VALID_S",
+    "Tell",
+    "TryAgain",
+    "after_failure",
+    "backoff_s",
+    "bounded_retry_ms",
+    "can_meet",
+    "charged_by_crash",
+    "deadline_after",
+    "deadline_refusal",
+    "hand_back",
+    "proof_of",
+    "should_move",
+    "subset",
+    "to_release",
+]
--- /dev/null
+++ b/libs/decisions/tarragonhall_decisions/_deadlines.py
@@ -0,0 +1,96 @@
+"""Deadlines: whether a call can still be finished in time, and how much time each step gets.
+
+Load pattern: a queue longer than the callers' patience. Without this check the servers spend their
+time on answers that nobody waits for any more, and the goodput falls just when the load is
+highest. A call whose expected wait and run time exceed what is left is refused before it costs
+anything; `retry_after_ms` says when the queue will have room for it.
+
+Grounds for the figures: `REPLY_MARGIN_MS` covers two hops between availability zones (0.5 ms each)
+and one commit with a sync on a disk (a few ms each), with room for a busy loop.
+`SMOOTHING` of one eighth follows a change within about eight calls, and one odd call moves the
+estimate by an eighth only; it is the gain that TCP uses for its round trip estimate.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonhall_model import Execution, Refusal, RefusalCode
+
+REPLY_MARGIN_MS = 50
+SMOOTHING = 0.125
+MIN_RETRY_AFTER_MS = 20
+MAX_RETRY_AFTER_MS = 60_000
+
+
+@dataclass(slots=True, frozen=True)
+class Deadline:
+    """The instant (monotonic seconds) at which the caller gives up."""
+
+    at: float
+
+    def left_ms(self, now: float) -> int:
+        """Return the time left, never below zero."""
+        return max(0, int((self.at - now) * 1000))
+
+    def dispatch_ms(self, now: float) -> int:
+        """Return the time that a sidecar may use: what is left less the way back and the commit."""
+        return max(0, self.left_ms(now) - REPLY_MARGIN_MS)
+
+    def passed(self, now: float) -> bool:
+        """Return whether it is too late for an answer to reach the caller."""
+        return self.dispatch_ms(now) == 0
+
+
+def deadline_after(timeout_ms: int, now: float) -> Deadline:
+    """Return the deadline of a call that arrived now."""
+    return Deadline(now + timeout_ms / 1000)
+
+
+def can_meet(deadline: Deadline, wait_s: float, run_s: float, now: float) -> bool:
+    """Return whether a call that waits and then runs for so long is answered in time."""
+    return now + wait_s + run_s + REPLY_MARGIN_MS / 1000 <= deadline.at
+
+
+def bounded_retry_ms(seconds: float) -> int:
+    """Return an honest `retry_after_ms` for something expected after this time."""
+    return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, seconds * 1000)))
+
+
+def deadline_refusal(retry_after_s: float) -> Refusal:
+    """Return the refusal of a call that did not run and could not be finished in time."""
+    return Refusal(
+        RefusalCode.DEADLINE,
+        "the call could not be answered before its deadline",
+        Execution.NOT_RUN,
+        bounded_retry_ms(retry_after_s),
+    )
+
+
+@dataclass(slots=True)
+class RunTimes:
+    """Smoothed run times of calls by target, learnt from those that ended.
+
+    Model calls are learnt per generated token, services per call; both start from `initial_s`.
+    """
+
+    initial_s: float = 0.2
+    seconds_by_target: dict[str, float] | None = None
+    tokens_by_target: dict[str, float] | None = None
+
+    def on_end(self, target: str, run_s: float, tokens: int) -> None:
+        """Learn from a call that was answered."""
+        if self.seconds_by_target is None or self.tokens_by_target is None:
+            self.seconds_by_target, self.tokens_by_target = {}, {}
+        old_s = self.seconds_by_target.get(target, run_s)
+        self.seconds_by_target[target] = old_s + SMOOTHING * (run_s - old_s)
+        old_tokens = self.tokens_by_target.get(target, float(tokens))
+        self.tokens_by_target[target] = old_tokens + SMOOTHING * (tokens - old_tokens)
+
+    def expected_s(self, target: str) -> float:
+        """Return how long a call to the target is expected to run."""
+        return (self.seconds_by_target or {}).get(target, self.initial_s)
+
+    def expected_tokens(self, target: str, max_tokens: int) -> float:
+        """Return how many tokens a call is expected to generate, at most `max_tokens`."""
+        return min(max_tokens, (self.tokens_by_target or {}).get(target, max_tokens))
--- /dev/null
+++ b/libs/decisions/tarragonhall_decisions/_fair_queue.py
@@ -0,0 +1,283 @@
+"""Fair queue of one target: which organisation is served next, and which program inside it.
+
+Load pattern: one organisation sends many times what the servers can take, or a few programs run
+for very long among many short ones. With one FIFO queue everybody then waits behind the hot caller,
+and a short program behind each long one.
+
+Over organisations: start-time fair queueing by weight. Each call is charged its expected tokens
+when it is taken and the difference to its real use when it ends, so that an organisation cannot
+gain by stating a small `max_tokens`. An organisation that was idle starts at the present virtual
+time: it is served next, but has no credit for its absence.
+
+Inside an organisation: the program with the least attained service first, since the shape of a
+program is unknown and only its whole latency counts. A call's rank is its program's attained tokens
+less `AGEING_TOKENS_PER_S` for each second that it waited, so a long program waits only a bounded
+time behind newer ones: at most `ATTAINED_CAP / AGEING_TOKENS_PER_S` seconds of later arrivals.
+
+Overload: the queue is bounded by organisation and as a whole. When it is full the organisation
+furthest over its share loses a call, and inside it the call of a program that has not started,
+before one of a program under way. A call that cannot meet its deadline at the present drain rate is
+refused at once with the time after which the queue will have room.
+
+Grounds for the figures: `AGEING_TOKENS_PER_S` is about what one stream generates in ten seconds at
+the letter's 42 ms a token, so one second of waiting outweighs a long answer. `ATTAINED_CAP` bounds
+the extra wait of the longest program to ten seconds. The drain rate comes from the calls in
+service (cost over run time, where a call that takes longer than expected counts with its age), so
+it needs no history, follows a loss of servers at once, and sinks while servers hang.
+`HOPELESS_SHARE`: a waiting call is given up when less than half of its expected run time is left;
+run times vary by about that much, and a stricter rule would refuse calls that would have finished.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+
+from tarragonhall_model import Execution, Refusal, RefusalCode
+
+from tarragonhall_decisions._deadlines import (
+    REPLY_MARGIN_MS,
+    Deadline,
+    bounded_retry_ms,
+    can_meet,
+    deadline_refusal,
+)
+
+AGEING_TOKENS_PER_S = 240.0
+ATTAINED_CAP = 2_400.0
+HOPELESS_SHARE = 0.5
+MIN_WEIGHT = 1e-6
+MIN_RUN_S = 1e-3
+
+
+@dataclass(slots=True)
+class QueuedCall:
+    """A call that waits for a server.
+
+    `cost` is its expected tokens (1 for a service call), `attained` the tokens that its program
+    has already used, `started` whether the program had an earlier call.
+    """
+
+    call_id: str
+    org_id: str
+    program_id: str
+    cost: float
+    deadline: Deadline
+    run_s: float = 0.0
+    attained: float = 0.0
+    started: bool = False
+    arrived: float = 0.0
+    taken: float = 0.0
+
+    def rank(self) -> float:
+        """Return the order inside the organisation, lower first; it does not change with time."""
+        return min(self.attained, ATTAINED_CAP) + AGEING_TOKENS_PER_S * self.arrived
+
+    def latest_start(self) -> float:
+        """Return when it is too late to start.
+
+        A call is never given up in the first half of its time: run times learnt from longer calls
+        would otherwise refuse every call with a short timeout, and nothing new would be learnt.
+        """
+        patience = self.deadline.at - self.arrived
+        needed = min(HOPELESS_SHARE * self.run_s, HOPELESS_SHARE * patience)
+        return self.deadline.at - needed - REPLY_MARGIN_MS / 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Dropped:
+    """A call that the queue refuses; it did not run and no longer waits."""
+
+    call: QueuedCall
+    refusal: Refusal
+
+
+@dataclass(slots=True)
+class _Organisation:
+    """`finish` is the virtual time at which all that was taken for it is paid for."""
+
+    weight: float = 1.0
+    finish: float = 0.0
+    queued_cost: float = 0.0
+    heap: list[tuple[float, int, QueuedCall]] = field(default_factory=list)
+    waiting: dict[str, QueuedCall] = field(default_factory=dict)
+
+    def lead(self, virtual: float) -> float:
+        """Return how far it would be ahead of its share once all its calls are served."""
+        return max(0.0, self.finish - virtual) + self.queued_cost / self.weight
+
+
+@dataclass(slots=True)
+class FairQueue:
+    """The calls that wait for one target at one entry.
+
+    The shell calls `expire` before `take`, and `on_end` (or `give_back`) once for each call taken.
+    """
+
+    per_organisation: int = 1_000
+    total: int = 10_000
+    _virtual: float = 0.0
+    _order: int = 0
+    _size: int = 0
+    _queued_cost: float = 0.0
+    _by_org: dict[str, _Organisation] = field(default_factory=dict)
+    _backlogged: set[str] = field(default_factory=set)
+    _in_service: dict[str, QueuedCall] = field(default_factory=dict)
+    _latest_starts: list[tuple[float, int, QueuedCall]] = field(default_factory=list)
+
+    def __len__(self) -> int:
+        return self._size
+
+    def set_weight(self, org_id: str, weight: float) -> None:
+        """Set an organisation's share relative to the others."""
+        self._organisation(org_id).weight = max(weight, MIN_WEIGHT)
+
+    def offer(self, call: QueuedCall, now: float) -> list[Dropped]:
+        """Add a call; return those that are refused for it, which may include the call itself."""
+        call.arrived = now
+        wait_s = self._wait_of(call, now)
+        if wait_s > 0 and not can_meet(call.deadline, wait_s, call.run_s, now):
+            patience = call.deadline.at - now - call.run_s
+            return [Dropped(call, deadline_refusal(wait_s - max(0.0, patience)))]
+        self._add(call)
+        org = self._by_org[call.org_id]
+        if len(org.waiting) > self.per_organisation:
+            return [self._drop_from(org, now)]
+        if self._size > self.total:
+            furthest = max(self._backlogged, key=lambda i: self._by_org[i].lead(self._virtual))
+            return [self._drop_from(self._by_org[furthest], now)]
+        return []
+
+    def take(self, now: float) -> QueuedCall | None:
+        """Remove and return the call to run next."""
+        if not self._backlogged:
+            return None
+        chosen = min(self._backlogged, key=lambda i: (self._start_tag(self._by_org[i]), i))
+        org = self._by_org[chosen]
+        call = self._pop(org)
+        self._virtual = self._start_tag(org)
+        org.finish = self._virtual + call.cost / org.weight
+        call.taken = now
+        self._in_service[call.call_id] = call
+        return call
+
+    def give_back(self, call: QueuedCall) -> None:
+        """Put back a call that was taken but not run; its charge is undone and its place kept."""
+        if self._in_service.pop(call.call_id, None) is None:
+            return
+        org = self._organisation(call.org_id)
+        org.finish -= call.cost / org.weight
+        self._add(call)
+
+    def remove(self, call_id: str, org_id: str) -> QueuedCall | None:
+        """Take out a waiting call whose caller has gone or whose key was withdrawn."""
+        org = self._organisation(org_id)
+        call = org.waiting.get(call_id)
+        if call is not None:
+            self._forget(org, call)
+        return call
+
+    def on_end(self, call: QueuedCall, actual_cost: float) -> None:
+        """Correct the charge of a call that ended."""
+        if self._in_service.pop(call.call_id, None) is None:
+            return
+        org = self._organisation(call.org_id)
+        org.finish += (actual_cost - call.cost) / org.weight
+
+    def expire(self, now: float) -> list[Dropped]:
+        """Refuse the waiting calls that can no longer be answered in time."""
+        dropped = []
+        while self._latest_starts and self._latest_starts[0][0] < now:
+            _, _, call = heapq.heappop(self._latest_starts)
+            org = self._organisation(call.org_id)
+            if org.waiting.get(call.call_id) is not call:
+                continue
+            self._forget(org, call)
+            dropped.append(Dropped(call, deadline_refusal(self._wait_of(call, now))))
+        return dropped
+
+    def expected_wait_s(self, org_id: str, now: float) -> float:
+        """Return how long a new call of the organisation would wait at the present drain rate."""
+        if not self._size:
+            return 0.0
+        drain = self._drain_per_s(now)
+        if drain <= 0:
+            return 0.0
+        org = self._organisation(org_id)
+        active = sum(self._by_org[i].weight for i in self._backlogged | {org_id})
+        by_share = org.lead(self._virtual) * active / drain
+        return min(by_share, self._queued_cost / drain)
+
+    def _wait_of(self, call: QueuedCall, now: float) -> float:
+        """Return the expected wait of one call.
+
+        A program under way counts only the calls ranked before its own. A new program counts all
+        of its organisation's: in overload it is refused rather than push back programs under way.
+        """
+        whole = self.expected_wait_s(call.org_id, now)
+        if not call.started or whole <= 0:
+            return whole
+        org = self._organisation(call.org_id)
+        rank = call.rank()
+        ahead = sum(other.cost for other in org.waiting.values() if other.rank() < rank)
+        return whole * (ahead / org.queued_cost) if org.queued_cost else whole
+
+    def _drain_per_s(self, now: float) -> float:
+        return sum(
+            call.cost / max(call.run_s, now - call.taken, MIN_RUN_S)
+            for call in self._in_service.values()
+        )
+
+    def _start_tag(self, org: _Organisation) -> float:
+        return max(self._virtual, org.finish)
+
+    def _drop_from(self, org: _Organisation, now: float) -> Dropped:
+        victim = max(org.waiting.values(), key=lambda c: (not c.started, c.rank()))
+        self._forget(org, victim)
+        wait_s = self.expected_wait_s(victim.org_id, now)
+        return Dropped(
+            victim,
+            Refusal(
+                RefusalCode.OVERLOADED,
+                "the organisation has too many calls waiting",
+                Execution.NOT_RUN,
+                bounded_retry_ms(wait_s),
+            ),
+        )
+
+    def _add(self, call: QueuedCall) -> None:
+        org = self._organisation(call.org_id)
+        self._order += 1
+        heapq.heappush(org.heap, (call.rank(), self._order, call))
+        heapq.heappush(self._latest_starts, (call.latest_start(), self._order, call))
+        org.waiting[call.call_id] = call
+        org.queued_cost += call.cost
+        self._queued_cost += call.cost
+        self._size += 1
+        self._backlogged.add(call.org_id)
+
+    def _pop(self, org: _Organisation) -> QueuedCall:
+        while True:
+            _, _, call = heapq.heappop(org.heap)
+            # A call that was removed or expired stays in the heap until it comes up.
+            if org.waiting.get(call.call_id) is call:
+                break
+        self._forget(org, call)
+        return call
+
+    def _forget(self, org: _Organisation, call: QueuedCall) -> None:
+        del org.waiting[call.call_id]
+        org.queued_cost -= call.cost
+        self._queued_cost -= call.cost
+        self._size -= 1
+        if not org.waiting:
+            # Exact zeros: rounding left over from sums must not look like a backlog.
+            org.queued_cost = 0.0
+            org.heap.clear()
+            self._backlogged.discard(call.org_id)
+        if not self._size:
+            self._queued_cost = 0.0
+            self._latest_starts.clear()
+
+    def _organisation(self, org_id: str) -> _Organisation:
+        return self._by_org.setdefault(org_id, _Organisation())
--- /dev/null
+++ b/libs/decisions/tarragonhall_decisions/_model_orders.py
@@ -0,0 +1,129 @@
+"""Load orders: which model each engine should have loaded.
+
+Load pattern: the demand moves from one model to another within minutes. Without orders one model's
+calls wait while engines of the other are idle; orders at each change of the queue make the engines
+spend their time loading weights (flapping), and many loads at once exceed the weight store's rate.
+
+A model gets one more replica when its waiting work has exceeded what its replicas do in
+`MAX_WAIT_S` for `DWELL_S`, or when it has fewer replicas than its policy asks for; the engine is
+taken from the model whose replicas are least busy, never below that model's minimum. An engine that
+changed lately is left alone for `SETTLE_S`.
+
+Grounds for the figures: loading weights takes tens of seconds, so `DWELL_S` of 10 s ignores bursts
+that pass before a load would help, and `SETTLE_S` of two minutes keeps the share of time spent on
+loading below a quarter. `LOADS_AT_ONCE` of two bounds what the rate-limited weight store must give.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+MAX_WAIT_S = 5.0
+DWELL_S = 10.0
+SETTLE_S = 120.0
+LOADS_AT_ONCE = 2
+# A replica below this share of its slots in use can be given up.
+IDLE_SHARE = 0.3
+
+
+@dataclass(slots=True, frozen=True)
+class ModelDemand:
+    """The waiting work of a model: `waiting_s` is how long its replicas need for what waits."""
+
+    model: str
+    version: str
+    min_replicas: int
+    waiting_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class EngineState:
+    """An engine: the model it has loaded (or is loading) and the share of its slots in use."""
+
+    server_id: str
+    model: str | None
+    version: str | None
+    busy_share: float
+    draining: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class LoadOrder:
+    """Load this version of a model on an engine, in place of what it has."""
+
+    server_id: str
+    model: str
+    version: str
+
+
+@dataclass(slots=True)
+class ModelOrders:
+    """The planner of the leader. It remembers since when a model lacks replicas."""
+
+    _short_since: dict[str, float] = field(default_factory=dict)
+    _changed_at: dict[str, float] = field(default_factory=dict)
+    _loading: set[str] = field(default_factory=set)
+
+    def plan(
+        self, demands: list[ModelDemand], engines: list[EngineState], now: float
+    ) -> list[LoadOrder]:
+        """Return the orders to give now; each is reported back to `on_done`."""
+        demand_by_model = {demand.model: demand for demand in demands}
+        orders: list[LoadOrder] = []
+        for demand in sorted(demands, key=lambda d: (-d.waiting_s, d.model)):
+            if len(self._loading) >= LOADS_AT_ONCE:
+                break
+            if not self._is_short(demand, engines, now):
+                continue
+            engine = self._to_give_up(demand, demand_by_model, engines, now)
+            if engine is None:
+                continue
+            orders.append(LoadOrder(engine.server_id, demand.model, demand.version))
+            self._loading.add(engine.server_id)
+            self._changed_at[engine.server_id] = now
+            self._short_since.pop(demand.model, None)
+        return orders
+
+    def on_done(self, server_id: str, now: float) -> None:
+        """Note that an order was carried out or failed."""
+        self._loading.discard(server_id)
+        self._changed_at[server_id] = now
+
+    def _is_short(self, demand: ModelDemand, engines: list[EngineState], now: float) -> bool:
+        replicas = _replicas(demand.model, engines)
+        if replicas < demand.min_replicas:
+            return True
+        if demand.waiting_s <= MAX_WAIT_S:
+            self._short_since.pop(demand.model, None)
+            return False
+        since = self._short_since.setdefault(demand.model, now)
+        return now - since >= DWELL_S
+
+    def _to_give_up(
+        self,
+        demand: ModelDemand,
+        demand_by_model: dict[str, ModelDemand],
+        engines: list[EngineState],
+        now: float,
+    ) -> EngineState | None:
+        below_minimum = _replicas(demand.model, engines) < demand.min_replicas
+        best: EngineState | None = None
+        for engine in engines:
+            if engine.draining or engine.model == demand.model:
+                continue
+            if engine.server_id in self._loading:
+                continue
+            if now - self._changed_at.get(engine.server_id, float("-inf")) < SETTLE_S:
+                continue
+            owner = demand_by_model.get(engine.model or "")
+            if owner is not None and _replicas(owner.model, engines) <= owner.min_replicas:
+                continue
+            if engine.busy_share > IDLE_SHARE and not below_minimum:
+                continue
+            if best is None or engine.busy_share < best.busy_share:
+                best = engine
+        return best
+
+
+def _replicas(model: str, engines: list[EngineState]) -> int:
+    return sum(1 for engine in engines if engine.model == model and not engine.draining)
--- /dev/null
+++ b/libs/decisions/tarragonhall_decisions/_server_state.py
@@ -0,0 +1,132 @@
+"""What one entry knows of one backend server: its own calls there, and lagging reports.
+
+Load patterns: a server that became slow but still answers takes as many calls as the others if it
+is judged by its open calls alone, and its report arrives late. A server that hangs ends no call at
+all, so nothing new is learnt from ends; here the age of its open calls counts too.
+
+Grounds for the figures: `SPEED_GAIN` of a quarter takes a server out after about four slow calls.
+`SLOW_RATIO` of two is outside the spread of healthy servers with mixed batches, and a server twice
+as slow still costs a program less than a queue would. `WEIGHT_DOWN` and `WEIGHT_UP` change the
+share gradually, in about eight calls from full to `PROBE_WEIGHT`, so that a short stall does not
+throw a server's whole load on the others; one call in twenty goes on probing it. The window shrinks
+by `WINDOW_DOWN` for each report that shows a queue and grows by one for each that shows room: the
+usual additive increase and multiplicative decrease, which lets entries that do not know each other
+share a server evenly.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from tarragonhall_model import LoadReport, ServerRecord
+
+SPEED_GAIN = 0.25
+SLOW_RATIO = 2.0
+WEIGHT_DOWN = 0.7
+WEIGHT_UP = 1.3
+PROBE_WEIGHT = 0.05
+FAILURE_WEIGHT = 0.5
+WINDOW_DOWN = 0.8
+# A queue of this share of the slots keeps a server busy between reports and is not congestion.
+QUEUE_SHARE = 0.125
+MIN_UNIT_S = 1e-6
+
+
+@dataclass(slots=True)
+class OpenAttempt:
+    """An attempt that runs on a server; `units` is the work expected of it."""
+
+    started: float
+    units: float
+
+
+@dataclass(slots=True)
+class ServerState:
+    """A server as this entry sees it. `unit_s` is the smoothed time for a unit of work."""
+
+    record: ServerRecord
+    window: float
+    linked: bool = True
+    report: LoadReport | None = None
+    weight: float = 1.0
+    unit_s: float | None = None
+    changes_since_report: int = 0
+    open_by_key: dict[str, OpenAttempt] = field(default_factory=dict)
+    held: frozenset[str] = frozenset()
+
+    def usable(self) -> bool:
+        """Return whether new work may go to the server at all."""
+        if not self.linked or self.record.draining:
+            return False
+        return self.report is None or (self.report.healthy and not self.report.draining)
+
+    def has_room(self, share: float = 1.0) -> bool:
+        """Return whether the window takes one more call, or one more within a share of it."""
+        return len(self.open_by_key) < max(1.0, self.window * share)
+
+    def load(self) -> int:
+        """Return how many calls run or wait there, by the last report and what was sent since."""
+        if self.report is None:
+            return len(self.open_by_key)
+        reported = self.report.running + self.report.waiting + self.changes_since_report
+        return max(len(self.open_by_key), reported)
+
+    def wait_s(self, run_s: float) -> float:
+        """Return how long a new call would wait there for a slot."""
+        slots = max(1, self.record.slots)
+        excess = self.load() - slots + 1
+        return max(0.0, excess / slots * run_s)
+
+    def on_start(self, key: str, units: float, now: float) -> None:
+        """Note an attempt that was sent to the server."""
+        self.open_by_key[key] = OpenAttempt(now, units)
+        self.changes_since_report += 1
+
+    def on_end(self, key: str, units: float, answered: bool, now: float) -> None:
+        """Learn from the end of an attempt; `units` is the work that it really was."""
+        attempt = self.open_by_key.pop(key, None)
+        if attempt is None:
+            return
+        self.changes_since_report -= 1
+        if not answered:
+            self.weight = max(PROBE_WEIGHT, self.weight * FAILURE_WEIGHT)
+            return
+        sample = max(MIN_UNIT_S, (now - attempt.started) / max(1.0, units))
+        if self.unit_s is None:
+            self.unit_s = sample
+        self.unit_s += SPEED_GAIN * (sample - self.unit_s)
+
+    def on_report(self, report: LoadReport) -> None:
+        """Take over a report of the server's present life; adapt the window to its queue."""
+        if report.incarnation != self.record.incarnation:
+            return
+        self.report = report
+        self.changes_since_report = 0
+        self.held = frozenset(report.held_programs)
+        slots = max(1, report.slots)
+        if report.waiting > slots * QUEUE_SHARE:
+            self.window = max(1.0, self.window * WINDOW_DOWN)
+        elif not report.waiting:
+            self.window = min(float(slots), self.window + 1.0)
+
+    def slowness(self, usual_unit_s: float, now: float) -> float:
+        """Return how many times slower than usual the server is, by its ends and open calls."""
+        if usual_unit_s <= 0:
+            return 1.0
+        by_ends = (self.unit_s or usual_unit_s) / usual_unit_s
+        by_age = max(
+            (
+                (now - attempt.started) / (max(1.0, attempt.units) * usual_unit_s)
+                for attempt in self.open_by_key.values()
+            ),
+            default=0.0,
+        )
+        # Expected work is a guess: an open call counts only once it is late by far.
+        return max(by_ends, by_age / SLOW_RATIO)
+
+    def adapt_weight(self, usual_unit_s: float, now: float) -> None:
+        """Move the server's share gradually, down while it is slow and up while it is not."""
+        if self.slowness(usual_unit_s, now) > SLOW_RATIO:
+            self.weight = max(PROBE_WEIGHT, self.weight * WEIGHT_DOWN)
+        else:
+            self.weight = min(1.0, self.weight * WEIGHT_UP)
