--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -16,14 +16,8 @@
 from tarragonhall_decisions._fair_queue import Dropped, FairQueue, QueuedCall
 from tarragonhall_decisions._model_orders import EngineState, LoadOrder, ModelDemand, ModelOrders
 from tarragonhall_decisions._quarantine import Quarantine, charged_by_crash
-from tarragonhall_decisions._rate import (
-    Admitted,
-    Ask,
-    RateLimiter,
-    RateOutput,
-    RateRefused,
-    Tell,
-)
+from tarragonhall_decisions._rate import Ask, RateLimiter, RateOutput, Tell
+from tarragonhall_decisions._rate_holder import Admitted, RateRefused
 from tarragonhall_decisions._retry import (
     Failure,
     GiveUp,
--- a/libs/decisions/tarragonhall_decisions/_rate.py
+++ b/libs/decisions/tarragonhall_decisions/_rate.py
@@ -21,59 +21,46 @@
 What stays: a tenant's calls wait while a dead owner is waited out; they are admitted afterwards if
 half of their time is not over by then.
 
-Grounds for the figures: `MAX_WAIT_S` bounds the queue of a tenant that keeps above its rate: its
-calls would else all wait until half of their deadline, holding a connection each. `REPORT_AFTER_S`
-is a few round trips: the owner refills only what is not granted, so spent slices are reported soon.
-`ASK_TIMEOUT_S` is far above a round trip and below the patience of any caller.
+Only what is in use is computed: an owner is looked up when its organisation calls, so a change of
+the view costs nothing for the thousands of organisations that are quiet.
+
+The figures and their grounds are in `_bucket` and `_rate_holder`.
 """
 
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from tarragonhall_model import (
+    EntryRecord,
     HandOver,
     NotOwner,
     OrganisationPolicy,
     Rate,
-    Refusal,
     ReturnTokens,
     TakeTokens,
     TokensGranted,
     View,
+    rendezvous,
 )
 
-from tarragonhall_decisions._bucket import Bucket
+from tarragonhall_decisions._bucket import SLICE_VALID_S, Bucket
 from tarragonhall_decisions._deadlines import Deadline
-
-MAX_WAIT_S = 10.0
-WAIT_SHARE = 0.5
-REPORT_AFTER_S = 0.02
-ASK_TIMEOUT_S = 0.25
-NOT_OWNER_PAUSE_MS = 50
-
-
-@dataclass(slots=True, frozen=True)
-class Admitted:
-    """A token was spent for this call; it may go on now."""
-
-    call_id: str
-
-
-@dataclass(slots=True, frozen=True)
-class RateRefused:
-    """The call did not get a token and waits no longer."""
-
-    call_id: str
-    refusal: Refusal
+from tarragonhall_decisions._rate_holder import (
+    ASK_TIMEOUT_S,
+    MIN_PAUSE_S,
+    Admitted,
+    Holder,
+    RateRefused,
+)
 
 
 @dataclass(slots=True, frozen=True)
 class Ask:
     """Send a request to a peer entry; its reply goes to `on_reply` with this `sent_at`.
 
-    Where no reply comes, `on_no_reply` is called in its place.
+    Where the request cannot be sent or is not answered, `on_no_reply` is called in its place.
     """
 
     entry_id: str
@@ -90,43 +77,17 @@
     message: ReturnTokens | HandOver
 
 
-RateOutput = Admitted | RateRefused | Ask | Tell
-
-
-@dataclass(slots=True)
-class _Waiting:
-    call_id: str
-    started: bool
-    give_up_at: float
-
-
-@dataclass(slots=True)
-class _HeldSlice:
-    slice_id: str
-    owner: str
-    tokens: float
-    usable_until: float
-
-
-@dataclass(slots=True)
-class _Holder:
-    """What this entry holds of one organisation's tokens, and who waits for more."""
+# An owner grants only while control confirmed its view within this time. Entries hear from control
+# once a second, so one late heartbeat does no harm; each second more is two more that calls wait
+# when an owner dies.
+LEASE_S = 2.0
 
-    rate: Rate
-    waiting: list[_Waiting] = field(default_factory=list)
-    slices: list[_HeldSlice] = field(default_factory=list)
-    asked_at: float | None = None
-    ask_after: float = 0.0
-    backlog: float = 0.0
-    backlog_at: float = 0.0
-    dry: bool = False
-    finished: list[tuple[str, str]] = field(default_factory=list)
-    report_at: float | None = None
+RateOutput = Admitted | RateRefused | Ask | Tell
 
 
 @dataclass(slots=True)
 class _Owned:
-    """A bucket that this entry owns in its view. Without `bucket` it waits out earlier owners."""
+    """A bucket that this entry owns in its view; without `bucket` it waits out earlier owners."""
 
     since_epoch: int
     usable_from: float
@@ -134,79 +95,270 @@
 
 
 class RateLimiter:
-    """The part of one entry in the rates of all organisations, as holder and as owner."""
+    """The part of one entry in the rates of all organisations, as holder and as owner.
+
+    The shell calls `tick` when `next_wake` comes, sends what is returned, and passes on replies.
+    """
 
     def __init__(
-        self, entry_id: str, incarnation: str, rng: random.Random, freshness_lease_s: float
+        self, entry_id: str, incarnation: str, rng: random.Random, lease_s: float = LEASE_S
     ) -> None:
         self.entry_id = entry_id
-        self.holder = f"{entry_id}@{incarnation}"
+        self._holder_id = f"{entry_id}@{incarnation}"
         self._rng = rng
-        self._lease_s = freshness_lease_s
+        self._lease_s = lease_s
         self._fresh_until = float("-inf")
         self._epoch = -1
-        self._entry_ids: list[str] = []
+        self._entries: list[EntryRecord] = []
+        # Since when, and since which epoch, no owner can have changed without this entry knowing.
+        self._settled_epoch = -1
+        self._settled_at = float("inf")
         self._rate_by_org: dict[str, Rate] = {}
-        self._holder_by_org: dict[str, _Holder] = {}
+        self._holder_by_org: dict[str, Holder] = {}
         self._owned_by_org: dict[str, _Owned] = {}
         self._owner_by_org: dict[str, str | None] = {}
-
-    # What is in force.
+        self._early_by_org: dict[str, HandOver] = {}
 
     def set_policy(self, policy: OrganisationPolicy, now: float) -> None:
         """Take over the rate in force for an organisation."""
-        raise NotImplementedError
+        rate = policy.rate
+        self._rate_by_org[policy.org_id] = rate
+        holder = self._holder_by_org.get(policy.org_id)
+        if holder is not None:
+            holder.rate = rate
+        owned = self._owned_by_org.get(policy.org_id)
+        if owned is not None and owned.bucket is not None:
+            owned.bucket.set_rate(rate, now)
 
     def remove_organisation(self, org_id: str) -> None:
         """Forget an organisation that no longer exists."""
-        raise NotImplementedError
+        self._rate_by_org.pop(org_id, None)
+        self._holder_by_org.pop(org_id, None)
 
     def on_view(self, view: View, now: float) -> list[RateOutput]:
         """Take over a view. Call this before `on_fresh` where one reply carries both."""
-        raise NotImplementedError
+        if view.epoch <= self._epoch:
+            return []
+        skipped = view.epoch > self._epoch + 1
+        lapsed = now > self._fresh_until
+        changed = view.entries != self._entries
+        self._epoch = view.epoch
+        self._entries = list(view.entries)
+        if skipped and lapsed:
+            # Another entry may have owned the buckets meanwhile and started them afresh. Keeping
+            # them would give the organisation two buckets; a caller would see twice the rate.
+            self._owned_by_org.clear()
+        if changed or (skipped and lapsed):
+            self._settled_epoch = view.epoch
+            self._settled_at = now + 2 * self._lease_s + SLICE_VALID_S
+        elif skipped:
+            # An owner in a skipped view may act on a bucket handed to it until its lease ends.
+            self._extend_waits(now + self._lease_s + SLICE_VALID_S, now)
+        if not changed:
+            return []
+        self._owner_by_org.clear()
+        for holder in self._holder_by_org.values():
+            holder.on_owner_change()
+        outputs = self._hand_over(lapsed, now)
+        early, self._early_by_org = self._early_by_org, {}
+        for message in early.values():
+            self._adopt(message, now)
+        outputs.extend(self.tick(now))
+        return outputs
 
     def on_fresh(self, sent_at: float) -> None:
         """Note that control confirmed the view; `sent_at` is when that heartbeat was sent."""
-        raise NotImplementedError
-
-    # Calls.
+        self._fresh_until = max(self._fresh_until, sent_at + self._lease_s)
 
     def offer(
         self, org_id: str, call_id: str, deadline: Deadline, started: bool, now: float
     ) -> list[RateOutput]:
         """Ask for a token for a call; `started` says whether its program had a call before."""
-        raise NotImplementedError
+        holder = self._holder(org_id)
+        decided = holder.offer(call_id, deadline, started, now)
+        if decided is not None:
+            return [decided]
+        return self._pump(org_id, holder, now)
 
     def withdraw(self, org_id: str, call_id: str) -> None:
         """Forget a waiting call whose caller has gone."""
-        raise NotImplementedError
+        if org_id in self._holder_by_org:
+            self._holder_by_org[org_id].withdraw(call_id)
 
     def tick(self, now: float) -> list[RateOutput]:
         """Do what is due: give up calls, ask again, report spent slices."""
-        raise NotImplementedError
+        outputs: list[RateOutput] = []
+        for org_id, holder in list(self._holder_by_org.items()):
+            if holder.asked_at is not None and now >= holder.asked_at + ASK_TIMEOUT_S:
+                holder.on_no_reply(holder.asked_at, now)
+            outputs.extend(self._pump(org_id, holder, now))
+            if holder.idle():
+                del self._holder_by_org[org_id]
+        return outputs
 
     def next_wake(self) -> float | None:
         """Return when `tick` should run next."""
-        raise NotImplementedError
-
-    def leave(self, now: float) -> list[RateOutput]:
-        """Return unspent tokens and hand the buckets over; call it with the view without us."""
-        raise NotImplementedError
-
-    # Messages of peers.
+        times = [holder.next_wake() for holder in self._holder_by_org.values()]
+        return min((at for at in times if at is not None), default=None)
 
     def on_reply(
-        self, org_id: str, reply: TokensGranted | NotOwner, sent_at: float, now: float
+        self,
+        entry_id: str,
+        org_id: str,
+        reply: TokensGranted | NotOwner,
+        sent_at: float,
+        now: float,
     ) -> list[RateOutput]:
-        """Take the reply to an `Ask`."""
-        raise NotImplementedError
+        """Take the reply of an entry to an `Ask`."""
+        holder = self._holder(org_id)
+        holder.on_reply(reply, entry_id, sent_at, now)
+        return self._pump(org_id, holder, now)
 
-    def on_no_reply(self, org_id: str, sent_at: float, now: float) -> list[RateOutput]:
-        """Note that an `Ask` was not answered; what it was granted runs out by itself."""
-        raise NotImplementedError
+    def on_no_reply(self, org_id: str, sent_at: float, now: float) -> None:
+        """Note that an `Ask` will not be answered; what it was granted runs out by itself."""
+        if org_id in self._holder_by_org:
+            self._holder_by_org[org_id].on_no_reply(sent_at, now)
 
     def handle(
         self, message: TakeTokens | ReturnTokens | HandOver, now: float
     ) -> TokensGranted | NotOwner | None:
         """Take a message of a peer as the owner of a bucket; return the reply, if it needs one."""
-        raise NotImplementedError
+        match message:
+            case TakeTokens():
+                return self._take(message, now)
+            case ReturnTokens():
+                owned = self._owned_by_org.get(message.org_id)
+                if owned is not None and owned.bucket is not None:
+                    owned.bucket.end_slice(message.slice_id, message.tokens, now)
+                return None
+            case HandOver():
+                self._adopt(message, now)
+                return None
+
+    def _take(self, message: TakeTokens, now: float) -> TokensGranted | NotOwner:
+        if message.view_epoch > self._epoch or now >= self._fresh_until:
+            return NotOwner(self._epoch, int(MIN_PAUSE_S * 1000))
+        owned = self._owned(message.org_id, now)
+        if owned is None:
+            return NotOwner(self._epoch, int(MIN_PAUSE_S * 1000))
+        if owned.bucket is None:
+            return NotOwner(self._epoch, int((owned.usable_from - now) * 1000) + 1)
+        for slice_id in message.finished:
+            owned.bucket.end_slice(slice_id, 0.0, now)
+        granted = owned.bucket.grant(message.holder, message.wanted, now, self._rng)
+        return TokensGranted(
+            message.org_id,
+            granted.tokens,
+            granted.valid_ms,
+            granted.retry_after_ms,
+            granted.slice_id,
+            granted.backlog,
+        )
+
+    def _owned(self, org_id: str, now: float) -> _Owned | None:
+        """Return the bucket if this entry owns it, started once earlier owners are waited out."""
+        rate = self._rate_by_org.get(org_id)
+        if rate is None or self._owner(org_id) != self.entry_id:
+            return None
+        owned = self._owned_by_org.get(org_id)
+        if owned is None:
+            owned = _Owned(self._settled_epoch, self._settled_at)
+            self._owned_by_org[org_id] = owned
+        if owned.bucket is None and now >= owned.usable_from:
+            # Earlier owners stopped one slice before; nothing was refilled twice since then.
+            owned.bucket = Bucket(rate, 0.0, owned.usable_from - SLICE_VALID_S)
+        return owned
+
+    def _adopt(self, message: HandOver, now: float) -> None:
+        """Take over a bucket instead of waiting, unless the message comes from an earlier turn."""
+        if message.view_epoch > self._epoch:
+            # The earlier owner learnt of the view first; keep the bucket until it gets here.
+            self._early_by_org[message.org_id] = message
+            return
+        owned = self._owned(message.org_id, now)
+        if owned is None or owned.bucket is not None or message.view_epoch < owned.since_epoch:
+            return
+        bucket = Bucket(self._rate_by_org[message.org_id], message.tokens, now)
+        bucket.adopt(message.outstanding, now)
+        owned.bucket = bucket
+
+    def _hand_over(self, lapsed: bool, now: float) -> list[RateOutput]:
+        outputs: list[RateOutput] = []
+        for org_id, owned in list(self._owned_by_org.items()):
+            owner = self._owner(org_id)
+            if owner == self.entry_id:
+                continue
+            del self._owned_by_org[org_id]
+            # After a lapse the new owner may have waited this entry out already.
+            if owned.bucket is None or lapsed or owner is None:
+                continue
+            outstanding = owned.bucket.outstanding(now)
+            outputs.append(
+                Tell(owner, HandOver(org_id, owned.bucket.level, self._epoch, outstanding))
+            )
+        return outputs
+
+    def _extend_waits(self, until: float, now: float) -> None:
+        if self._settled_at > now:
+            self._settled_at = max(self._settled_at, until)
+        for owned in self._owned_by_org.values():
+            if owned.bucket is None:
+                owned.usable_from = max(owned.usable_from, until)
+
+    def _pump(self, org_id: str, holder: Holder, now: float) -> list[RateOutput]:
+        outputs: list[RateOutput] = list(holder.serve(now))
+        outputs.extend(holder.give_up(now))
+        if holder.wants_to_ask(now):
+            outputs.extend(self._ask(org_id, holder, now))
+        if holder.report_at is not None and now >= holder.report_at:
+            outputs.extend(self._report(org_id, holder, now))
+        return outputs
+
+    def _ask(self, org_id: str, holder: Holder, now: float) -> list[RateOutput]:
+        owner = self._owner(org_id)
+        if owner is None:
+            holder.ask_after = now + MIN_PAUSE_S
+            return []
+        spent = [e for e in holder.ended if e.owner == owner and not e.unspent]
+        holder.ended = [e for e in holder.ended if e not in spent]
+        if not holder.ended:
+            holder.report_at = None
+        message = TakeTokens(
+            org_id,
+            self._holder_id,
+            float(len(holder.waiting)),
+            self._epoch,
+            tuple(ended.slice_id for ended in spent),
+        )
+        holder.asked_at = now
+        if owner != self.entry_id:
+            return [Ask(owner, org_id, message, now)]
+        holder.on_reply(self._take(message, now), owner, now, now)
+        outputs: list[RateOutput] = list(holder.serve(now))
+        outputs.extend(holder.give_up(now))
+        return outputs
+
+    def _report(self, org_id: str, holder: Holder, now: float) -> list[RateOutput]:
+        outputs: list[RateOutput] = []
+        for ended in holder.ended:
+            message = ReturnTokens(org_id, self._holder_id, ended.unspent, ended.slice_id)
+            if ended.owner == self.entry_id:
+                self.handle(message, now)
+                continue
+            outputs.append(Tell(ended.owner, message))
+        holder.ended = []
+        holder.report_at = None
+        return outputs
+
+    def _holder(self, org_id: str) -> Holder:
+        holder = self._holder_by_org.get(org_id)
+        if holder is None:
+            holder = Holder(self._rate_by_org.get(org_id, Rate(0.0, 0.0)))
+            self._holder_by_org[org_id] = holder
+        return holder
+
+    def _owner(self, org_id: str) -> str | None:
+        if org_id not in self._owner_by_org:
+            ids = [entry.entry_id for entry in self._entries]
+            self._owner_by_org[org_id] = rendezvous(org_id, ids)
+        return self._owner_by_org[org_id]
