Serve callers: a call from its key to its journalled answer

The flow of a call is a generator that yields typed effects, so every order of commits, lost links and refusals is a list in a test; a thin shell performs the effects on links and control. Three commits lie on the path of a call: open, start, close.

--- /dev/null
+++ b/libs/entry/tarragonhall_entry/_access.py
@@ -0,0 +1,60 @@
+"""Which organisation a request runs for, decided from the settings in force here."""
+
+from __future__ import annotations
+
+from tarragonhall_model import (
+    OrganisationPolicy,
+    Refusal,
+    RefusalCode,
+    TarragonhallError,
+    secret_hash,
+)
+from tarragonhall_state import Follower
+
+STALE_RETRY_MS = 1_000
+
+
+class RefusedError(TarragonhallError):
+    """A request is refused."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class Access:
+    """Checks keys against the follower. Nothing is remembered from one request to the next: a key
+    withdrawn from a caller who stays connected stops at its next request.
+    """
+
+    __slots__ = ("_follower",)
+
+    def __init__(self, follower: Follower) -> None:
+        self._follower = follower
+
+    def authenticate(
+        self, key: str | None, now: float, wall_ms: int
+    ) -> tuple[str, OrganisationPolicy]:
+        """Return the key's hash and its organisation, or raise `RefusedError`."""
+        key_hash = secret_hash(key) if key else ""
+        refusal = self.check(key_hash, now, wall_ms)
+        if refusal is not None:
+            raise RefusedError(refusal)
+        org_id = self._follower.key_by_hash[key_hash].org_id
+        return key_hash, self._follower.organisation_by_id[org_id]
+
+    def check(self, key_hash: str, now: float, wall_ms: int) -> Refusal | None:
+        """Return why a key may not be used at this instant, or None."""
+        if not self._follower.is_fresh(now):
+            return Refusal(
+                RefusalCode.STALE,
+                "this entry cannot confirm the settings in force",
+                retry_after_ms=STALE_RETRY_MS,
+            )
+        key = self._follower.key_by_hash.get(key_hash)
+        if key is None or (key.expires_at_ms is not None and key.expires_at_ms <= wall_ms):
+            return Refusal(RefusalCode.UNAUTHENTICATED, "the key is unknown, withdrawn or expired")
+        organisation = self._follower.organisation_by_id.get(key.org_id)
+        if organisation is None or not organisation.enabled:
+            return Refusal(RefusalCode.UNAUTHENTICATED, "the organisation is disabled")
+        return None
--- /dev/null
+++ b/libs/entry/tarragonhall_entry/_api.py
@@ -0,0 +1,234 @@
+"""The callers' HTTP API."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import structlog
+from tarragonhall_model import (
+    CallClosed,
+    CallOpened,
+    CallRunning,
+    EndProgram,
+    Execution,
+    OpenProgram,
+    ProgramInfo,
+    ProgramReport,
+    ProgramStatus,
+    QueryCall,
+    QueryProgram,
+    Refusal,
+    RefusalCode,
+    new_id,
+)
+from tarragonhall_state import Follower
+from tarragonhall_wire import (
+    ControlClient,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    ProcessContext,
+    UnavailableError,
+    sse_event,
+)
+
+from tarragonhall_entry._access import Access, RefusedError
+from tarragonhall_entry._effects import Call
+from tarragonhall_entry._requests import load_call, load_open
+from tarragonhall_entry._responses import (
+    closed_response,
+    error_response,
+    info_value,
+    report_value,
+    terminal_event,
+)
+from tarragonhall_entry._runner import CallRunner
+from tarragonhall_entry._running import RunningCall, StreamReset, TextPart, next_item
+
+log = structlog.get_logger(__name__)
+
+CONTROL_SECONDS = 6.0
+DEFAULT_MODEL_TOKENS = 4_096
+# The final refusal of a call travels to its listeners through two commits at most.
+ANSWER_GRACE_SECONDS = 0.5
+FETCH_RETRY_MS = 1_000
+MAX_IDEMPOTENCY_KEY = 256
+
+
+class CallersApi:
+    """Handlers of the callers' routes."""
+
+    __slots__ = ("_access", "_context", "_control", "_follower", "_runner", "is_ready", "on_ended")
+
+    def __init__(
+        self,
+        context: ProcessContext,
+        control: ControlClient,
+        follower: Follower,
+        access: Access,
+        runner: CallRunner,
+    ) -> None:
+        self._context = context
+        self._control = control
+        self._follower = follower
+        self._access = access
+        self._runner = runner
+        self.is_ready = lambda: False
+        self.on_ended = lambda _program_id: None
+
+    def add_routes(self, server: HttpServer) -> None:
+        """Serve every path of the API."""
+        program = "/v1/programs/{program_id}"
+        server.route("POST", "/v1/programs", self.open_program)
+        server.route("GET", program, self.show_program)
+        server.route("POST", f"{program}/calls", self.call)
+        server.route("GET", f"{program}/calls/{{seq}}", self.show_call)
+        server.route("POST", f"{program}/finish", self.finish)
+        server.route("POST", f"{program}/cancel", self.cancel)
+        server.route("GET", "/healthz", lambda _request: HttpResponse(200, {"healthy": True}))
+        server.route("GET", "/readyz", self.readyz)
+
+    def readyz(self, _request: HttpRequest) -> HttpResponse:
+        """Tell the balancer whether to send callers here."""
+        ready = self.is_ready()
+        return HttpResponse(200 if ready else 503, {"ready": ready})
+
+    def open_program(self, request: HttpRequest) -> HttpResponse:
+        """Open a program."""
+        _, organisation = self._authenticate(request)
+        body = load_open(request.json())
+        idempotency_key = request.headers.get("idempotency-key")
+        command = OpenProgram(
+            program_id=new_id("prog", self._context.rng),
+            org_id=organisation.org_id,
+            budget=organisation.budget,
+            idle_seconds=organisation.idle_seconds,
+            parent=body.parent,
+            labels=body.labels if body.model is None else body.labels | {"model": body.model},
+            idempotency_key=idempotency_key,
+        )
+        info = self._commit(command)
+        self._context.timeline.add("program.opened", info.program_id, org=organisation.org_id)
+        return HttpResponse(201, info_value(info))
+
+    def show_program(self, request: HttpRequest) -> HttpResponse:
+        """Return a program with its history."""
+        _, organisation = self._authenticate(request)
+        question = QueryProgram(request.parts["program_id"], organisation.org_id)
+        report = self._ask(question)
+        if not isinstance(report, ProgramReport):
+            raise TypeError(f"unexpected reply {type(report).__name__}")
+        return HttpResponse(200, report_value(report))
+
+    def finish(self, request: HttpRequest) -> HttpResponse:
+        """End a program that has done its work."""
+        return self._end(request, ProgramStatus.FINISHED)
+
+    def cancel(self, request: HttpRequest) -> HttpResponse:
+        """End a program and stop what runs for it."""
+        return self._end(request, ProgramStatus.CANCELLED)
+
+    def show_call(self, request: HttpRequest) -> HttpResponse:
+        """Return what became of a call, however late."""
+        _, organisation = self._authenticate(request)
+        program_id, seq = request.parts["program_id"], _seq(request.parts["seq"])
+        state = self._ask(QueryCall(program_id, seq, organisation.org_id))
+        match state:
+            case CallClosed():
+                return closed_response(program_id, seq, state)
+            case CallOpened() | CallRunning():
+                value = {"program_id": program_id, "seq": seq, "status": "running"}
+                return HttpResponse(202, value, headers={"Retry-After": "1"})
+        raise TypeError(f"unexpected reply {type(state).__name__}")
+
+    def call(self, request: HttpRequest) -> HttpResponse:
+        """Run a call, or join it, or return its recorded answer."""
+        arrived = self._context.monotonic()
+        key_hash, organisation = self._authenticate(request)
+        spec = load_call(request.json(), DEFAULT_MODEL_TOKENS)
+        call = Call(
+            program_id=request.parts["program_id"],
+            org_id=organisation.org_id,
+            key_hash=key_hash,
+            spec=spec,
+            entry_id=self._context.instance,
+            deadline=arrived + spec.timeout_ms / 1000,
+        )
+        running = self._runner.start(call)
+        if spec.stream:
+            return HttpResponse(200, events=self._stream(running, call))
+        closed = running.wait(self._left(call))
+        return closed_response(call.program_id, spec.seq, closed or _still_running())
+
+    def _stream(self, running: RunningCall, call: Call) -> Iterator[bytes]:
+        queue = running.listen()
+        while True:
+            item = next_item(queue, self._left(call))
+            match item:
+                case TextPart(index=index, text=text):
+                    yield sse_event("chunk", {"index": index, "text": text})
+                case StreamReset():
+                    yield sse_event("reset", {})
+                case _:
+                    closed = item or _still_running()
+                    yield terminal_event(call.program_id, call.spec.seq, closed)
+                    return
+
+    def _left(self, call: Call) -> float:
+        return call.deadline + ANSWER_GRACE_SECONDS - self._context.monotonic()
+
+    def _authenticate(self, request: HttpRequest):
+        now = self._context.monotonic()
+        return self._access.authenticate(request.bearer(), now, self._context.wall_ms())
+
+    def _end(self, request: HttpRequest, status: ProgramStatus) -> HttpResponse:
+        _, organisation = self._authenticate(request)
+        program_id = request.parts["program_id"]
+        info = self._commit(EndProgram(program_id, organisation.org_id, status))
+        self._context.timeline.add(f"program.{info.status.value}", program_id)
+        self.on_ended(program_id)
+        return HttpResponse(200, info_value(info))
+
+    def _commit(self, command: object) -> ProgramInfo:
+        try:
+            result = self._control.propose(command, CONTROL_SECONDS)
+        except UnavailableError as error:
+            raise RefusedError(_unavailable(error)) from error
+        if isinstance(result, Refusal):
+            raise RefusedError(result)
+        return result
+
+    def _ask(self, question: object) -> object:
+        try:
+            reply = self._control.ask(question, CONTROL_SECONDS)
+        except UnavailableError as error:
+            raise RefusedError(_unavailable(error)) from error
+        if isinstance(reply, Refusal):
+            raise RefusedError(reply)
+        return reply
+
+
+def on_error(error: Exception) -> HttpResponse:
+    """Return the response for any error that a handler let through."""
+    response = error_response(error)
+    if response is not None:
+        return response
+    log.error("request.failed", error=repr(error), exc_info=error)
+    refusal = Refusal(RefusalCode.UNAVAILABLE, "internal error", Execution.UNKNOWN, FETCH_RETRY_MS)
+    return error_response(RefusedError(refusal))
+
+
+def _seq(text: str) -> int:
+    if text.isascii() and text.isdigit() and 0 < len(text) <= 9:
+        return int(text)
+    raise RefusedError(Refusal(RefusalCode.NOT_FOUND, f"no call {text!r}"))
+
+
+def _unavailable(error: Exception) -> Refusal:
+    return Refusal(RefusalCode.UNAVAILABLE, str(error), Execution.UNKNOWN, FETCH_RETRY_MS)
+
+
+def _still_running() -> CallClosed:
+    message = "the call has not ended within its timeout; fetch its answer later"
+    refusal = Refusal(RefusalCode.DEADLINE, message, Execution.UNKNOWN, FETCH_RETRY_MS)
+    return CallClosed(refusal=refusal)
--- /dev/null
+++ b/libs/entry/tarragonhall_entry/_effects.py
@@ -0,0 +1,199 @@
+"""What the flow of a call asks its shell to do, and what it is told in return.
+
+The flow is a generator without input or output: it yields one of these effects and is sent the
+result that the effect's docstring names. That makes every order of events a plain list in a test.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tarragonhall_model import (
+    AttemptId,
+    CallSpec,
+    Dispatch,
+    Refusal,
+    ServerRecord,
+)
+
+
+@dataclass(slots=True)
+class Call:
+    """One call at this entry. `deadline` is on this process's monotonic clock, in seconds."""
+
+    program_id: str
+    org_id: str
+    key_hash: str
+    spec: CallSpec
+    entry_id: str
+    deadline: float
+
+    @property
+    def name(self) -> tuple[str, int]:
+        """Return what identifies the call over all entries and resends."""
+        return (self.program_id, self.spec.seq)
+
+
+@dataclass(slots=True, frozen=True)
+class Commit:
+    """Commit a command. Result: the command's own result, or `Unavailable`."""
+
+    body: object
+
+
+@dataclass(slots=True, frozen=True)
+class AskControl:
+    """Ask the leader a question. Result: its reply, or `Unavailable`."""
+
+    question: object
+
+
+@dataclass(slots=True, frozen=True)
+class Unavailable:
+    """The control members did not answer; whether the command takes effect is unknown."""
+
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class TakeToken:
+    """Take one call out of the organisation's rate. Result: None, or a `Refusal`."""
+
+
+@dataclass(slots=True, frozen=True)
+class CheckKey:
+    """Check that the key is still in force. Result: None, or a `Refusal`."""
+
+
+@dataclass(slots=True, frozen=True)
+class WaitTurn:
+    """Wait in the queue for a place on a server. Result: `Assigned`, or a `Refusal`.
+
+    `excluded` are servers that already failed this call; they are used only where no other is left.
+    """
+
+    prefix_server: str | None
+    prefix_tokens: int
+    excluded: frozenset[str]
+
+
+@dataclass(slots=True, frozen=True)
+class Assigned:
+    """A place on this server is held for the call until `FreePlace`."""
+
+    server: ServerRecord
+
+
+@dataclass(slots=True, frozen=True)
+class FreePlace:
+    """Give the place on the server back. Result: None."""
+
+    server: ServerRecord
+
+
+@dataclass(slots=True, frozen=True)
+class SendDispatch:
+    """Dispatch an attempt. Result: `Accepted`, `Rejected`, `NotSent` or `LinkLost`."""
+
+    server: ServerRecord
+    message: Dispatch
+
+
+@dataclass(slots=True, frozen=True)
+class NotSent:
+    """There was no link, so the message never left this process."""
+
+
+@dataclass(slots=True, frozen=True)
+class LinkLost:
+    """The link broke or no reply came; whether the peer acted is unknown."""
+
+
+@dataclass(slots=True, frozen=True)
+class AwaitEnd:
+    """Wait for the end of an attempt. Result: `AttemptEnded`, `LinkLost` or `Expired`."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True, frozen=True)
+class Expired:
+    """The attempt did not end within the deadline of the call."""
+
+
+@dataclass(slots=True, frozen=True)
+class Reattach:
+    """Ask the server's sidecar for an attempt. Result: `Accepted`, `Rejected` or `LinkLost`."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True, frozen=True)
+class Acknowledge:
+    """Tell the sidecar that the end is committed. Result: None."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True, frozen=True)
+class Pause:
+    """Wait, but not past the deadline. Result: whether time is left."""
+
+    seconds: float
+
+
+@dataclass(slots=True, frozen=True)
+class FindServer:
+    """Look a server's life up in the view. Result: `ServerRecord`, or None where it is gone."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True, frozen=True)
+class EntryInView:
+    """Look an entry up in the view. Result: whether it is there."""
+
+    entry_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class TakeRetry:
+    """Ask the retry budget for one more attempt. Result: whether it may be made."""
+
+
+@dataclass(slots=True, frozen=True)
+class Restart:
+    """A new attempt begins: what was streamed of the earlier one is void. Result: None."""
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """Record an event of the time line. Result: None."""
+
+    kind: str
+    fields: dict[str, object]
+
+
+Effect = (
+    Commit
+    | AskControl
+    | TakeToken
+    | CheckKey
+    | WaitTurn
+    | FreePlace
+    | SendDispatch
+    | AwaitEnd
+    | Reattach
+    | Acknowledge
+    | Pause
+    | FindServer
+    | EntryInView
+    | TakeRetry
+    | Restart
+    | Note
+)
+
+
+def refused(refusal: object) -> bool:
+    """Return whether an effect ended in a refusal."""
+    return isinstance(refusal, Refusal)
--- /dev/null
+++ b/libs/entry/tests/conftest.py
@@ -0,0 +1,222 @@
+"""An entry on a loopback port, between a journal in memory and sidecars that are functions."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import pytest  # noqa: E402
+import urllib3  # noqa: E402
+from tarragonhall_entry import EntrySettings, start_entry  # noqa: E402
+from tarragonhall_model import (  # noqa: E402
+    AbandonCall,
+    Accepted,
+    Answer,
+    AttemptEnded,
+    AttemptOutcome,
+    AttemptRecorded,
+    Budget,
+    CallAbandoned,
+    CallClosed,
+    CallOpened,
+    CloseCall,
+    DisproveAttempt,
+    EndProgram,
+    Fresh,
+    KeyPolicy,
+    LinkClosedError,
+    OpenCall,
+    OpenProgram,
+    OrganisationPolicy,
+    PolicyDelta,
+    ProgramInfo,
+    ProgramStatus,
+    QueryCall,
+    Rate,
+    Refusal,
+    RefusalCode,
+    ServerKind,
+    ServerRecord,
+    Spent,
+    StartAttempt,
+    View,
+    secret_hash,
+)
+from tarragonhall_wire import HybridClock, Metrics, ProcessContext, Timeline  # noqa: E402
+
+KEY = "thk_test"
+POLICY = PolicyDelta(
+    0,
+    1,
+    full=True,
+    organisations=(OrganisationPolicy("org", "/org", Rate(1_000.0, 1_000.0)),),
+    keys=(KeyPolicy(secret_hash(KEY), "org"),),
+)
+
+
+class FakeLink:
+    """A link to a sidecar that answers every dispatch at once."""
+
+    def __init__(self, sidecar) -> None:
+        self.sidecar = sidecar
+        self.sent = []
+
+    def request(self, message, _timeout_s):
+        self.sent.append(message)
+        return self.sidecar(self, message)
+
+    def send(self, message) -> None:
+        self.sent.append(message)
+
+
+class FakeHub:
+    """Handlers by class, and one link for each address."""
+
+    def __init__(self) -> None:
+        self.handler_by_class = {}
+        self.link_by_address = {}
+        self.on_down_callbacks = []
+
+    def handle(self, message_class, handler) -> None:
+        self.handler_by_class[message_class] = handler
+
+    def on_down(self, callback) -> None:
+        self.on_down_callbacks.append(callback)
+
+    def link_to(self, address):
+        if address not in self.link_by_address:
+            raise LinkClosedError("no link")
+        return self.link_by_address[address]
+
+    def wait_for(self, address, _timeout_s):
+        return self.link_to(address)
+
+    def deliver(self, link, message) -> None:
+        self.handler_by_class[type(message)](link, message)
+
+    def cut(self, address) -> None:
+        link = self.link_by_address.pop(address)
+        for callback in self.on_down_callbacks:
+            callback(link)
+
+
+class FakeControl:
+    """A journal in memory, without budgets and order."""
+
+    def __init__(self) -> None:
+        self.call_by_name = {}
+        self.attempts_by_name = {}
+        self.program_by_id = {}
+        self.commits = []
+        self.follower = None
+        self.left = False
+
+    def follow(self, _node, follower) -> None:
+        self.follower = follower
+        self.confirm()
+
+    def confirm(self) -> None:
+        follower = self.follower
+        fresh = Fresh(follower.settings_revision or 1, follower.view.epoch, 1, policy=POLICY)
+        follower.confirm(fresh, time.monotonic())
+
+    def leave(self, _node, _timeout_s) -> None:
+        self.left = True
+
+    def propose(self, body, _timeout_s, request_id=None):
+        self.commits.append(body)
+        match body:
+            case OpenProgram():
+                info = ProgramInfo(
+                    body.program_id, body.program_id, body.org_id, ProgramStatus.OPEN,
+                    Budget(), Spent(), 1, 0, body.labels, body.parent,
+                )  # fmt: skip
+                self.program_by_id[body.program_id] = info
+                return info
+            case EndProgram():
+                return self.program_by_id[body.program_id]
+            case OpenCall():
+                name = (body.program_id, body.spec.seq)
+                return self.call_by_name.setdefault(name, CallOpened(0, []))
+            case StartAttempt():
+                return AttemptRecorded(body.attempt)
+            case CloseCall():
+                name = (body.attempt.program_id, body.attempt.seq)
+                self.call_by_name[name] = CallClosed(body.answer, body.refusal)
+                return self.call_by_name[name]
+            case DisproveAttempt():
+                return CallOpened(body.attempt.number, [])
+            case AbandonCall():
+                self.call_by_name.pop((body.program_id, body.seq), None)
+                return CallAbandoned()
+        raise AssertionError(body)
+
+    def ask(self, question, _timeout_s):
+        assert isinstance(question, QueryCall)
+        missing = Refusal(RefusalCode.NOT_FOUND, "no such call")
+        return self.call_by_name.get((question.program_id, question.seq), missing)
+
+
+class Entry:
+    """An entry with its fakes, and a caller of it."""
+
+    def __init__(self, grace_ms: int = 0) -> None:
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.close()
+        self.hub, self.control = FakeHub(), FakeControl()
+        self.metrics = Metrics()
+        self.context = ProcessContext(
+            "entry-1", "life-1", "zone", "127.0.0.1:1", [], self.hub, self.metrics,
+            Timeline(HybridClock("entry-1")), random.Random(1),
+        )  # fmt: skip
+        self.role = start_entry(
+            EntrySettings(self.address, 10, grace_ms), self.context, self.control
+        )
+        self.http = urllib3.PoolManager(retries=False)
+
+    def serve(self, sidecar, name: str = "desk-1", kind=ServerKind.SERVICE) -> FakeLink:
+        """Add a backend server whose sidecar is the given function."""
+        link = FakeLink(sidecar)
+        address = f"127.0.0.1:{len(self.hub.link_by_address) + 2}"
+        self.hub.link_by_address[address] = link
+        view = self.control.follower.view
+        server = ServerRecord(name, f"life-{name}", address, "zone", kind, ["desk"], slots=2)
+        self.control.follower.apply_view(View(view.epoch + 1, [], [*view.servers, server]))
+        return link
+
+    def end(self, link, dispatch, text: str = "done") -> None:
+        """Send the answer of an attempt."""
+        ended = AttemptEnded(dispatch.attempt, AttemptOutcome.ANSWERED, Answer(text))
+        self.hub.deliver(link, ended)
+
+    def answer_at_once(self, text: str = "done"):
+        """Return a sidecar that answers every dispatch."""
+
+        def sidecar(link, message):
+            eventlet.spawn_n(self.end, link, message, text)
+            return Accepted()
+
+        return sidecar
+
+    def request(self, method: str, path: str, body=None, key: str | None = KEY):
+        """Send one request and return the response."""
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        url = f"http://{self.address}{path}"
+        return self.http.request(method, url, json=body, headers=headers, timeout=10)
+
+    def call(self, seq: int = 1, program_id: str = "prog-1", **fields):
+        """Send a call and return the response."""
+        body = {"seq": seq, "kind": "service", "target": "desk", "body": {}} | fields
+        return self.request("POST", f"/v1/programs/{program_id}/calls", body)
+
+
+@pytest.fixture
+def entry():
+    made = Entry()
+    yield made
+    made.role.stop()
--- /dev/null
+++ b/libs/entry/tests/role_tests.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+import dataclasses
+import json
+
+import eventlet
+from tarragonhall_model import (
+    Accepted,
+    Chunk,
+    Dispatch,
+    PolicyDelta,
+    encode,
+    secret_hash,
+)
+
+
+def test_a_program_runs_from_open_to_finish(entry):
+    entry.serve(entry.answer_at_once("billed"))
+    opened = entry.request("POST", "/v1/programs", {"labels": {"team": "lunch"}})
+    program_id = opened.json()["program_id"]
+    called = entry.call(program_id=program_id)
+    fetched = entry.request("GET", f"/v1/programs/{program_id}/calls/1")
+    finished = entry.request("POST", f"/v1/programs/{program_id}/finish")
+    assert (opened.status, called.status, fetched.status, finished.status) == (201, 200, 200, 200)
+    assert called.json()["answer"]["text"] == "billed"
+    assert fetched.json() == called.json()
+
+
+def test_all_findings_of_a_body_are_reported_and_nothing_is_stored(entry):
+    response = entry.call(seq=0, kind="servce", tarmget="x", timeout_ms="soon")
+    places = {finding["place"] for finding in response.json()["findings"]}
+    assert response.status == 400
+    assert places == {"/seq", "/kind", "/tarmget", "/timeout_ms"}
+    assert entry.control.commits == []
+
+
+def test_a_stream_ends_in_exactly_one_terminal_event(entry):
+    def sidecar(link, message):
+        def answer():
+            for index, text in enumerate(("to", "day")):
+                entry.hub.deliver(link, Chunk(message.attempt.key, index, text))
+            entry.end(link, message, "today")
+
+        eventlet.spawn_n(answer)
+        return Accepted()
+
+    entry.serve(sidecar)
+    events = _events(entry.call(stream=True))
+    assert [kind for kind, _ in events] == ["chunk", "chunk", "answer"]
+    assert events[-1][1]["answer"]["text"] == "today"
+
+
+def test_a_caller_who_asks_again_while_the_call_runs_gets_the_same_answer(entry):
+    # A caller loses patience and sends a billing call a second time on a new connection. Both must
+    # hear of the one run; a second dispatch would bill the district twice.
+    link = entry.serve(lambda _link, _message: Accepted())
+    first = eventlet.spawn(entry.call)
+    second = eventlet.spawn(entry.call)
+    dispatch = _wait_for_dispatch(link)
+    entry.end(link, dispatch, "billed")
+    assert first.wait().json() == second.wait().json()
+    assert [type(message) for message in link.sent].count(Dispatch) == 1
+
+
+def test_an_answer_under_another_attempt_reaches_nobody(entry):
+    # A service mixes up two requests and answers one under the number of another. The caller would
+    # read somebody else's confirmation.
+    def sidecar(link, message):
+        other = dataclasses.replace(message.attempt, number=7)
+        eventlet.spawn_n(entry.end, link, dataclasses.replace(message, attempt=other), "crossed")
+        eventlet.spawn_n(entry.end, link, message, "mine")
+        return Accepted()
+
+    entry.serve(sidecar)
+    assert entry.call().json()["answer"]["text"] == "mine"
+    assert entry.metrics.counts["entry.attempt_end_unmatched"] == 1
+
+
+def test_a_withdrawn_key_stops_on_a_connection_that_stays_open(entry):
+    # An operator withdraws the key of a caller who keeps the connection open. Checked only when the
+    # connection began, the key would work for as long as the caller stays.
+    entry.serve(entry.answer_at_once())
+    assert entry.call(1).status == 200
+    entry.control.follower.apply_policy(PolicyDelta(1, 2, removed_keys=(secret_hash("thk_test"),)))
+    refused = entry.call(2)
+    assert refused.status == 401
+    assert refused.json()["execution"] == "not_run"
+
+
+def test_an_entry_that_cannot_confirm_its_settings_admits_nothing(entry):
+    # The entry is cut off from the control members for longer than its lease. A key withdrawn
+    # meanwhile would go on working here.
+    entry.serve(entry.answer_at_once())
+    entry.control.follower.lease_seconds = 0.0
+    refused = entry.call()
+    assert (refused.status, refused.json()["error"]) == (503, "stale")
+    assert refused.headers["Retry-After"] == "1"
+    assert entry.request("GET", "/readyz").status == 503
+
+
+def test_a_call_that_waits_is_refused_once_its_key_is_withdrawn(entry):
+    # No server is free and the key is withdrawn while the call waits. Its caller must not sit out
+    # the rest of the timeout, and the call must not run later.
+    waiting = eventlet.spawn(entry.call)
+    eventlet.sleep(0.05)
+    entry.control.follower.apply_policy(PolicyDelta(1, 2, removed_keys=(secret_hash("thk_test"),)))
+    refused = waiting.wait()
+    assert (refused.status, refused.json()["execution"]) == (401, "not_run")
+    assert entry.control.call_by_name == {}
+
+
+def test_the_key_never_reaches_a_sidecar(entry):
+    link = entry.serve(entry.answer_at_once())
+    entry.call()
+    sent = b"".join(encode(message) for message in link.sent)
+    assert b"thk_test" not in sent
+    assert secret_hash("thk_test").encode() not in sent
+
+
+def test_a_drain_finishes_what_runs_and_what_still_arrives(entry):
+    # The instance is replaced while a call runs and a caller's connection has just been accepted.
+    # Closed at once, both callers would see a reset.
+    link = entry.serve(lambda _link, _message: Accepted())
+    first = eventlet.spawn(entry.call, 1)
+    dispatch = _wait_for_dispatch(link)
+    drained = eventlet.spawn(entry.role.drain, 5.0)
+    late = eventlet.spawn(entry.call, 2)
+    eventlet.sleep(0.1)
+    entry.end(link, dispatch)
+    entry.end(link, _wait_for_dispatch(link, 2))
+    assert (first.wait().status, late.wait().status) == (200, 200)
+    assert drained.wait() is True
+    assert entry.control.left
+
+
+def _wait_for_dispatch(link, count: int = 1) -> Dispatch:
+    with eventlet.Timeout(5):
+        while True:
+            sent = [message for message in link.sent if isinstance(message, Dispatch)]
+            if len(sent) >= count:
+                return sent[count - 1]
+            eventlet.sleep(0.005)
+
+
+def _events(response) -> list[tuple[str, dict]]:
+    events = []
+    for block in response.data.decode().strip().split("\n\n"):
+        kind, data = block.split("\n")
+        events.append((kind.removeprefix("event: "), json.loads(data.removeprefix("data: "))))
+    return events
