Let the decision modules decide in the entry

Rate, fair queue, routing, retry, quarantine and drain are those of the decisions library; the entry only feeds them and carries their answers. Crashes are no longer reported from here: the sidecar alone knows which requests ran together.

--- a/libs/decisions/tarragonhall_decisions/_routing.py
+++ b/libs/decisions/tarragonhall_decisions/_routing.py
@@ -165,9 +165,9 @@
         sample = min(MAX_PREFILL_S, max(MIN_PREFILL_S, seconds / recomputed_tokens))
         self._prefill_s += PREFILL_GAIN * (sample - self._prefill_s)
 
-    def forget_program(self, program_id: str) -> None:
-        """Forget where a program that ended ran."""
-        self._server_by_program.pop(program_id, None)
+    def forget_program(self, program_id: str) -> str | None:
+        """Forget where a program that ended ran; return the server where it ran last."""
+        return self._server_by_program.pop(program_id, None)
 
     def _states(self, target: str) -> list[ServerState]:
         return [self._state_by_id[i] for i in self._ids_by_target.get(target, ())]
--- a/libs/entry/tarragonhall_entry/_api.py
+++ b/libs/entry/tarragonhall_entry/_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterator
 
 import structlog
@@ -58,7 +59,16 @@
 class CallersApi:
     """Handlers of the callers' routes."""
 
-    __slots__ = ("_access", "_context", "_control", "_follower", "_runner", "is_ready", "on_ended")
+    __slots__ = (
+        "_access",
+        "_call_numbers",
+        "_context",
+        "_control",
+        "_follower",
+        "_runner",
+        "is_ready",
+        "on_ended",
+    )
 
     def __init__(
         self,
@@ -73,8 +83,9 @@
         self._follower = follower
         self._access = access
         self._runner = runner
+        self._call_numbers = itertools.count()
         self.is_ready = lambda: False
-        self.on_ended = lambda _program_id: None
+        self.on_ended = lambda _info: None
 
     def add_routes(self, server: HttpServer) -> None:
         """Serve every path of the API."""
@@ -147,6 +158,7 @@
         key_hash, organisation = self._authenticate(request)
         spec = load_call(request.json(), DEFAULT_MODEL_TOKENS)
         call = Call(
+            call_id=f"{request.parts['program_id']}/{spec.seq}/{next(self._call_numbers)}",
             program_id=request.parts["program_id"],
             org_id=organisation.org_id,
             key_hash=key_hash,
@@ -186,7 +198,7 @@
         program_id = request.parts["program_id"]
         info = self._commit(EndProgram(program_id, organisation.org_id, status))
         self._context.timeline.add(f"program.{info.status.value}", program_id)
-        self.on_ended(program_id)
+        self.on_ended(info)
         return HttpResponse(200, info_value(info))
 
     def _commit(self, command: object) -> ProgramInfo:
--- a/libs/entry/tarragonhall_entry/_attempts.py
+++ b/libs/entry/tarragonhall_entry/_attempts.py
@@ -91,11 +91,6 @@
         if text is not None:
             watched.on_text(text)
 
-    def of_program(self, program_id: str) -> list[Watched]:
-        """Return the watched attempts of a program."""
-        watched = list(self._watched_by_key.values())
-        return [one for one in watched if one.attempt.program_id == program_id]
-
     def ended(self, message: AttemptEnded) -> bool:
         """Take the end of an attempt; return whether anyone waited for it."""
         watched = self.find(message.attempt)
--- a/libs/entry/tarragonhall_entry/_dispatcher.py
+++ b/libs/entry/tarragonhall_entry/_dispatcher.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from eventlet.queue import LightQueue
+from tarragonhall_decisions import Deadline
 from tarragonhall_model import (
     Attach,
     AttemptAck,
@@ -59,7 +60,7 @@
         except LinkError:
             return NotSent()
         self._watch(running, message.attempt, link)
-        left_ms = int((running.call.deadline - self._context.monotonic()) * 1000)
+        left_ms = Deadline(running.call.deadline).dispatch_ms(self._context.monotonic())
         timed = dataclasses.replace(message, deadline_ms=max(1, left_ms))
         try:
             return link.request(timed, ACCEPT_SECONDS)
@@ -94,10 +95,16 @@
         self.forget(attempt)
         self._send(watched, AttemptAck(attempt))
 
-    def cancel(self, program_id: str) -> None:
-        """Ask the sidecars to stop what runs here for a program; the ends follow as usual."""
-        for watched in self._attempts.of_program(program_id):
-            self._send(watched, CancelAttempt(watched.attempt))
+    def cancel(self, attempt: AttemptId) -> None:
+        """Ask a sidecar to stop an attempt; its end follows as usual to whoever waits for it."""
+        server = self.find_server(attempt)
+        if server is None:
+            return
+        try:
+            link = self._context.hub.wait_for(server.address, LINK_SECONDS)
+            link.request(CancelAttempt(attempt), ACCEPT_SECONDS)
+        except LinkError:
+            self._context.metrics.count("entry.send_failed")
 
     def forget(self, attempt: AttemptId) -> None:
         """Wait no longer for an attempt."""
--- a/libs/entry/tarragonhall_entry/_effects.py
+++ b/libs/entry/tarragonhall_entry/_effects.py
@@ -8,25 +8,26 @@
 
 from dataclasses import dataclass
 
-from tarragonhall_model import (
-    AttemptId,
-    CallSpec,
-    Dispatch,
-    Refusal,
-    ServerRecord,
-)
+from tarragonhall_decisions import Failure
+from tarragonhall_model import AttemptId, CallSpec, Dispatch, ServerRecord
 
 
 @dataclass(slots=True)
 class Call:
-    """One call at this entry. `deadline` is on this process's monotonic clock, in seconds."""
+    """One call at this entry. `deadline` is on this process's monotonic clock, in seconds.
+
+    `call_id` is this entry's own name for it: a resend with another body is another call here.
+    `unproven` is an attempt of which it is not known that it never ran, once there is one.
+    """
 
+    call_id: str
     program_id: str
     org_id: str
     key_hash: str
     spec: CallSpec
     entry_id: str
     deadline: float
+    unproven: AttemptId | None = None
 
     @property
     def name(self) -> tuple[str, int]:
@@ -69,26 +70,30 @@
 class WaitTurn:
     """Wait in the queue for a place on a server. Result: `Assigned`, or a `Refusal`.
 
-    `excluded` are servers that already failed this call; they are used only where no other is left.
+    `started` says whether the program had a call before, `attained_tokens` what its calls used, and
+    `history_tokens` how long its prompt is. `excluded` are servers that already failed this call.
     """
 
+    started: bool
     prefix_server: str | None
-    prefix_tokens: int
+    history_tokens: int
+    attained_tokens: int
     excluded: frozenset[str]
 
 
 @dataclass(slots=True, frozen=True)
 class Assigned:
-    """A place on this server is held for the call until `FreePlace`."""
+    """A place on this server is held for the call until `EndPlace`."""
 
     server: ServerRecord
 
 
 @dataclass(slots=True, frozen=True)
-class FreePlace:
-    """Give the place on the server back. Result: None."""
+class EndPlace:
+    """Give the place on the server back. Result: None. `tokens` were generated there."""
 
-    server: ServerRecord
+    answered: bool
+    tokens: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -157,8 +162,23 @@
 
 
 @dataclass(slots=True, frozen=True)
-class TakeRetry:
-    """Ask the retry budget for one more attempt. Result: whether it may be made."""
+class DecideRetry:
+    """Ask whether to try again after a failure. Result: `TryAgain` or `GiveUp` of `decisions`."""
+
+    failure: Failure
+    tries: int
+
+
+@dataclass(slots=True, frozen=True)
+class CheckQuarantine:
+    """Ask whether the request crashes servers, after it was there. Result: None or a `Refusal`."""
+
+
+@dataclass(slots=True, frozen=True)
+class AwaitPredecessor:
+    """Wait for the end of the call before this one. Result: whether it is worth another look."""
+
+    tries: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -180,7 +200,7 @@
     | TakeToken
     | CheckKey
     | WaitTurn
-    | FreePlace
+    | EndPlace
     | SendDispatch
     | AwaitEnd
     | Reattach
@@ -188,12 +208,9 @@
     | Pause
     | FindServer
     | EntryInView
-    | TakeRetry
+    | DecideRetry
+    | CheckQuarantine
+    | AwaitPredecessor
     | Restart
     | Note
 )
-
-
-def refused(refusal: object) -> bool:
-    """Return whether an effect ended in a refusal."""
-    return isinstance(refusal, Refusal)
--- a/libs/entry/tarragonhall_entry/_messages.py
+++ b/libs/entry/tarragonhall_entry/_messages.py
@@ -1,10 +1,29 @@
-"""The messages that the flow of a call sends."""
+"""The messages, wishes and refusals that the flow of a call makes."""
 
 from __future__ import annotations
 
-from tarragonhall_model import AttemptId, CallKind, CallOpened, Dispatch
+from dataclasses import replace
+
+from tarragonhall_model import (
+    AttemptId,
+    CallKind,
+    CallOpened,
+    Dispatch,
+    Execution,
+    Refusal,
+    RefusalCode,
+    ServerRecord,
+)
 
 from tarragonhall_entry._effects import Call
+from tarragonhall_entry._scheduler import tokens_in
+
+UNAVAILABLE_RETRY_MS = 1_000
+
+
+def next_attempt(call: Call, number: int, server: ServerRecord) -> AttemptId:
+    """Return the id of an attempt on this life of a server."""
+    return AttemptId(call.program_id, call.spec.seq, number, server.server_id, server.incarnation)
 
 
 def make_dispatch(call: Call, opened: CallOpened, attempt: AttemptId) -> Dispatch:
@@ -21,3 +40,28 @@
         priority=0,
         deadline_ms=call.spec.timeout_ms,
     )
+
+
+def turn_wish(call: Call, opened: CallOpened) -> tuple[bool, str | None, int, int]:
+    """Return the first fields of `WaitTurn`, from what the journal knows of the program."""
+    attained = sum(tokens_in(turn.answer) for turn in opened.history)
+    history = 0
+    if call.spec.kind is CallKind.MODEL:
+        prompts = sum(tokens_in(turn.prompt) for turn in opened.history)
+        history = prompts + attained
+    return call.spec.seq > 1, opened.prefix_server, history, attained
+
+
+def unknown(refusal: Refusal) -> Refusal:
+    """Return a refusal that does not claim that the call did not run."""
+    return replace(refusal, execution=Execution.UNKNOWN)
+
+
+def unavailable(reason: str) -> Refusal:
+    """Return the refusal for a commit whose outcome is unknown."""
+    return Refusal(
+        RefusalCode.UNAVAILABLE,
+        f"the journal did not answer ({reason}); send the same seq again",
+        Execution.UNKNOWN,
+        UNAVAILABLE_RETRY_MS,
+    )
--- a/libs/entry/tarragonhall_entry/_rates.py
+++ b/libs/entry/tarragonhall_entry/_rates.py
@@ -1,40 +1,157 @@
-"""Calls a second of each organisation at this entry."""
+"""The eventlet shell of the rate limiter: calls that wait for tokens, and messages to peers."""
 
 from __future__ import annotations
 
-import math
+import eventlet
+from eventlet.event import Event
+from eventlet.semaphore import Semaphore
+from tarragonhall_decisions import (
+    Admitted,
+    Ask,
+    Deadline,
+    RateLimiter,
+    RateOutput,
+    RateRefused,
+    Tell,
+)
+from tarragonhall_model import (
+    HandOver,
+    LinkError,
+    OrganisationPolicy,
+    Refusal,
+    ReturnTokens,
+    TakeTokens,
+    View,
+)
+from tarragonhall_state import FRESHNESS_LEASE_SECONDS
+from tarragonhall_wire import ProcessContext
 
-from tarragonhall_model import OrganisationPolicy, Rate, Refusal, RefusalCode
+from tarragonhall_entry._effects import Call
 
+# The limiter gives an unanswered question up after this time by itself.
+ASK_SECONDS = 0.25
+IDLE_SECONDS = 1.0
 
-class LocalRates:
-    """One bucket for each organisation in this process alone."""
 
-    __slots__ = ("_level_by_org",)
+class Rates:
+    """Rate and burst of the organisations over all entries, as far as this entry has a part."""
 
-    def __init__(self) -> None:
-        self._level_by_org: dict[str, tuple[float, float]] = {}
+    __slots__ = ("_context", "_event_by_id", "_limiter", "_poke", "_stopped", "_view")
 
-    def take(self, organisation: OrganisationPolicy, now: float) -> float:
-        """Take a token; return 0, or the seconds until there is one."""
-        rate = organisation.rate
-        level = self._level(organisation.org_id, rate, now)
-        if level >= 1:
-            self._level_by_org[organisation.org_id] = (level - 1, now)
-            return 0.0
-        self._level_by_org[organisation.org_id] = (level, now)
-        return (1 - level) / rate.per_second if rate.per_second else math.inf
+    def __init__(self, context: ProcessContext) -> None:
+        self._context = context
+        self._limiter = RateLimiter(
+            context.instance, context.incarnation, context.rng, FRESHNESS_LEASE_SECONDS
+        )
+        self._event_by_id: dict[str, Event] = {}
+        self._poke = Semaphore(0)
+        self._stopped = False
+        self._view = View(0, [], [])
+        for message_class in (TakeTokens, ReturnTokens, HandOver):
+            context.hub.handle(message_class, self._on_message)
+        eventlet.spawn_n(self._tick_loop)
 
-    def _level(self, org_id: str, rate: Rate, now: float) -> float:
-        level, since = self._level_by_org.get(org_id, (rate.burst, now))
-        return min(rate.burst, level + (now - since) * rate.per_second)
+    def set_policy(self, policy: OrganisationPolicy) -> None:
+        """Take over the rate in force for an organisation."""
+        self._limiter.set_policy(policy, self._context.monotonic())
 
+    def remove_organisation(self, org_id: str) -> None:
+        """Forget an organisation."""
+        self._limiter.remove_organisation(org_id)
 
-def rate_refusal(pause_s: float) -> Refusal:
-    """Return the refusal of a call above its organisation's rate."""
-    retry_after_ms = None if math.isinf(pause_s) else math.ceil(pause_s * 1000)
-    return Refusal(
-        RefusalCode.RATE_EXCEEDED,
-        "the organisation is above its rate",
-        retry_after_ms=retry_after_ms,
-    )
+    def on_view(self, view: View) -> None:
+        """Take over a view."""
+        self._view = view
+        self._perform(self._limiter.on_view(view, self._context.monotonic()))
+        self._poke.release()
+
+    def on_fresh(self, sent_at: float) -> None:
+        """Note that control confirmed the view."""
+        self._limiter.on_fresh(sent_at)
+
+    def take(self, call: Call) -> Refusal | None:
+        """Wait for a token; return the refusal where the call gets none."""
+        started = self._context.monotonic()
+        event = Event()
+        self._event_by_id[call.call_id] = event
+        under_way = call.spec.seq > 1
+        self._perform(
+            self._limiter.offer(
+                call.org_id, call.call_id, Deadline(call.deadline), under_way, started
+            )
+        )
+        if not event.ready():
+            self._poke.release()
+        result = event.wait()
+        waited_ms = (self._context.monotonic() - started) * 1000
+        self._context.metrics.timing("entry.rate_wait_ms", waited_ms)
+        return result
+
+    def leave(self, view: View) -> None:
+        """Hand the buckets over; `view` is the first one without this entry."""
+        self.stop()
+        self._view = view
+        for output in self._limiter.on_view(view, self._context.monotonic()):
+            if isinstance(output, Tell):
+                # Not from another green thread: the process ends when this returns.
+                self._tell(output.entry_id, output.message)
+
+    def stop(self) -> None:
+        """End the ticks."""
+        self._stopped = True
+
+    def _perform(self, outputs: list[RateOutput]) -> None:
+        for output in outputs:
+            match output:
+                case Admitted(call_id=call_id):
+                    self._wake(call_id, None)
+                case RateRefused(call_id=call_id, refusal=refusal):
+                    self._wake(call_id, refusal)
+                case Ask():
+                    eventlet.spawn_n(self._ask, output)
+                case Tell(entry_id=entry_id, message=message):
+                    eventlet.spawn_n(self._tell, entry_id, message)
+
+    def _wake(self, call_id: str, result: Refusal | None) -> None:
+        event = self._event_by_id.pop(call_id, None)
+        if event is not None:
+            event.send(result)
+
+    def _ask(self, ask: Ask) -> None:
+        try:
+            link = self._link_to(ask.entry_id)
+            reply = link.request(ask.message, ASK_SECONDS)
+        except LinkError:
+            self._context.metrics.count("entry.rate_ask_failed")
+            self._limiter.on_no_reply(ask.org_id, ask.sent_at, self._context.monotonic())
+        else:
+            now = self._context.monotonic()
+            self._perform(self._limiter.on_reply(ask.entry_id, ask.org_id, reply, ask.sent_at, now))
+        self._poke.release()
+
+    def _tell(self, entry_id: str, message: ReturnTokens | HandOver) -> None:
+        try:
+            self._link_to(entry_id).send(message)
+        except LinkError:
+            # Lost tokens come back when their slice ends; a lost hand-over costs its wait.
+            self._context.metrics.count("entry.rate_tell_failed")
+
+    def _link_to(self, entry_id: str):
+        for entry in self._view.entries:
+            if entry.entry_id == entry_id:
+                return self._context.hub.wait_for(entry.address, ASK_SECONDS)
+        raise LinkError(f"{entry_id} is not in the view")
+
+    def _on_message(self, _link: object, message: TakeTokens | ReturnTokens | HandOver) -> object:
+        reply = self._limiter.handle(message, self._context.monotonic())
+        if isinstance(message, HandOver):
+            self._poke.release()
+        return reply
+
+    def _tick_loop(self) -> None:
+        while not self._stopped:
+            wake = self._limiter.next_wake()
+            now = self._context.monotonic()
+            pause = IDLE_SECONDS if wake is None else max(0.001, wake - now)
+            self._poke.acquire(timeout=min(pause, IDLE_SECONDS))
+            self._perform(self._limiter.tick(self._context.monotonic()))
--- a/libs/entry/tarragonhall_entry/_role.py
+++ b/libs/entry/tarragonhall_entry/_role.py
@@ -4,13 +4,17 @@
 
 import eventlet
 import structlog
-from tarragonhall_model import EntryRecord, LinkError, Refusal, RefusalCode, View
-from tarragonhall_state import Follower
+from eventlet.greenthread import GreenThread
+from tarragonhall_decisions import DrainPhase, EntryDrain
+from tarragonhall_model import EntryRecord, Refusal, RefusalCode, View
 from tarragonhall_wire import ControlClient, HttpServer, ProcessContext, Role
 
 from tarragonhall_entry._access import Access
 from tarragonhall_entry._api import CallersApi, on_error
 from tarragonhall_entry._dispatcher import Dispatcher
+from tarragonhall_entry._ends import ProgramEnds
+from tarragonhall_entry._following import EntryFollower
+from tarragonhall_entry._rates import Rates
 from tarragonhall_entry._runner import CallRunner
 from tarragonhall_entry._scheduler import Scheduler
 from tarragonhall_entry._settings import EntrySettings
@@ -22,23 +26,10 @@
 # Of the drain's time, what is kept back to hand back the calls that still wait for a place.
 HAND_BACK_SECONDS = 1.0
 DRAIN_RETRY_MS = 100
-
-
-class EntryFollower(Follower):
-    """The follower of this entry; it tells the scheduler of every new view."""
-
-    __slots__ = ("on_view",)
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.on_view = lambda _view: None
-
-    def apply_view(self, view: View) -> bool:
-        """Take a view of a later epoch."""
-        if not super().apply_view(view):
-            return False
-        self.on_view(view)
-        return True
+DRAIN_STEP_SECONDS = 0.02
+# The view without this entry is pushed within a round trip. Without it the buckets cannot be handed
+# over, and their next owners wait until this one's lease is over.
+VIEW_SECONDS = 0.5
 
 
 class EntryRole:
@@ -50,6 +41,7 @@
         "_draining",
         "_follower",
         "_http",
+        "_rates",
         "_runner",
         "_settings",
         "_turns",
@@ -62,27 +54,31 @@
         self._context = context
         self._control = control
         self._draining = False
-        self._follower = EntryFollower()
+        self._rates = Rates(context)
+        scheduler = Scheduler(
+            context.instance,
+            context.availability_zone,
+            context.rng,
+            settings.queue_per_organisation,
+        )
+        self._follower = EntryFollower(context, self._rates, scheduler)
         access = Access(self._follower)
-        scheduler = Scheduler(settings.queue_per_organisation)
-        self._turns = Turns(context, scheduler, access)
+        self._turns = Turns(context, scheduler, access, self._follower)
+        self._follower.turns = self._turns
         dispatcher = Dispatcher(context, self._follower)
-        self._runner = CallRunner(context, control, self._follower, access, self._turns, dispatcher)
+        self._runner = CallRunner(
+            context,
+            control,
+            self._follower,
+            access,
+            self._rates,
+            scheduler,
+            self._turns,
+            dispatcher,
+        )
         api = CallersApi(context, control, self._follower, access, self._runner)
         api.is_ready = self.ready
-
-        def on_ended(program_id: str) -> None:
-            refusal = Refusal(RefusalCode.CANCELLED, "the program has ended")
-            self._turns.refuse(refusal, program_id)
-            dispatcher.cancel(program_id)
-
-        def on_view(view: View) -> None:
-            scheduler.apply_view(view)
-            self._keep_links(view)
-            self._turns.pump()
-
-        api.on_ended = on_ended
-        self._follower.on_view = on_view
+        api.on_ended = ProgramEnds(context, control, scheduler, self._turns, dispatcher).on_ended
         self._http = HttpServer(settings.listen, on_error)
         api.add_routes(self._http)
 
@@ -98,19 +94,23 @@
 
     def drain(self, timeout_s: float) -> bool:
         """Fail `readyz`, give the balancer time, finish every request, leave the view."""
-        started = self._context.monotonic()
         self._draining = True
+        now = self._context.monotonic()
+        grace_s = min(self._settings.drain_grace_ms / 1000, timeout_s / 2)
+        steps = EntryDrain(grace_s, force_after_s=max(0.0, timeout_s - HAND_BACK_SECONDS))
+        steps.begin(now)
         self._http.drain()
         log.info("entry.draining", calls=len(self._runner.running_by_name))
-        eventlet.sleep(min(self._settings.drain_grace_ms / 1000, timeout_s / 2))
-        timer = eventlet.spawn_after(
-            self._left(started, timeout_s) - HAND_BACK_SECONDS, self._hand_back
-        )
-        ended = self._http.stop(self._left(started, timeout_s))
-        ended = self._wait_for_calls(started, timeout_s) and ended
-        timer.cancel()
-        self._control.leave(self._announcement(), LEAVE_SECONDS)
-        self._turns.stop()
+        while steps.step(self._calls_at_hand(), self._context.monotonic()) is DrainPhase.NOT_READY:
+            eventlet.sleep(DRAIN_STEP_SECONDS)
+        # Callers in the accept backlog believe that they are served, so they are.
+        stopping = eventlet.spawn(self._http.stop, max(0.0, now + timeout_s - self._now()))
+        while steps.step(self._calls_at_hand(stopping), self._now()) is DrainPhase.CLOSED:
+            eventlet.sleep(DRAIN_STEP_SECONDS)
+        if steps.phase is DrainPhase.FORCED:
+            self._hand_back()
+        ended = stopping.wait() and not self._runner.running_by_name
+        self._leave()
         log.info("entry.drained", forced=not ended)
         return ended
 
@@ -119,17 +119,31 @@
         if self._draining:
             return
         self._draining = True
+        self._rates.stop()
         self._turns.stop()
         self._http.stop(0)
 
-    def _left(self, started: float, timeout_s: float) -> float:
-        return max(0.0, started + timeout_s - self._context.monotonic())
+    def _now(self) -> float:
+        return self._context.monotonic()
 
-    def _wait_for_calls(self, started: float, timeout_s: float) -> bool:
+    def _calls_at_hand(self, stopping: GreenThread | None = None) -> int:
         # Callers may have gone, but an answer that nobody waits for is journalled all the same.
-        while self._runner.running_by_name and self._left(started, timeout_s):
-            eventlet.sleep(0.01)
-        return not self._runner.running_by_name
+        open_server = stopping is None or not stopping.dead
+        return len(self._runner.running_by_name) + open_server
+
+    def _leave(self) -> None:
+        """Leave the view and hand the rate buckets to their owners in the view without us."""
+        self._control.leave(self._announcement(), LEAVE_SECONDS)
+        deadline = self._now() + VIEW_SECONDS
+        while self._is_in(self._follower.view) and self._now() < deadline:
+            eventlet.sleep(DRAIN_STEP_SECONDS)
+        view = self._follower.view
+        if not self._is_in(view):
+            self._rates.leave(view)
+        self._turns.stop()
+
+    def _is_in(self, view: View) -> bool:
+        return any(entry.entry_id == self._context.instance for entry in view.entries)
 
     def _hand_back(self) -> None:
         message = "this entry is shutting down; send the call again, to another"
@@ -146,17 +160,6 @@
             context.availability_zone,
         )
 
-    def _keep_links(self, view: View) -> None:
-        """Dial servers as they appear, so that the first call need not wait for a handshake."""
-        for server in view.servers:
-            eventlet.spawn_n(self._dial, server.address)
-
-    def _dial(self, address: str) -> None:
-        try:
-            self._context.hub.link_to(address)
-        except LinkError:
-            return
-
 
 def start_entry(settings: EntrySettings, context: ProcessContext, control: ControlClient) -> Role:
     """Serve callers until drained."""
--- a/libs/entry/tarragonhall_entry/_runner.py
+++ b/libs/entry/tarragonhall_entry/_runner.py
@@ -6,7 +6,17 @@
 
 import eventlet
 import structlog
-from tarragonhall_model import CallClosed, CallSpec, Execution, Refusal, RefusalCode
+from tarragonhall_decisions import Deadline, GiveUp, TryAgain, after_failure
+from tarragonhall_model import (
+    CallClosed,
+    CallSpec,
+    Execution,
+    Quarantined,
+    QueryQuarantine,
+    Refusal,
+    RefusalCode,
+    fingerprint,
+)
 from tarragonhall_state import Follower
 from tarragonhall_wire import ControlClient, ProcessContext, UnavailableError
 
@@ -16,25 +26,28 @@
     Acknowledge,
     AskControl,
     AwaitEnd,
+    AwaitPredecessor,
     Call,
     CheckKey,
+    CheckQuarantine,
     Commit,
+    DecideRetry,
+    EndPlace,
     EntryInView,
     FindServer,
-    FreePlace,
     Note,
     Pause,
     Reattach,
     Restart,
     SendDispatch,
-    TakeRetry,
     TakeToken,
     Unavailable,
     WaitTurn,
 )
 from tarragonhall_entry._flow import call_flow
-from tarragonhall_entry._rates import LocalRates, rate_refusal
+from tarragonhall_entry._rates import Rates
 from tarragonhall_entry._running import RunningCall
+from tarragonhall_entry._scheduler import Scheduler
 from tarragonhall_entry._turns import Turns
 
 log = structlog.get_logger(__name__)
@@ -42,6 +55,18 @@
 # An election takes about a second; a commit that is still unknown after several is given up.
 COMMIT_SECONDS = 6.0
 QUESTION_SECONDS = 1.0
+# Each refusal that has to be proved costs control a question. A tenant far above its rate must not
+# drown it in them; beyond this many at once the refusal says `unknown`, which is true as well.
+QUESTIONS_AT_ONCE = 32
+# The commit of a crash report takes a few milliseconds; an election in between about a second.
+QUARANTINE_TRIES = 4
+QUARANTINE_PAUSE_SECONDS = 0.1
+# An early call usually waits for the commit of the one before it, milliseconds away. One that was
+# sent far out of order is told so after about five seconds; each look costs a commit.
+EARLY_SECONDS = 30.0
+EARLY_PAUSE_SECONDS = 0.01
+EARLY_MAX_PAUSE_SECONDS = 0.4
+EARLY_TRIES = 16
 
 
 class CallRunner:
@@ -53,7 +78,9 @@
         "_control",
         "_dispatcher",
         "_follower",
+        "_questions",
         "_rates",
+        "_scheduler",
         "_turns",
         "running_by_name",
     )
@@ -64,6 +91,8 @@
         control: ControlClient,
         follower: Follower,
         access: Access,
+        rates: Rates,
+        scheduler: Scheduler,
         turns: Turns,
         dispatcher: Dispatcher,
     ) -> None:
@@ -71,8 +100,10 @@
         self._control = control
         self._follower = follower
         self._access = access
-        self._rates = LocalRates()
+        self._rates = rates
+        self._scheduler = scheduler
         self._turns = turns
+        self._questions = 0
         self._dispatcher = dispatcher
         self.running_by_name: dict[tuple[str, int], RunningCall] = {}
 
@@ -99,7 +130,7 @@
         if self.running_by_name.get(call.name) is running:
             del self.running_by_name[call.name]
         elapsed_ms = (self._context.monotonic() - started) * 1000
-        self._context.metrics.timing("entry.call", elapsed_ms)
+        self._context.metrics.timing("entry.call_ms", elapsed_ms)
         outcome = "answered" if closed.answer is not None else closed.refusal.code.value
         self._context.metrics.count(f"entry.call.{outcome}")
         running.close(closed)
@@ -122,13 +153,13 @@
             case AskControl(question=question):
                 return self._ask(question)
             case TakeToken():
-                return self._take_token(call)
+                return self._rates.take(call)
             case CheckKey():
                 return self._check_key(call)
             case WaitTurn():
                 return self._turns.wait(call, effect)
-            case FreePlace(server=server):
-                return self._turns.free(server)
+            case EndPlace(answered=answered, tokens=tokens):
+                return self._turns.end(call, answered, tokens)
             case SendDispatch(server=server, message=message):
                 return self._dispatcher.dispatch(running, server, message)
             case AwaitEnd(attempt=attempt):
@@ -143,8 +174,12 @@
                 return self._dispatcher.find_server(attempt)
             case EntryInView(entry_id=entry_id):
                 return any(e.entry_id == entry_id for e in self._follower.view.entries)
-            case TakeRetry():
-                return True
+            case DecideRetry():
+                return self._decide_retry(call, effect)
+            case CheckQuarantine():
+                return self._check_quarantine(call)
+            case AwaitPredecessor(tries=tries):
+                return self._await_predecessor(call, tries)
             case Restart():
                 return running.reset()
             case Note(kind=kind, fields=fields):
@@ -160,29 +195,68 @@
             return Unavailable(str(error))
         finally:
             elapsed_ms = (self._context.monotonic() - started) * 1000
-            self._context.metrics.timing("entry.commit", elapsed_ms)
+            self._context.metrics.timing("entry.commit_ms", elapsed_ms)
 
     def _ask(self, question: object) -> object:
+        if self._questions >= QUESTIONS_AT_ONCE:
+            return Unavailable("too many questions at once")
+        self._questions += 1
         try:
             return self._control.ask(question, QUESTION_SECONDS)
         except UnavailableError as error:
             return Unavailable(str(error))
-
-    def _take_token(self, call: Call) -> Refusal | None:
-        while True:
-            organisation = self._follower.organisation_by_id[call.org_id]
-            now = self._context.monotonic()
-            pause = self._rates.take(organisation, now)
-            if pause == 0:
-                return None
-            if now + pause >= call.deadline:
-                return rate_refusal(pause)
-            eventlet.sleep(pause)
+        finally:
+            self._questions -= 1
 
     def _check_key(self, call: Call) -> Refusal | None:
         now = self._context.monotonic()
         return self._access.check(call.key_hash, now, self._context.wall_ms())
 
+    def _check_quarantine(self, call: Call) -> Refusal | None:
+        """Ask for the crashes of a request that was on a server which crashed.
+
+        The sidecar's report is under way to the journal at the same time, so a count of none is
+        asked for again.
+        """
+        mark = fingerprint(call.org_id, call.spec.target, call.spec.body)
+        for _ in range(QUARANTINE_TRIES):
+            reply = self._ask(QueryQuarantine(mark))
+            if isinstance(reply, Quarantined) and reply.crashes:
+                return self._quarantine(call, mark, reply)
+            eventlet.sleep(QUARANTINE_PAUSE_SECONDS)
+        return None
+
+    def _quarantine(self, call: Call, mark: str, known: Quarantined) -> Refusal | None:
+        now = self._context.monotonic()
+        self._scheduler.quarantine.learn(mark, known.crashes, now)
+        if not known.quarantined:
+            return None
+        self._context.metrics.count("entry.quarantined")
+        return self._scheduler.quarantine.refusal(mark, now) or Refusal(
+            RefusalCode.QUARANTINED, "the request crashed the backend servers that ran it"
+        )
+
+    def _decide_retry(self, call: Call, effect: DecideRetry) -> TryAgain | GiveUp:
+        self._context.metrics.count("entry.attempt_failed")
+        return after_failure(
+            effect.failure,
+            repeatable=call.spec.repeatable,
+            attempts=effect.tries,
+            deadline=Deadline(call.deadline),
+            budget=self._scheduler.retry_budget(call.spec.target),
+            now=self._context.monotonic(),
+            rng=self._context.rng,
+        )
+
+    def _await_predecessor(self, call: Call, tries: int) -> bool:
+        """Wait for the call before, without a commit for each look while it runs here."""
+        running = self.running_by_name.get((call.program_id, call.spec.seq - 1))
+        if running is not None:
+            left = min(EARLY_SECONDS, call.deadline - self._context.monotonic())
+            return running.wait(left) is not None
+        pause = min(EARLY_MAX_PAUSE_SECONDS, EARLY_PAUSE_SECONDS * 2 ** min(tries, 10))
+        return tries < EARLY_TRIES and self._pause(call, pause)
+
     def _pause(self, call: Call, seconds: float) -> bool:
         left = call.deadline - self._context.monotonic()
         if left <= 0:
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -27,6 +27,7 @@
     DisproveAttempt,
     EndProgram,
     Fresh,
+    HandOver,
     KeyPolicy,
     LinkClosedError,
     OpenCall,
@@ -46,7 +47,7 @@
     View,
     secret_hash,
 )
-from tarragonhall_wire import HybridClock, Metrics, ProcessContext, Timeline  # noqa: E402
+from tarragonhall_wire import HybridClock, Metrics, Peer, ProcessContext, Timeline  # noqa: E402
 
 KEY = "thk_test"
 POLICY = PolicyDelta(
@@ -61,8 +62,9 @@
 class FakeLink:
     """A link to a sidecar that answers every dispatch at once."""
 
-    def __init__(self, sidecar) -> None:
+    def __init__(self, sidecar, address) -> None:
         self.sidecar = sidecar
+        self.peer = Peer("sidecar", "life", address)
         self.sent = []
 
     def request(self, message, _timeout_s):
@@ -92,6 +94,9 @@
             raise LinkClosedError("no link")
         return self.link_by_address[address]
 
+    def forget(self, address) -> None:
+        self.link_by_address.pop(address, None)
+
     def wait_for(self, address, _timeout_s):
         return self.link_to(address)
 
@@ -115,8 +120,9 @@
         self.follower = None
         self.left = False
 
-    def follow(self, _node, follower) -> None:
+    def follow(self, node, follower) -> None:
         self.follower = follower
+        follower.apply_view(View(1, [node()], []))
         self.confirm()
 
     def confirm(self) -> None:
@@ -126,6 +132,8 @@
 
     def leave(self, _node, _timeout_s) -> None:
         self.left = True
+        view = self.follower.view
+        self.follower.apply_view(View(view.epoch + 1, [], view.servers))
 
     def propose(self, body, _timeout_s, request_id=None):
         self.commits.append(body)
@@ -177,16 +185,20 @@
         self.role = start_entry(
             EntrySettings(self.address, 10, grace_ms), self.context, self.control
         )
+        # As if an earlier owner had handed the bucket over: nothing has to be waited out.
+        self.hub.deliver(None, HandOver("org", 1_000.0, 1))
         self.http = urllib3.PoolManager(retries=False)
 
     def serve(self, sidecar, name: str = "desk-1", kind=ServerKind.SERVICE) -> FakeLink:
         """Add a backend server whose sidecar is the given function."""
-        link = FakeLink(sidecar)
         address = f"127.0.0.1:{len(self.hub.link_by_address) + 2}"
+        link = FakeLink(sidecar, address)
         self.hub.link_by_address[address] = link
         view = self.control.follower.view
         server = ServerRecord(name, f"life-{name}", address, "zone", kind, ["desk"], slots=2)
-        self.control.follower.apply_view(View(view.epoch + 1, [], [*view.servers, server]))
+        self.control.follower.apply_view(
+            View(view.epoch + 1, view.entries, [*view.servers, server])
+        )
         return link
 
     def end(self, link, dispatch, text: str = "done") -> None:
--- a/libs/entry/tests/flow_tests.py
+++ b/libs/entry/tests/flow_tests.py
@@ -1,16 +1,20 @@
 from __future__ import annotations
 
+from tarragonhall_decisions import GiveUp, TryAgain
 from tarragonhall_entry._effects import (
     Acknowledge,
     AskControl,
     Assigned,
     AwaitEnd,
+    AwaitPredecessor,
     Call,
     CheckKey,
+    CheckQuarantine,
     Commit,
+    DecideRetry,
+    EndPlace,
     EntryInView,
     FindServer,
-    FreePlace,
     LinkLost,
     Note,
     NotSent,
@@ -18,7 +22,6 @@
     Reattach,
     Restart,
     SendDispatch,
-    TakeRetry,
     TakeToken,
     Unavailable,
     WaitTurn,
@@ -46,19 +49,21 @@
     RefusalCode,
     Rejected,
     RejectReason,
-    ReportCrash,
     ServerKind,
     ServerRecord,
     StartAttempt,
 )
 
 ANSWER = Answer("done")
-QUIET = (FreePlace, Note, Acknowledge, Restart)
+QUIET = (EndPlace, Note, Acknowledge, Restart)
+AGAIN = TryAgain(0.0)
+UNKNOWN = GiveUp(Refusal(RefusalCode.SERVER_FAILED, "may have run", Execution.UNKNOWN))
+STOP = GiveUp(Refusal(RefusalCode.NO_SERVER, "no server"))
 
 
 def call(repeatable: bool = True) -> Call:
     spec = CallSpec(1, CallKind.SERVICE, "desk", "{}", repeatable=repeatable)
-    return Call("prog-1", "org", "hash", spec, "entry-1", 60.0)
+    return Call("prog-1/1/0", "prog-1", "org", "hash", spec, "entry-1", 60.0)
 
 
 def server(name: str = "desk-1") -> ServerRecord:
@@ -139,7 +144,7 @@
             *OPENED,
             *attempt_on("desk-1", Rejected(RejectReason.DRAINING)),
             (DisproveAttempt, CallOpened(1, [])),
-            (TakeRetry, True),
+            (DecideRetry, AGAIN),
             *attempt_on("desk-2", Accepted()),
             (AwaitEnd, ended(AttemptOutcome.ANSWERED, ANSWER)),
             (CloseCall, closed),
@@ -162,6 +167,7 @@
             (Reattach, LinkLost()),
             (Pause, True),
             (FindServer, None),
+            (DecideRetry, UNKNOWN),
             (CloseCall, closed),
         ],
     )
@@ -178,6 +184,7 @@
             *OPENED,
             *attempt_on("desk-1", LinkLost()),
             (Reattach, Rejected(RejectReason.INCARNATION)),
+            (DecideRetry, UNKNOWN),
             (CloseCall, closed),
         ],
     )
@@ -192,10 +199,10 @@
             *attempt_on("desk-1", LinkLost()),
             (Reattach, Rejected(RejectReason.TOMBSTONE)),
             (DisproveAttempt, CallOpened(1, [])),
-            (TakeRetry, True),
+            (DecideRetry, AGAIN),
             *attempt_on("desk-2", NotSent()),
             (DisproveAttempt, CallOpened(2, [])),
-            (TakeRetry, False),
+            (DecideRetry, STOP),
             (AbandonCall, CallAbandoned()),
         ],
     )
@@ -203,15 +210,15 @@
     assert result.refusal.execution is Execution.NOT_RUN
 
 
-def test_a_crash_is_reported_and_a_repeatable_call_runs_again():
+def test_a_repeatable_call_runs_again_after_a_crash():
     result, effects = run(
         call(),
         [
             *OPENED,
             *attempt_on("desk-1", Accepted()),
             (AwaitEnd, ended(AttemptOutcome.CRASHED)),
-            (ReportCrash, None),
-            (TakeRetry, True),
+            (CheckQuarantine, None),
+            (DecideRetry, AGAIN),
             *attempt_on("desk-2", Accepted()),
             (AwaitEnd, ended(AttemptOutcome.ANSWERED, ANSWER)),
             (CloseCall, closed),
@@ -230,7 +237,7 @@
             *OPENED,
             *attempt_on("desk-1", Accepted()),
             (AwaitEnd, ended(AttemptOutcome.FAILED)),
-            (TakeRetry, True),
+            (DecideRetry, AGAIN),
             (WaitTurn, Refusal(RefusalCode.DEADLINE, "late")),
             (CloseCall, closed),
         ],
@@ -266,6 +273,7 @@
         [
             (TakeToken, Refusal(RefusalCode.RATE_EXCEEDED, "above", retry_after_ms=9)),
             (AskControl, running),
+            (OpenCall, running),
             (Pause, True),
             (OpenCall, CallClosed(answer=ANSWER)),
         ],
@@ -292,7 +300,7 @@
         [
             (TakeToken, None),
             (OpenCall, early),
-            (Pause, True),
+            (AwaitPredecessor, True),
             (OpenCall, CallClosed(answer=ANSWER)),
         ],
     )
@@ -313,3 +321,62 @@
     )
     assert result.answer == ANSWER
     assert not any(isinstance(effect, (SendDispatch, EntryInView)) for effect in effects)
+
+
+def test_a_request_that_crashed_its_servers_is_not_sent_to_another():
+    # One request crashes every server that runs it. Tried again and again it would take them all
+    # down, so its caller is told, and not that it never ran.
+    quarantined = Refusal(RefusalCode.QUARANTINED, "crashes servers")
+    result, _ = run(
+        call(),
+        [
+            *OPENED,
+            *attempt_on("desk-1", Accepted()),
+            (AwaitEnd, ended(AttemptOutcome.CRASHED)),
+            (CheckQuarantine, quarantined),
+            (CloseCall, closed),
+        ],
+    )
+    assert result.refusal.code is RefusalCode.QUARANTINED
+    assert result.refusal.execution is Execution.UNKNOWN
+
+
+def test_a_repeatable_call_whose_server_is_gone_is_opened_anew_by_the_next_entry():
+    # The first entry and the server of a repeatable call die together, and the caller sends it
+    # again. Nobody can tell what became of the attempt; without a new one the call would hang.
+    attempt = AttemptId("prog-1", 1, 1, "desk-1", "life-desk-1")
+    result, effects = run(
+        call(),
+        [
+            (TakeToken, None),
+            (OpenCall, CallRunning("entry-2", attempt)),
+            (Reattach, LinkLost()),
+            (EntryInView, False),
+            (Reattach, LinkLost()),
+            (Pause, True),
+            (FindServer, None),
+            (DecideRetry, AGAIN),
+            (OpenCall, lambda command: CallOpened(1, []) if command.lost_attempt else None),
+            *attempt_on("desk-2", Accepted()),
+            (AwaitEnd, ended(AttemptOutcome.ANSWERED, ANSWER)),
+            (CloseCall, closed),
+        ],
+    )
+    assert result.answer == ANSWER
+    sent = [effect for effect in effects if isinstance(effect, SendDispatch)]
+    assert [one.message.attempt.number for one in sent] == [2]
+
+
+def test_a_refusal_of_the_journal_after_the_run_does_not_deny_it():
+    # A program was dropped from the journal while its last call ran. "No such program" must not
+    # come with "not run": the call did run.
+    result, _ = run(
+        call(),
+        [
+            *OPENED,
+            *attempt_on("desk-1", Accepted()),
+            (AwaitEnd, ended(AttemptOutcome.ANSWERED, ANSWER)),
+            (CloseCall, Refusal(RefusalCode.NOT_FOUND, "no such program")),
+        ],
+    )
+    assert result.refusal.execution is Execution.UNKNOWN
--- a/libs/model/tarragonhall_model/_commands.py
+++ b/libs/model/tarragonhall_model/_commands.py
@@ -46,12 +46,16 @@
 
     Result: `CallOpened` (run it), `CallRunning` (it is under way), `CallClosed` (here is what
     became of it) or `Refusal`. `seq` starts at 1; a call opens only once `seq - 1` is closed.
+
+    `lost_attempt` is the live attempt of a call that may be repeated, where the sender found that
+    its end cannot be known any more; the call is then open to a further attempt.
     """
 
     program_id: str
     org_id: str
     spec: CallSpec
     entry_id: str
+    lost_attempt: AttemptId | None = None
 
 
 @record
