--- a/libs/wire/tests/conftest.py
+++ /dev/null
@@ -1,5 +0,0 @@
-from __future__ import annotations
-
-import eventlet
-
-eventlet.monkey_patch()
