Take each guard of the log away and see its test fail

Cause: nothing showed that the named tests depend on the guards. Writing the pairs found two faults. A learner within five entries of the end became a voter without having received any, since its answers to heartbeats counted; now its answer must show that it held all that the log held when the question left. And entries lost on the way were never sent again while heartbeats were answered, since each answer started the wait anew.

Change: both mended, heartbeats to a peer whose log is being probed carry the probe, the test for a removed candidate is gone (the comparison of logs covers it), the disk loses each unsynced name by itself, and no two members may hold the lease at once after any step.

--- a/libs/consensus/tarragonhall_consensus/_election.py
+++ b/libs/consensus/tarragonhall_consensus/_election.py
@@ -28,7 +28,7 @@
 
     def on_request(self, peer: str, request: VoteRequest) -> None:
         """Answer a candidate."""
-        granted = self._is_granted(peer, request)
+        granted = self._is_granted(request)
         if granted and not request.pre:
             self._core.save_vote(request.for_term, request.envelope.from_identity)
             self._core.put_off_election()
@@ -92,11 +92,11 @@
             return False
         return core.membership.is_voter(peer, reply.envelope.from_identity)
 
-    def _is_granted(self, peer: str, request: VoteRequest) -> bool:
+    def _is_granted(self, request: VoteRequest) -> bool:
         core = self._core
         if core.leader_is_alive() or request.for_term < core.term:
             return False
-        if self._is_fenced(peer, request) or not self._is_up_to_date(request):
+        if not self._is_up_to_date(request):
             return False
         if request.for_term > core.term:
             if not request.pre:
@@ -107,18 +107,8 @@
     def _is_up_to_date(self, request: VoteRequest) -> bool:
         """Return whether the candidate holds all that this member does.
 
-        Committed entries are on a majority; a leader without them would overwrite them.
+        Committed entries are on a majority; a leader without them would overwrite them. A removed
+        member is kept out by this too: its log lacks its own removal, which a majority holds.
         """
         log = self._core.storage.log
         return (request.last_term, request.last_index) >= (log.last_term, log.last_index)
-
-    def _is_fenced(self, peer: str, request: VoteRequest) -> bool:
-        """Return whether the candidate was removed or replaced.
-
-        One that is not in the member list here may be in a newer list only if its log is ahead.
-        """
-        core = self._core
-        if core.membership.is_member(peer, request.envelope.from_identity):
-            return False
-        log = core.storage.log
-        return (request.last_term, request.last_index) <= (log.last_term, log.last_index)
--- a/libs/consensus/tarragonhall_consensus/_limits.py
+++ b/libs/consensus/tarragonhall_consensus/_limits.py
@@ -40,5 +40,3 @@
     trailing_entries: int = 1_000
     # The last segment is written again at each start: some tens of milliseconds at this size.
     segment_bytes: int = 4 * 1024 * 1024
-    # A learner this close behind the end becomes a voter: one message brings it the rest.
-    catch_up_entries: int = 100
--- a/libs/consensus/tarragonhall_consensus/_progress.py
+++ b/libs/consensus/tarragonhall_consensus/_progress.py
@@ -52,15 +52,19 @@
     # When the latest message that the peer has answered was sent, on the leader's clock.
     contact_at: float = NEVER
     transfer: Transfer | None = None
+    is_caught_up: bool = False
 
     def accept(self, index: int) -> None:
         """Note that the peer's log matches, synced, up to `index`."""
-        self.match_index = max(self.match_index, index)
+        if index > self.match_index:
+            self.match_index = index
+            self.waiting_since = self.sent_at
         self.next_index = max(self.next_index, self.match_index + 1)
         while self.in_flight and self.in_flight[0] <= self.match_index:
             self.in_flight.popleft()
+        # An answer to a heartbeat brings nothing new. Taken for an answer to the entries sent
+        # before it, it would keep lost ones from ever being sent again.
         self.is_waiting = bool(self.in_flight)
-        self.waiting_since = self.sent_at
 
     def probe_from(self, index: int) -> None:
         """Look for the place where the logs meet, from `index` downwards."""
--- a/libs/consensus/tarragonhall_consensus/_reads.py
+++ b/libs/consensus/tarragonhall_consensus/_reads.py
@@ -15,6 +15,12 @@
     round: int
 
 
+@dataclass(slots=True, frozen=True)
+class _Sent:
+    at: float
+    last_index: int
+
+
 class Rounds:
     """Numbers the leader's steps that send, so that an answer tells when its question left.
 
@@ -22,25 +28,29 @@
     before the read was asked say nothing of the time since; only later rounds count.
     """
 
-    __slots__ = ("_sent_at_by_round", "_keep_seconds", "current")
+    __slots__ = ("_keep_seconds", "_sent_by_round", "current")
 
     def __init__(self, keep_seconds: float) -> None:
         self.current = 0
         self._keep_seconds = keep_seconds
-        self._sent_at_by_round: collections.OrderedDict[int, float] = collections.OrderedDict()
+        self._sent_by_round: collections.OrderedDict[int, _Sent] = collections.OrderedDict()
 
-    def begin(self, now: float) -> None:
+    def begin(self, now: float, last_index: int) -> None:
         """Number the messages of this step; forget rounds too old to matter."""
         self.current += 1
-        self._sent_at_by_round[self.current] = now
-        for number, sent_at in list(self._sent_at_by_round.items()):
-            if sent_at >= now - self._keep_seconds:
-                break
-            del self._sent_at_by_round[number]
+        self._sent_by_round[self.current] = _Sent(now, last_index)
+        while next(iter(self._sent_by_round.values())).at < now - self._keep_seconds:
+            self._sent_by_round.popitem(last=False)
 
     def sent_at(self, number: int) -> float | None:
         """Return when a round left, None where that is too long ago."""
-        return self._sent_at_by_round.get(number)
+        sent = self._sent_by_round.get(number)
+        return sent.at if sent else None
+
+    def last_index(self, number: int) -> int | None:
+        """Return the end of the log when a round left, None where that is too long ago."""
+        sent = self._sent_by_round.get(number)
+        return sent.last_index if sent else None
 
 
 class Reads:
--- a/libs/consensus/tarragonhall_consensus/_replication.py
+++ b/libs/consensus/tarragonhall_consensus/_replication.py
@@ -47,13 +47,10 @@
         commit with it. Losing one more member then would stop every change for as long as the
         catch-up takes.
         """
-        core = self._core
         progress = self._progress_by_id.get(peer)
-        if progress is None or not progress.identity or progress.mode is not Mode.REPLICATE:
-            return None
-        if core.storage.log.last_index - progress.match_index > core.limits.catch_up_entries:
+        if progress is None or not progress.is_caught_up:
             return None
-        if core.now - progress.contact_at > core.limits.election_seconds:
+        if self._core.now - progress.contact_at > self._core.limits.election_seconds:
             return None
         return progress.identity
 
@@ -70,6 +67,9 @@
         if reply.index > self._core.storage.log.last_index:
             return
         progress.accept(reply.index)
+        # It holds all that the log held when this message left: it is a round trip behind.
+        end = self._rounds.last_index(reply.round)
+        progress.is_caught_up = end is not None and progress.match_index >= end
         if progress.mode is Mode.PROBE:
             progress.mode = Mode.REPLICATE
             progress.next_index = progress.match_index + 1
@@ -227,7 +227,10 @@
         return progress.mode is Mode.REPLICATE and not knows
 
     def _send_heartbeat(self, peer: str, progress: Progress) -> None:
+        # Where the logs are known to meet, a heartbeat is never refused for entries on their way.
         previous = progress.match_index
+        if progress.mode is Mode.PROBE:
+            previous = progress.next_index - 1
         if self._core.storage.log.term_at(previous) is None:
             previous = self._core.storage.log.base_index
         self._send_append(peer, progress, previous, 0)
@@ -264,6 +267,6 @@
     def _round(self) -> int:
         """Return this step's round, begun with the first message that it sends."""
         if not self._round_begun:
-            self._rounds.begin(self._core.now)
+            self._rounds.begin(self._core.now, self._core.storage.log.last_index)
             self._round_begun = True
         return self._rounds.current
--- a/libs/consensus/tests/consensus_cluster.py
+++ b/libs/consensus/tests/consensus_cluster.py
@@ -26,7 +26,7 @@
 ONE_WAY_SECONDS = 0.002
 SMALL = Limits(
     segment_bytes=600, snapshot_entries=25, trailing_entries=5, message_bytes=300,
-    in_flight_messages=3, catch_up_entries=5,
+    in_flight_messages=3,
 )  # fmt: skip
 
 
@@ -72,6 +72,7 @@
         self.duplicates = 0.0
         self.jitter = 0.0
         self.cuts: set[tuple[str, str]] = set()
+        self.is_dropped = lambda target, message: False
         self.in_flight: list = []
         self.outputs: list = []
         self.sent: list = []
@@ -150,6 +151,7 @@
     def heal(self) -> None:
         """Let the network deliver everything again."""
         self.cuts.clear()
+        self.is_dropped = lambda target, message: False
         self.loss = self.duplicates = self.jitter = 0.0
 
     def give(self, member_id: str, *events: object) -> list:
@@ -182,6 +184,16 @@
                     continue
                 inbox, node.inbox = node.inbox, []
                 self.give(member_id, *inbox, Tick())
+            self.check_leases()
+
+    def check_leases(self) -> None:
+        """Check that no two members may act as leader at one time, paused ones included."""
+        holders = [
+            member_id
+            for member_id, node in self.node_by_id.items()
+            if node.replica is not None and node.replica.is_leader(self.now)
+        ]
+        assert len(holders) <= 1, f"{holders} hold the lease together"
 
     def deliver(self) -> None:
         """Hand over messages, and those sent in answer, until only late ones are left."""
@@ -318,7 +330,9 @@
     def _send(self, source: str, target: str, message: object) -> None:
         copies = 2 if self.rng.random() < self.duplicates else 1
         for _ in range(copies):
-            if (source, target) in self.cuts or self.rng.random() < self.loss:
+            if (source, target) in self.cuts or self.is_dropped(target, message):
+                continue
+            if self.rng.random() < self.loss:
                 continue
             delay = self.rng.random() * self.jitter
             item = (self.now + delay, len(self.sent), source, target, decode(encode(message)))
--- a/libs/consensus/tests/consensus_disk.py
+++ b/libs/consensus/tests/consensus_disk.py
@@ -55,7 +55,7 @@
 
 
 class Disk:
-    """Implements `Files`. `names` is what a process sees, `durable_names` what would be left."""
+    """Implements `Files`. Changes of names since the last folder sync are in `_pending`."""
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
@@ -66,6 +66,7 @@
         self.locked = False
         self.file_by_name: dict[str, _File] = {}
         self.durable_names: dict[str, _File] = {}
+        self._pending: list[tuple[str, _File | None]] = []
 
     def step(self) -> None:
         """Count one call; the power goes when the count reaches `cut_at`."""
@@ -81,8 +82,15 @@
     def cut_power(self) -> None:
         """Lose what was not synced, but for some torn or garbled part of it."""
         self.locked = False
-        if self.rng.random() < 0.5:
-            self.durable_names = dict(self.file_by_name)
+        # Changes of names not synced reach the disk or not, each by itself.
+        for name, file in self._pending:
+            if self.rng.random() < 0.5:
+                continue
+            if file is None:
+                self.durable_names.pop(name, None)
+            else:
+                self.durable_names[name] = file
+        self._pending.clear()
         self.file_by_name = dict(self.durable_names)
         for file in self.file_by_name.values():
             kept = self.rng.randint(file.durable, len(file.data))
@@ -98,6 +106,7 @@
         self.locked = False
         self.file_by_name.clear()
         self.durable_names.clear()
+        self._pending.clear()
 
     def make_folder(self, path: str) -> None:
         self.step()
@@ -111,19 +120,23 @@
     def create(self, path: str) -> _File:
         self.step()
         file = self.file_by_name[path] = _File(self)
+        self._pending.append((path, file))
         return file
 
     def rename(self, old: str, new: str) -> None:
         self.step()
-        self.file_by_name[new] = self.file_by_name.pop(old)
+        file = self.file_by_name[new] = self.file_by_name.pop(old)
+        self._pending += [(new, file), (old, None)]
 
     def remove(self, path: str) -> None:
         self.step()
         del self.file_by_name[path]
+        self._pending.append((path, None))
 
     def sync_folder(self, path: str) -> None:
         self.step()
         self.durable_names = dict(self.file_by_name)
+        self._pending.clear()
 
     def lock(self, path: str) -> _Held:
         if self.locked:
--- a/libs/consensus/tests/replica_tests.py
+++ b/libs/consensus/tests/replica_tests.py
@@ -4,7 +4,9 @@
 
 import pytest
 from consensus_cluster import Cluster
-from tarragonhall_consensus import Member
+from tarragonhall_consensus import ChangeMember, Member, Received, Tick
+from tarragonhall_consensus._leadership import Leadership
+from tarragonhall_consensus._messages import Envelope, SnapshotChunk, VoteReply, VoteRequest
 
 
 @pytest.mark.parametrize("count", [3, 5])
@@ -35,6 +37,25 @@
     cluster.settle()
 
 
+def test_logs_that_have_parted_are_made_one():
+    """A leader is cut off with a change that nobody else has, and two others lead after it.
+
+    Its change was never accepted. If it stayed in the middle of its log, users who ask this
+    member later would be shown a state that never was.
+    """
+    cluster = Cluster(5)
+    old = cluster.await_leader()
+    cluster.isolate(old)
+    cluster.propose(b"hanging", old)
+    second = cluster.await_leader(without=old)
+    for number in range(3):
+        cluster.commit(b"%d" % number)
+    cluster.kill(second)
+    cluster.await_leader()
+    cluster.heal()
+    cluster.settle()
+
+
 def test_full_cut_of_the_leader():
     """The leader's network card dies and comes back after a minute.
 
@@ -116,25 +137,49 @@
     cluster.settle()
 
 
-def test_a_learner_does_not_vote_before_it_has_caught_up():
-    """A new member is added whose link is dead, and then another member is lost.
+def _carries_entries(message):
+    return bool(getattr(message, "entries", ())) or isinstance(message, SnapshotChunk)
+
+
+@pytest.mark.parametrize("link", ["dead", "too thin for entries"])
+def test_a_learner_does_not_vote_before_it_has_caught_up(link):
+    """A new member is added whose link is bad, and then another member is lost.
 
     If the new one voted at once, no majority would be left and every change would hang.
     """
     cluster = Cluster(3)
     cluster.commit(b"a")
     cluster.add_node("m9")
-    cluster.cut(list(cluster.node_by_id), "m9")
+    if link == "dead":
+        cluster.cut(list(cluster.node_by_id), "m9")
+    cluster.is_dropped = lambda target, message: target == "m9" and _carries_entries(message)
     token = cluster.change(member=Member("m9", "", "a9"))
     cluster.run(3)
     assert cluster.ended(token) == ""
-    cluster.kill(cluster.followers()[0])
+    cluster.kill(next(member_id for member_id in cluster.followers() if member_id != "m9"))
     cluster.commit(b"b")
     cluster.heal()
     cluster.run_until(lambda: cluster.ended(token) == "done")
     cluster.settle()
 
 
+def test_lost_entries_are_sent_again_while_heartbeats_are_answered():
+    """One message with a change is lost on the way to one member, and then callers are quiet.
+
+    That member goes on answering heartbeats. Users who ask it would not see the change until
+    somebody makes another one.
+    """
+    cluster = Cluster(3)
+    cluster.await_leader()
+    cluster.run(1)
+    missing = cluster.followers()[0]
+    cluster.is_dropped = lambda target, message: target == missing and _carries_entries(message)
+    cluster.commit(b"a")
+    cluster.heal()
+    cluster.run(2)
+    assert cluster.node_by_id[missing].machine.entries == [b"a"]
+
+
 def test_return_after_hundreds_of_changes():
     """A member is down while hundreds of changes are made and the log is compacted.
 
@@ -179,6 +224,24 @@
     cluster.settle()
 
 
+def test_wiped_member_does_not_count_for_commits():
+    """One of three members is cut off and another one loses its folder and starts again.
+
+    The leader must not count the emptied one in place of what it was: users would be told that a
+    change is safe on two disks, of which one may have promised itself to another leader before.
+    """
+    cluster = Cluster(3)
+    cluster.commit(b"a")
+    away, emptied = cluster.followers()
+    leader = cluster.leader()
+    cluster.isolate(away)
+    cluster.wipe(emptied)
+    token = cluster.propose(b"b", leader)
+    cluster.run(5)
+    assert cluster.ended(token) == "lost"
+    cluster.settle()
+
+
 def test_wiped_founder_founds_no_second_group():
     """The member that founded the group loses its folder and starts with its old settings.
 
@@ -226,36 +289,153 @@
 
 
 def test_entry_of_an_earlier_term_is_not_committed_by_counting():
-    """A leader of five comes back and copies its old, uncommitted entry to a majority.
+    """A leader loses the lead, wins it again, and its old entry reaches a majority.
 
     Another member with a later term may still overwrite that entry. If it had been counted as
     committed, users would lose a change that they were told was accepted.
     """
-    cluster = Cluster(5)
-    first = cluster.await_leader()
-    a, b, c, d = cluster.followers()
-    cluster.cut(first, [b, c, d])
-    cluster.propose(b"old", first)
-    cluster.run(0.1)
-    old_index = cluster.node_by_id[a].replica.status().last_index
-    core = cluster.node_by_id[first].replica._core
-    core.follow(core.term + 1, None)
+    cluster = Cluster(3)
+    leader = cluster.await_leader()
+    cluster.isolate(leader)
+    cluster.propose(b"old", leader)
+    core = cluster.node_by_id[leader].replica._core
+    old_index = core.storage.log.last_index
     core.follow(core.term + 1, None)
-    leadership = _lead_without_noop(core)
-    for voter in core.membership.voters():
-        if voter.member_id in (a, b):
-            progress = leadership._replication._progress_by_id[voter.member_id]
-            progress.match_index = old_index
-    leadership.advance_commit()
+    core.lead(Leadership(core))
+    for peer in cluster.followers():
+        if peer != leader:
+            core.leadership._replication._progress_by_id[peer].accept(old_index)
+    core.leadership.advance_commit()
     assert core.commit_index < old_index
 
 
-def _lead_without_noop(core):
-    from tarragonhall_consensus._leadership import Leadership
+def _vote_request(cluster, candidate, voter, for_term, pre=False):
+    """Return the request of a candidate whose log is as long as the voter's."""
+    core = cluster.node_by_id[candidate].replica._core
+    log = cluster.node_by_id[voter].replica._core.storage.log
+    identity = cluster.node_by_id[voter].replica.status().identity
+    envelope = Envelope(core.group, core.identity, identity, for_term)
+    request = VoteRequest(envelope, pre, for_term, log.last_index, log.last_term)
+    return Received(candidate, request)
+
+
+def _granted(outputs):
+    replies = [getattr(output, "message", None) for output in outputs]
+    return [reply.granted for reply in replies if isinstance(reply, VoteReply)]
+
+
+def test_a_vote_survives_a_power_cut():
+    """A member gives its vote, and its power goes right after.
+
+    If it had forgotten the vote it could give a second one in the same term; two leaders would
+    each accept changes.
+    """
+    cluster = Cluster(3)
+    leader = cluster.await_leader()
+    voter, other = cluster.followers()
+    cluster.isolate(voter)
+    cluster.run(2.5)
+    term = 50
+    assert _granted(cluster.give(voter, _vote_request(cluster, other, voter, term))) == [True]
+    cluster.kill(voter, power=True)
+    cluster.start(voter)
+    cluster.run(1.05)
+    request = _vote_request(cluster, leader, voter, term)
+    assert _granted(cluster.give(voter, request)) == [False]
+
+
+def test_a_member_that_lacks_committed_entries_is_not_elected():
+    """The leader dies, and the member that was cut off until now is the first to stand.
+
+    Elected, it would overwrite what it never heard of; users would lose accepted changes.
+    """
+    cluster = Cluster(3)
+    leader = cluster.await_leader()
+    holder, behind = cluster.followers()
+    cluster.isolate(behind)
+    cluster.commit(b"accepted")
+    cluster.kill(leader)
+    cluster.heal()
+    cluster.node_by_id[holder].replica._core.heard_at = -100.0
+    cluster.node_by_id[behind].replica._core.election_at = 0.0
+    cluster.run(0.1)
+    assert cluster.leader() != behind
+    cluster.settle()
+
+
+def test_a_member_that_alone_misses_the_leader_does_not_depose_it():
+    """One link of the leader drops everything; all others work.
+
+    The member behind it stands for election again and again. Users would see the lead wander.
+    """
+    cluster = Cluster(3)
+    leader = cluster.await_leader()
+    cluster.cut(leader, cluster.followers()[0], both=True)
+    cluster.run(30)
+    assert cluster.leader() == leader
+    assert len(cluster.leader_by_term) == 1
+
+
+def test_a_restarted_member_keeps_its_silence_towards_the_leader():
+    """A follower answers the leader, restarts in a moment, and is asked for its vote.
 
-    leadership = Leadership(core)
-    core.storage.log.truncate_from(core.storage.log.last_index)
-    return leadership
+    The leader counts on that answer for its lease. With a second leader beside it, users would
+    be told two different things at one time.
+    """
+    cluster = Cluster(3)
+    leader = cluster.await_leader()
+    voter, candidate = cluster.followers()
+    cluster.cut(leader, candidate, both=True)
+    cluster.run(3)
+    assert cluster.leader() == leader
+    cluster.isolate(leader)
+    cluster.kill(voter)
+    cluster.start(voter)
+    cluster.node_by_id[candidate].replica._core.election_at = 0.0
+    cluster.run(0.5)
+    assert cluster.leader() == leader
+    cluster.await_leader(without=leader)
+
+
+def test_a_read_is_not_confirmed_by_an_answer_to_an_older_message():
+    """Answers are slow, and a read is asked while some are on their way.
+
+    They tell nothing of the time after they left; users could be shown an old state.
+    """
+    cluster = Cluster(3)
+    leader = cluster.await_leader()
+    node = cluster.node_by_id[leader]
+    cluster.now += 0.3
+    cluster.give(leader, Tick())
+    cluster.pause(leader, 1)
+    cluster.deliver()
+    late, node.inbox, node.paused_until = node.inbox, [], 0.0
+    assert late
+    token = cluster.read(leader)
+    cluster.give(leader, *late)
+    assert cluster.ended(token) == ""
+    cluster.run(0.1)
+    assert cluster.ended(token) == "done"
+
+
+def test_no_member_change_before_the_first_commit_of_a_term():
+    """Two leaders in turn each begin a member change that the other has not heard of.
+
+    Their majorities need not meet; both could commit, and users would lose changes.
+    """
+    cluster = Cluster(3)
+    cluster.kill(cluster.await_leader())
+    cluster.jitter = 0.4
+    leading = []
+    while not leading:
+        cluster.run(0.05)
+        for member_id, node in cluster.node_by_id.items():
+            if node.replica is not None and node.replica.status().role == "leader":
+                leading.append(member_id)
+    assert not cluster.node_by_id[leading[0]].replica.is_leader(cluster.now)
+    change = ChangeMember(77, Member("m9", "", "a"))
+    cluster.give(leading[0], change)
+    assert cluster.ended(77) == "refused"
 
 
 def test_a_proposal_without_majority_is_bounded():
