--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -21,6 +21,7 @@
     decode,
     encode,
     from_plain,
+    mutable_record,
     record,
     to_plain,
 )
@@ -115,6 +116,7 @@
 )
 from tarragonhall_model._options import (
     MAX_PORT,
+    REQUIRED,
     Address,
     Choice,
     Flag,
@@ -227,6 +229,7 @@
     "Recorded",
     "Refusal",
     "RefusalCode",
+    "REQUIRED",
     "RejectReason",
     "Rejected",
     "ReleaseProgram",
@@ -258,6 +261,7 @@
     "escape",
     "fingerprint",
     "from_plain",
+    "mutable_record",
     "new_id",
     "new_secret",
     "record",
--- a/libs/model/tarragonhall_model/_messages.py
+++ b/libs/model/tarragonhall_model/_messages.py
@@ -196,7 +196,13 @@
 
 
 class RejectReason(enum.Enum):
-    """Why a sidecar did not take an attempt. None of these attempts ran or will run."""
+    """Why a sidecar did not take an attempt. None of these attempts will run from now on.
+
+    All but `INCARNATION` also prove that it never ran. `INCARNATION` says that the attempt belongs
+    to another life of the sidecar, or to a part of this life that it no longer remembers: an
+    earlier message may have started it. Only a sender that recorded the attempt itself and has sent
+    its one `Dispatch` may take it as "not run"; after a resend or an `Attach` it is unknown.
+    """
 
     TOMBSTONE = "tombstone"
     INCARNATION = "incarnation"
@@ -208,7 +214,7 @@
 
 @record
 class Rejected:
-    """The attempt did not run here and never will: the sidecar keeps a tombstone for it."""
+    """The attempt will never run here; see `RejectReason` for what is known of the past."""
 
     reason: RejectReason
 
@@ -309,7 +315,8 @@
     """Change what an engine has loaded or its role. Reply: `OrderDone`.
 
     `fencing` is the leader's number; lower ones than the highest seen are refused by the sidecar,
-    and by engines that check it.
+    and by engines that check it. `action` is `load_model`, `load_adapter`, `unload` or `role`.
+    `server_id` may be empty where the process stands beside one backend server only.
     """
 
     order_id: str
@@ -317,6 +324,7 @@
     action: str
     model: str
     version: str
+    server_id: str = ""
 
 
 @record
@@ -334,26 +342,31 @@
 @record
 class TakeTokens:
     """Ask the owner of an organisation's bucket for a slice. Reply: `TokensGranted` or
-    `NotOwner`. `holder` is the asking entry's id and incarnation.
+    `NotOwner`. `holder` is the asking entry's id and incarnation. `finished` names earlier slices
+    of which nothing is left to spend.
     """
 
     org_id: str
     holder: str
     wanted: float
     view_epoch: int
+    finished: tuple[str, ...] = ()
 
 
 @record
 class TokensGranted:
     """A slice of tokens, to be spent within `valid_ms` of the instant the request was sent.
 
-    `retry_after_ms` says when more are expected, where fewer than wanted were given.
+    `retry_after_ms` says when more are expected, where fewer than wanted were given. `backlog` is
+    how many tokens the other holders wait for. `slice_id` names the slice in later messages.
     """
 
     org_id: str
     tokens: float
     valid_ms: int
     retry_after_ms: int = 0
+    slice_id: str = ""
+    backlog: float = 0.0
 
 
 @record
@@ -366,17 +379,22 @@
 
 @record
 class ReturnTokens:
-    """Give unspent tokens back, before a slice ends or when an entry leaves."""
+    """End a slice: `tokens` of it were not spent and go back; the rest was spent."""
 
     org_id: str
     holder: str
     tokens: float
+    slice_id: str = ""
 
 
 @record
 class HandOver:
-    """The owner leaves and hands a bucket to its successor with its exact level."""
+    """The owner of a bucket in an earlier view hands it to the owner in view `view_epoch`.
+
+    `tokens` is its level, `outstanding` what is granted in slices that have not ended yet.
+    """
 
     org_id: str
     tokens: float
     view_epoch: int
+    outstanding: float = 0.0
