Show operators which member is behind, silent or emptied

Status lists each peer as the leader sees it, and a member that has lost its folder says so when it is spoken to under its old identity. A single proposal above the bound is refused, and messages of unknown kinds are passed over.

--- a/libs/consensus/tarragonhall_consensus/_interface.py
+++ b/libs/consensus/tarragonhall_consensus/_interface.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from tarragonhall_consensus._messages import Member
@@ -131,9 +131,22 @@
 Output = SendTo | ProposalDone | ProposalLost | ReadConfirmed | ReadLost | RoleChanged
 
 
+@dataclass(slots=True, frozen=True)
+class PeerStatus:
+    """What the leader knows of a peer.
+
+    `silent_seconds` is None before the peer has answered. `other_identity` is set while the peer
+    answers from another data folder than the member list names: it must be replaced.
+    """
+
+    match_index: int
+    silent_seconds: float | None
+    other_identity: str = ""
+
+
 @dataclass(slots=True, frozen=True)
 class Status:
-    """What operators see of a member."""
+    """What operators see of a member. `peer_by_id` is filled on the leader alone."""
 
     member_id: str
     role: str
@@ -144,6 +157,7 @@
     applied_index: int
     members: list[Member]
     identity: str
+    peer_by_id: dict[str, PeerStatus] = field(default_factory=dict)
 
 
 class ReplicaApi(Protocol):
--- a/libs/consensus/tarragonhall_consensus/_leadership.py
+++ b/libs/consensus/tarragonhall_consensus/_leadership.py
@@ -6,6 +6,7 @@
 from tarragonhall_consensus._interface import (
     ChangeMember,
     ConfirmRead,
+    PeerStatus,
     ProposalDone,
     ProposalLost,
     ProposeData,
@@ -19,7 +20,14 @@
     with_voter,
     without,
 )
-from tarragonhall_consensus._messages import AppendReply, Entry, EntryKind, Member, SnapshotReply
+from tarragonhall_consensus._messages import (
+    AppendReply,
+    Entry,
+    EntryKind,
+    Member,
+    OtherIdentity,
+    SnapshotReply,
+)
 from tarragonhall_consensus._reads import Reads, Rounds
 from tarragonhall_consensus._replication import Replication
 
@@ -55,10 +63,14 @@
         """Put data in the log, or refuse it where too much waits for a majority."""
         core = self._core
         entry = Entry(core.term, EntryKind.DATA, event.data)
-        if self._uncommitted_bytes > core.limits.uncommitted_bytes:
+        size = entry_bytes(entry)
+        if size > core.limits.uncommitted_bytes:
+            self._refuse(event.token, f"too large: {size} bytes")
+            return
+        if self._uncommitted_bytes + size > core.limits.uncommitted_bytes:
             self._refuse(event.token, "too much waits for a majority; try again")
             return
-        self._uncommitted_bytes += entry_bytes(entry)
+        self._uncommitted_bytes += size
         self._token_by_index[core.append(entry)] = event.token
 
     def ask_read(self, event: ConfirmRead) -> None:
@@ -91,6 +103,14 @@
         """Take in how far a peer has got with its snapshot."""
         self._replication.on_snapshot_reply(peer, reply)
 
+    def on_other_identity(self, peer: str, message: OtherIdentity) -> None:
+        """Note, for operators, that a peer has lost its data folder."""
+        self._replication.on_other_identity(peer, message)
+
+    def peer_status(self) -> dict[str, PeerStatus]:
+        """Return what operators see of each peer."""
+        return self._replication.peer_status()
+
     def has_majority(self) -> bool:
         """Return whether a majority answered lately; a leader without it must give up.
 
--- a/libs/consensus/tarragonhall_consensus/_limits.py
+++ b/libs/consensus/tarragonhall_consensus/_limits.py
@@ -31,6 +31,9 @@
     in_flight_messages: int = 8
     # Without a majority nothing commits; beyond this a proposal is refused, known not logged.
     uncommitted_bytes: int = 8 * 1024 * 1024
+    # A snapshot on its way to a peer that has been silent for this long is given up, since its
+    # bytes are held in memory meanwhile. Long enough for a peer to take the whole state in.
+    transfer_seconds: float = 10.0
     # A snapshot costs time in proportion to the state, so it waits until the log has grown by
     # this much and by twice what the last snapshot took. The log is held in memory at up to twice
     # its bytes, beside the state, and a control process is to stay within 64 MB while it is small.
--- a/libs/consensus/tarragonhall_consensus/_messages.py
+++ b/libs/consensus/tarragonhall_consensus/_messages.py
@@ -167,6 +167,13 @@
     done: bool
 
 
+@record
+class OtherIdentity:
+    """The message was meant for an identity that this data folder does not have."""
+
+    envelope: Envelope
+
+
 Message = (
     FoundingQuery
     | FoundingReply
@@ -176,6 +183,7 @@
     | AppendReply
     | SnapshotChunk
     | SnapshotReply
+    | OtherIdentity
 )
 
 
--- a/libs/consensus/tarragonhall_consensus/_progress.py
+++ b/libs/consensus/tarragonhall_consensus/_progress.py
@@ -53,6 +53,8 @@
     contact_at: float = NEVER
     transfer: Transfer | None = None
     is_caught_up: bool = False
+    # The identity under which the peer refuses what is meant for `identity`.
+    other_identity: str = ""
 
     def accept(self, index: int) -> None:
         """Note that the peer's log matches, synced, up to `index`."""
--- a/libs/consensus/tarragonhall_consensus/_replica.py
+++ b/libs/consensus/tarragonhall_consensus/_replica.py
@@ -32,9 +32,12 @@
     AppendReply,
     AppendRequest,
     EntryKind,
+    Envelope,
     FoundingQuery,
     FoundingReply,
     Member,
+    Message,
+    OtherIdentity,
     SnapshotChunk,
     SnapshotMeta,
     SnapshotReply,
@@ -117,6 +120,7 @@
             applied_index=core.applied_index,
             members=list(core.membership.members),
             identity=core.identity,
+            peer_by_id=core.leadership.peer_status() if core.leadership else {},
         )
 
     def is_leader(self, now: float) -> bool:
@@ -163,8 +167,11 @@
             case FoundingReply():
                 self._founding.on_reply(peer, message)
                 return
+        if not isinstance(message, Message) or not core.is_from_this_group(message.envelope):
+            return
         envelope = message.envelope
-        if not core.is_from_this_group(envelope) or not core.is_for_this_identity(envelope):
+        if not core.is_for_this_identity(envelope):
+            self._say_other_identity(peer, message)
             return
         match message:
             case VoteRequest():
@@ -179,9 +186,23 @@
             case VoteReply():
                 if self._election.on_reply(peer, message):
                     core.lead(Leadership(core))
+            case OtherIdentity():
+                if core.leadership is not None:
+                    core.leadership.on_other_identity(peer, message)
             case AppendReply() | SnapshotReply():
                 self._receive_answer(peer, message)
 
+    def _say_other_identity(self, peer: str, message: Message) -> None:
+        """Let the leader show operators that this member has lost its folder."""
+        if isinstance(message, AppendRequest | SnapshotChunk):
+            envelope = Envelope(
+                message.envelope.group,
+                self._core.identity,
+                message.envelope.from_identity,
+                self._core.term,
+            )
+            self._core.send(peer, OtherIdentity(envelope))
+
     def _receive_answer(self, peer: str, reply: AppendReply | SnapshotReply) -> None:
         core = self._core
         # A removed member must not depose the leader with a term of its own.
--- a/libs/consensus/tarragonhall_consensus/_replication.py
+++ b/libs/consensus/tarragonhall_consensus/_replication.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from tarragonhall_consensus._core import Core
+from tarragonhall_consensus._core import NEVER, Core
+from tarragonhall_consensus._interface import PeerStatus
 from tarragonhall_consensus._messages import (
     AppendReply,
     AppendRequest,
+    OtherIdentity,
     SnapshotChunk,
     SnapshotReply,
     pack_entries,
@@ -39,7 +41,7 @@
     def contact_at(self, peer: str) -> float:
         """Return when the latest message that the peer has answered was sent."""
         progress = self._progress_by_id.get(peer)
-        return progress.contact_at if progress else float("-inf")
+        return progress.contact_at if progress else NEVER
 
     def caught_up_identity(self, peer: str) -> str | None:
         """Return the identity of a learner that has caught up and answers, else None.
@@ -55,6 +57,21 @@
             return None
         return progress.identity
 
+    def peer_status(self) -> dict[str, PeerStatus]:
+        """Return what operators see of each peer."""
+        status_by_id = {}
+        for peer, progress in self._progress_by_id.items():
+            silent = None if progress.contact_at == NEVER else self._core.now - progress.contact_at
+            status = PeerStatus(progress.match_index, silent, progress.other_identity)
+            status_by_id[peer] = status
+        return status_by_id
+
+    def on_other_identity(self, peer: str, message: OtherIdentity) -> None:
+        """Note, for operators, that a peer has lost its data folder."""
+        progress = self._progress_by_id.get(peer)
+        if progress is not None and message.envelope.to_identity == self._core.identity:
+            progress.other_identity = message.envelope.from_identity
+
     def on_append_reply(self, peer: str, reply: AppendReply) -> None:
         """Take in what the peer has synced, or where its log parts from this one."""
         progress = self._progress_of(peer, reply.envelope.from_identity)
@@ -97,8 +114,7 @@
         self._fit_to_membership()
         for peer, progress in self._progress_by_id.items():
             self._give_up_lost(progress)
-            if progress.mode is not Mode.SNAPSHOT and not self._has_entries_for(progress):
-                self._start_transfer(progress)
+            self._begin_or_end_transfer(progress)
             match progress.mode:
                 case Mode.SNAPSHOT:
                     self._send_chunk(peer, progress)
@@ -149,6 +165,7 @@
         return progress
 
     def _note_contact(self, progress: Progress, number: int) -> None:
+        progress.other_identity = ""
         progress.acked_round = max(progress.acked_round, number)
         sent_at = self._rounds.sent_at(number)
         if sent_at is not None:
@@ -174,9 +191,21 @@
     def _has_entries_for(self, progress: Progress) -> bool:
         return self._core.storage.log.term_at(progress.next_index - 1) is not None
 
-    def _start_transfer(self, progress: Progress) -> None:
-        storage = self._core.storage
-        progress.start_transfer(Transfer(storage.snapshot, storage.load_snapshot()))
+    def _begin_or_end_transfer(self, progress: Progress) -> None:
+        """Send a snapshot to a peer that needs one, for as long as it answers.
+
+        A peer that is down would keep the bytes of the whole state in this member's memory.
+        """
+        core = self._core
+        silent = core.now - progress.contact_at
+        if progress.mode is Mode.SNAPSHOT:
+            if silent > core.limits.transfer_seconds:
+                progress.probe_from(progress.match_index + 1)
+            return
+        if self._has_entries_for(progress) or silent > core.limits.election_seconds:
+            return
+        data = core.storage.load_snapshot()
+        progress.start_transfer(Transfer(core.storage.snapshot, data))
 
     def _send_chunk(self, peer: str, progress: Progress) -> None:
         if progress.is_waiting:
@@ -199,7 +228,7 @@
         self._send(peer, progress, chunk)
 
     def _send_probe(self, peer: str, progress: Progress) -> None:
-        if progress.is_waiting:
+        if progress.is_waiting or not self._has_entries_for(progress):
             return
         self._wait(progress)
         self._send_append(peer, progress, progress.next_index - 1, self._core.limits.message_bytes)
--- a/libs/consensus/tests/replica_tests.py
+++ b/libs/consensus/tests/replica_tests.py
@@ -242,6 +242,29 @@
     cluster.settle()
 
 
+def test_status_tells_which_member_is_behind_silent_or_emptied():
+    """Operators look for the member that has to be replaced."""
+    cluster = Cluster(3)
+    cluster.commit(b"a")
+    silent, emptied = cluster.followers()
+    cluster.kill(silent)
+    cluster.wipe(emptied)
+    cluster.run(0.9)
+    status = cluster.node_by_id[cluster.leader() or "m0"].replica.status()
+    identity = cluster.node_by_id[emptied].replica.status().identity
+    assert status.peer_by_id[emptied].other_identity == identity
+    assert status.peer_by_id[silent].other_identity == ""
+    assert status.peer_by_id[silent].silent_seconds >= 0.85
+
+
+def test_messages_of_other_kinds_are_passed_over():
+    """A newer member, or one that has gone wrong, sends what this program does not know."""
+    cluster = Cluster(3)
+    cluster.commit(b"a")
+    cluster.give(cluster.leader(), Received("m1", Member("x", "", "")), Received("m1", None))
+    cluster.settle()
+
+
 def test_wiped_founder_founds_no_second_group():
     """The member that founded the group loses its folder and starts with its old settings.
 
@@ -438,6 +461,30 @@
     assert cluster.ended(77) == "refused"
 
 
+def test_a_snapshot_for_a_silent_member_is_not_held_in_memory():
+    """A member is down for good after the log was compacted.
+
+    A leader that kept a snapshot ready for it would need the memory of its state twice.
+    """
+    cluster = Cluster(3)
+    cluster.commit(b"a")
+    silent = cluster.followers()[0]
+    cluster.isolate(silent)
+    for number in range(60):
+        cluster.commit(b"%d" % number)
+    replication = cluster.node_by_id[cluster.leader()].replica._core.leadership._replication
+    progress = replication._progress_by_id[silent]
+    assert progress.transfer is None
+    cluster.heal()
+    cluster.is_dropped = lambda target, message: isinstance(message, SnapshotChunk)
+    cluster.run(2)
+    assert progress.transfer is not None
+    cluster.isolate(silent)
+    cluster.run(15)
+    assert progress.transfer is None
+    cluster.settle()
+
+
 def test_a_proposal_without_majority_is_bounded():
     """A leader that has just lost its majority is flooded by callers.
 
