--- a/benchmarks/consensus_bench.py
+++ b/benchmarks/consensus_bench.py
@@ -229,6 +229,36 @@
     return written, time.monotonic() - begun
 
 
+def measure_failover(folder: Path, seed: int) -> float:
+    """Return the seconds, on the members' clocks, from a leader's end to the next one's lease."""
+    founders = [Member(f"m{number}", "", "") for number in range(3)]
+    now = 0.0
+    replica_by_id = {}
+    for founder in founders:
+        name = founder.member_id
+        rng = random.Random(f"{seed}{name}")
+        path = str(folder / name)
+        replica_by_id[name] = open_replica(path, name, "", founders, Store(), rng, now)
+    inbox_by_id = {name: [] for name in replica_by_id}
+    lost_at = None
+    while True:
+        for name, replica in list(replica_by_id.items()):
+            inbox, inbox_by_id[name] = inbox_by_id[name], []
+            for output in replica.step([*inbox, Tick()], now):
+                if isinstance(output, SendTo):
+                    inbox_by_id[output.peer].append(Received(name, output.message))
+        now += TICK_SECONDS
+        leaders = [name for name, replica in replica_by_id.items() if replica.is_leader(now)]
+        if leaders and lost_at is None and now > 5:
+            lost_at = now
+            replica_by_id.pop(leaders[0]).close()
+        elif leaders and lost_at is not None:
+            break
+    for replica in replica_by_id.values():
+        replica.close()
+    return now - lost_at
+
+
 @dataclass(slots=True)
 class Idle:
     """What members cost while nothing happens."""
@@ -307,6 +337,12 @@
             f"{idle.members:7}  {idle.leader_bytes:10.0f}  {idle.follower_bytes:12.0f}  "
             f"{idle.leader_share:18.3f}  {idle.follower_share:20.3f}"
         )
+    times = [measure_failover(top / f"failover-{seed}", seed) for seed in range(200)]
+    cuts = statistics.quantiles(times, n=100)
+    click.echo(
+        f"\nfailover of three members, messages one tick late, {len(times)} runs: "
+        f"p50 {cuts[49]:.2f} s, p99 {cuts[98]:.2f} s, longest {max(times):.2f} s"
+    )
     click.echo("\nsnapshot MB  write s  recovery s")
     for size in (1, 8, 64):
         written, read = measure_snapshot(top / f"snapshot-{size}", size * MEGABYTE)
