--- a/libs/control/tarragonhall_control/__init__.py
+++ b/libs/control/tarragonhall_control/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tarragonhall_consensus import Limits
 from tarragonhall_wire import ProcessContext, Role
 
 from tarragonhall_control._first_operator import initialise
@@ -11,6 +12,11 @@
 __all__ = ["OPTIONS", "ControlSettings", "initialise", "start_control"]
 
 
-def start_control(settings: ControlSettings, context: ProcessContext) -> Role:
-    """Open the data folder, join the group and serve links and the admin API."""
-    return ControlRole(settings, context)
+def start_control(
+    settings: ControlSettings, context: ProcessContext, limits: Limits | None = None
+) -> Role:
+    """Open the data folder, join the group and serve links and the admin API.
+
+    `limits` are those of the replicated log; left out, they are the ones for service.
+    """
+    return ControlRole(settings, context, limits)
--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -4,7 +4,7 @@
 
 import eventlet
 import structlog
-from tarragonhall_consensus import Member, RoleChanged, open_replica
+from tarragonhall_consensus import Limits, Member, RoleChanged, open_replica
 from tarragonhall_model import (
     AnnounceEntry,
     AnnounceServer,
@@ -56,7 +56,9 @@
         "state",
     )
 
-    def __init__(self, settings: ControlSettings, context: ProcessContext) -> None:
+    def __init__(
+        self, settings: ControlSettings, context: ProcessContext, limits: Limits | None = None
+    ) -> None:
         self.context = context
         self.state = ControlState()
         self.followers = Followers(self.state, context.metrics)
@@ -74,6 +76,7 @@
             self.state,
             context.rng,
             context.monotonic(),
+            limits,
         )
         hooks = LoopHooks(self._send, self._on_role, self._after_step)
         self.loop = LogLoop(replica, context.monotonic, hooks)
--- a/libs/control/tarragonhall_control/_role.py
+++ b/libs/control/tarragonhall_control/_role.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import eventlet
+from tarragonhall_consensus import Limits
 from tarragonhall_wire import ProcessContext
 
 from tarragonhall_control._admin import AdminApi
@@ -19,8 +20,10 @@
 
     __slots__ = ("_admin", "_admin_stopped", "member")
 
-    def __init__(self, settings: ControlSettings, context: ProcessContext) -> None:
-        self.member = ControlMember(settings, context)
+    def __init__(
+        self, settings: ControlSettings, context: ProcessContext, limits: Limits | None = None
+    ) -> None:
+        self.member = ControlMember(settings, context, limits)
         self._admin = AdminApi(self.member, settings.admin)
         self._admin_stopped = False
         LinkService(self.member).register()
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -1,7 +1,156 @@
-"""Patches the standard library before any test here opens a socket."""
+"""Control members in one process, with real links on loopback, as the failure tests need them."""
 
 from __future__ import annotations
 
+import json
+import random
+
 import eventlet
 
+# Before any import that takes a socket, as the daemon does.
 eventlet.monkey_patch()
+
+import pytest  # noqa: E402
+import urllib3  # noqa: E402
+from tarragonhall_consensus import Limits  # noqa: E402
+from tarragonhall_control import OPTIONS, initialise, start_control  # noqa: E402
+from tarragonhall_model import EntryRecord  # noqa: E402
+from tarragonhall_state import Follower  # noqa: E402
+from tarragonhall_wire import ControlClient, make_context, make_metrics  # noqa: E402
+
+WAIT_SECONDS = 5.0
+# Elections as quick as a busy machine allows, so that the tests of failures stay short.
+QUICK = Limits(election_seconds=0.4, lease_seconds=0.35, heartbeat_seconds=0.08, retry_seconds=0.1)
+
+
+def free_address() -> str:
+    """Return a loopback address that was free a moment ago.
+
+    Its port lies below those that the kernel gives to outgoing connections: one of these could take
+    the address before it is listened on.
+    """
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        try:
+            eventlet.listen(("127.0.0.1", port), reuse_port=False).close()
+        except OSError:
+            continue
+        return f"127.0.0.1:{port}"
+
+
+def until(condition, seconds: float = WAIT_SECONDS) -> None:
+    """Wait for a condition."""
+    with eventlet.Timeout(seconds):
+        while not condition():
+            eventlet.sleep(0.01)
+
+
+def make_process(name: str, controls: list[str], address: str | None = None):
+    address = address or free_address()
+    return make_context(name, "tx-waco", address, controls, b"secret", make_metrics(None, 0, name))
+
+
+class Admin:
+    """An operator's requests to one member."""
+
+    def __init__(self, address: str, token: str) -> None:
+        self.address = address
+        self.token = token
+        self.http = urllib3.PoolManager(retries=False, timeout=10)
+
+    def __call__(self, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
+        response = self.http.request(
+            method,
+            f"http://{self.address}/admin/v1{path}",
+            body=None if body is None else json.dumps(body).encode(),
+            headers={"Authorization": f"Bearer {self.token}"},
+        )
+        return response.status, response.json()
+
+
+class Group:
+    """Control members in this process, each with its own links and data folder."""
+
+    def __init__(self, folder, names: list[str]) -> None:
+        self.folder = folder
+        self.address_by_name = {name: free_address() for name in names}
+        self.admin_by_name = {name: free_address() for name in names}
+        self.token = initialise(self.settings(names[0]), names[0])
+        self.context_by_name = {}
+        self.role_by_name = {}
+        self.clients = []
+
+    def settings(self, name: str):
+        made, findings = OPTIONS.load(
+            {
+                "data_folder": str(self.folder / name),
+                "admin": self.admin_by_name[name],
+                "members": self.address_by_name,
+                "server_timeout_ms": 800,
+                "entry_timeout_ms": 800,
+            }
+        )
+        assert findings == []
+        return made
+
+    def start(self, name: str) -> None:
+        context = make_process(name, [], self.address_by_name[name])
+        self.context_by_name[name] = context
+        self.role_by_name[name] = start_control(self.settings(name), context, QUICK)
+
+    def stop(self, name: str) -> None:
+        self.role_by_name.pop(name).stop()
+        self.context_by_name.pop(name).hub.stop()
+        eventlet.sleep(0.1)
+
+    def until(self, condition, seconds: float = WAIT_SECONDS) -> None:
+        until(condition, seconds)
+
+    def follower(self, name: str):
+        """Return a process that follows settings and view as an entry does."""
+        context, client = self.client(name)
+        node = EntryRecord(name, context.incarnation, context.link_address, "tx-waco")
+        follower = Follower()
+        client.follow(lambda: node, follower)
+        return context, follower, node
+
+    def leader(self) -> str | None:
+        for name, role in self.role_by_name.items():
+            if role.member.is_leader():
+                return name
+        return None
+
+    def state(self, name: str):
+        return self.role_by_name[name].member.state
+
+    def admin(self, name: str | None = None) -> Admin:
+        return Admin(self.admin_by_name[name or self.leader()], self.token)
+
+    def client(self, name: str):
+        context = make_process(name, list(self.address_by_name.values()))
+        self.clients.append(context)
+        return context, ControlClient(context)
+
+    def stop_all(self) -> None:
+        for name in list(self.role_by_name):
+            self.stop(name)
+        for context in self.clients:
+            context.hub.stop()
+
+
+@pytest.fixture
+def start_group(tmp_path):
+    started = []
+
+    def start(*names: str) -> Group:
+        group = Group(tmp_path, list(names))
+        started.append(group)
+        for name in names:
+            group.start(name)
+        until(group.leader)
+        until(lambda: group.state(group.leader()).configuration.operators.by_name)
+        return group
+
+    yield start
+    for group in started:
+        group.stop_all()
