--- /dev/null
+++ b/libs/control/tests/nodes_tests.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+from tarragonhall_control._nodes import NodeWatch
+from tarragonhall_model import EntryRecord, ServerKind, ServerRecord, View
+
+ENTRY = EntryRecord("one", "life-1", "127.0.0.1:1", "tx-waco")
+SERVER = ServerRecord("one", "life-1", "127.0.0.1:2", "tx-waco", ServerKind.MODEL, ["planner"])
+VIEW = View(1, [ENTRY], [SERVER])
+
+
+def watched_until(watch: NodeWatch, now: float) -> list:
+    """Check as often as the role does, up to a time, and return what expired last."""
+    expired = []
+    steps = round((now - watch._checked_at) / 0.25)
+    start = watch._checked_at
+    for step in range(1, steps + 1):
+        expired = watch.expired(VIEW, start + step * 0.25)
+    return expired
+
+
+def test_a_node_expires_after_its_own_timeout():
+    watch = NodeWatch(entry_timeout_s=4.0, server_timeout_s=3.0)
+    watch.grant_all(0.0)
+    watch.heard(ENTRY, 1.0)
+    watch.heard(SERVER, 1.0)
+    assert watched_until(watch, 4.0) == []
+    assert watched_until(watch, 4.25) == [SERVER]
+    assert watched_until(watch, 5.25) == [ENTRY, SERVER]
+
+
+def test_a_new_leader_gives_everyone_a_full_timeout():
+    # The lead changes. The new leader has heard nobody yet; without a grace it would empty the
+    # view at once, and all running work would be taken for lost.
+    watch = NodeWatch(4.0, 3.0)
+    watch.grant_all(100.0)
+    assert watched_until(watch, 103.0) == []
+    assert watched_until(watch, 103.25) == [SERVER]
+
+
+def test_a_leader_that_was_paused_does_not_blame_the_nodes():
+    # The leader's process stands still for ten seconds. The heartbeats of that time are unread.
+    watch = NodeWatch(4.0, 3.0)
+    watch.grant_all(0.0)
+    watch.expired(VIEW, 0.25)
+    assert watch.expired(VIEW, 10.25) == []
+    assert watched_until(watch, 13.0) == []
+
+
+def test_a_late_heartbeat_of_an_earlier_life_does_not_bring_it_back():
+    # The process restarted; a heartbeat of its earlier life was stuck in a queue. Announced again,
+    # it would draw work to a life that is gone.
+    watch = NodeWatch(4.0, 3.0)
+    later = EntryRecord("one", "life-2", "127.0.0.1:1", "tx-waco")
+    assert watch.announce(ENTRY, None)
+    assert watch.announce(later, ENTRY)
+    assert not watch.announce(ENTRY, later)
+    assert not watch.announce(later, later)
+
+
+def test_a_node_that_left_is_not_brought_back_by_a_heartbeat_on_its_way():
+    watch = NodeWatch(4.0, 3.0)
+    watch.retire(ENTRY)
+    assert not watch.announce(ENTRY, None)
+    assert watch.announce(SERVER, None)
--- a/libs/state/tarragonhall_state/_calls.py
+++ b/libs/state/tarragonhall_state/_calls.py
@@ -123,8 +123,9 @@
             self._take_answer(program, call, attempt, command.answer)
         else:
             self._take_refusal(program, call, attempt, command.refusal)
-        if call.state is CallState.CLOSED:
-            self._release_waiting(program, call)
+        if call.state is not CallState.CLOSED:
+            return Refusal(RefusalCode.CONFLICT, "this attempt was proved not to have run")
+        self._release_waiting(program, call)
         self._programs.touch(program, now_ms)
         return CallClosed(call.answer, call.refusal)
 
--- /dev/null
+++ b/libs/state/tests/calls_tests.py
@@ -0,0 +1,347 @@
+from __future__ import annotations
+
+from tarragonhall_model import (
+    AbandonCall,
+    AnnounceEntry,
+    Answer,
+    AttemptId,
+    AttemptRecorded,
+    Budget,
+    CallAbandoned,
+    CallClosed,
+    CallKind,
+    CallOpened,
+    CallRunning,
+    CallSpec,
+    CloseCall,
+    Command,
+    DisproveAttempt,
+    EndProgram,
+    EntryRecord,
+    Execution,
+    ExpirePrograms,
+    OpenCall,
+    OpenProgram,
+    ProgramInfo,
+    ProgramStatus,
+    Refusal,
+    RefusalCode,
+    StartAttempt,
+    Usage,
+    encode,
+)
+from tarragonhall_state import KEEP_ENDED_MS, MAX_HISTORY_BYTES, ControlState
+
+NOW_MS = 1_000_000
+
+
+class Journal:
+    """Commits commands one after the other, each under a request id of its own."""
+
+    def __init__(self, budget: Budget | None = None, idle_seconds: int = 30) -> None:
+        self.state = ControlState()
+        self.now_ms = NOW_MS
+        self.count = 0
+        self.open_program("prog-1", budget=budget or Budget(1_000, 10, 3_600), idle=idle_seconds)
+
+    def __call__(self, body: object) -> object:
+        self.count += 1
+        return self.state.apply(self.count, encode(Command(f"req-{self.count}", self.now_ms, body)))
+
+    def open_program(self, program_id: str, budget=None, idle: int = 30, **more) -> object:
+        return self(OpenProgram(program_id, "school", budget or Budget(), idle, **more))
+
+    def open(self, seq: int = 1, program_id: str = "prog-1", entry="entry-1", **more) -> object:
+        spec = {"kind": CallKind.MODEL, "target": "planner", "body": "b", "max_tokens": 100} | more
+        return self(OpenCall(program_id, "school", CallSpec(seq, **spec), entry))
+
+    def start(self, seq: int = 1, number: int = 1, program_id="prog-1", entry="entry-1") -> object:
+        return self(StartAttempt(attempt(seq, number, program_id), "school", entry))
+
+    def answer(self, seq: int = 1, number: int = 1, program_id="prog-1", tokens=40) -> object:
+        done = Answer("done", Usage(generated=tokens))
+        return self(CloseCall(attempt(seq, number, program_id), answer=done))
+
+    def refuse(self, execution: Execution, seq: int = 1, number: int = 1) -> object:
+        refusal = Refusal(RefusalCode.SERVER_FAILED, "failed", execution)
+        return self(CloseCall(attempt(seq, number), refusal=refusal))
+
+    def spent(self) -> tuple[int, int, int, int]:
+        spent = self.state.program("prog-1", "school").info.spent
+        return (spent.tokens, spent.calls, spent.reserved_tokens, spent.reserved_calls)
+
+    def restart(self) -> None:
+        again = ControlState()
+        again.restore(self.state.snapshot())
+        self.state = again
+
+
+def attempt(seq: int = 1, number: int = 1, program_id: str = "prog-1") -> AttemptId:
+    return AttemptId(program_id, seq, number, "engine-1", "life-1")
+
+
+def code_of(result: object) -> RefusalCode:
+    assert isinstance(result, Refusal), result
+    return result.code
+
+
+def test_a_call_opens_only_once_the_one_before_has_ended():
+    # A caller sends two calls at once, and they reach two entries. Run side by side, the second
+    # would not know the first one's answer.
+    journal = Journal()
+    journal.open(1)
+    early = journal.open(2)
+    assert code_of(early) is RefusalCode.CONFLICT
+    assert early.retry_after_ms is not None
+    journal.start(1)
+    journal.answer(1)
+    assert isinstance(journal.open(2), CallOpened)
+
+
+def test_a_resent_call_is_told_what_became_of_it_and_another_body_is_a_conflict():
+    journal = Journal()
+    journal.open(1)
+    journal.start(1)
+    assert journal.open(1, entry="entry-2") == CallRunning("entry-1", attempt())
+    assert code_of(journal.open(1, body="other")) is RefusalCode.CONFLICT
+    journal.answer(1)
+    assert journal.open(1, timeout_ms=5, stream=True).answer.text == "done"
+
+
+def test_a_call_whose_entry_is_gone_passes_to_the_one_that_asks():
+    # An entry opens a call and dies before it dispatches anything. The caller resends through
+    # another entry and must not wait for the dead one.
+    journal = Journal()
+    for name in ("entry-1", "entry-2"):
+        journal(AnnounceEntry(EntryRecord(name, "life", "127.0.0.1:1", "tx-waco")))
+    journal.open(1, entry="entry-1")
+    assert journal.open(1, entry="entry-2") == CallRunning("entry-1")
+    journal.state._views.remove_entry("entry-1", "life", 0)
+    assert isinstance(journal.open(1, entry="entry-2"), CallOpened)
+    assert isinstance(journal.start(1, entry="entry-2"), AttemptRecorded)
+
+
+def test_of_two_entries_that_start_the_same_call_one_is_told_that_it_runs():
+    # Both entries believe that the call is theirs, after one of them was paused. Were both
+    # attempts recorded, a district would be billed twice.
+    journal = Journal()
+    journal.open(1, repeatable=False)
+    assert isinstance(journal.start(1, entry="entry-1"), AttemptRecorded)
+    assert journal.start(1, entry="entry-2") == CallRunning("entry-1", attempt())
+    assert journal.start(1, number=2, entry="entry-2") == CallRunning("entry-1", attempt())
+
+
+def test_what_must_not_repeat_gets_a_second_attempt_only_after_proof():
+    # The server with the first attempt goes silent. Only the sidecar's tombstone shows that the
+    # call never started there; without it a second attempt could send a second van.
+    journal = Journal()
+    journal.open(1, repeatable=False)
+    journal.start(1)
+    assert isinstance(journal.start(1, number=2), CallRunning)
+    assert journal(DisproveAttempt(attempt())).attempts == 1
+    assert isinstance(journal.start(1, number=2), AttemptRecorded)
+
+
+def test_an_attempt_number_is_never_used_again_after_the_call_was_abandoned():
+    # A sidecar keeps a tombstone for the first attempt. The caller gives up and sends the call
+    # again. Under the same number, the tombstone would refuse it for ever.
+    journal = Journal()
+    journal.open(1)
+    journal.start(1)
+    journal(DisproveAttempt(attempt()))
+    assert journal(AbandonCall("prog-1", 1, "school", "entry-1")) == CallAbandoned()
+    assert journal.spent() == (0, 0, 0, 0)
+    assert journal.open(1, body="changed").attempts == 1
+    assert code_of(journal.start(1, number=3)) is RefusalCode.CONFLICT
+    assert isinstance(journal.start(1, number=2), AttemptRecorded)
+
+
+def test_a_call_that_may_run_is_not_abandoned():
+    journal = Journal()
+    journal.open(1)
+    journal.start(1)
+    abandon = AbandonCall("prog-1", 1, "school", "entry-1")
+    assert journal(abandon) == CallRunning("entry-1", attempt())
+
+
+def test_the_first_answer_wins_and_a_late_one_replaces_unknown():
+    # A service acts and then hangs. Its caller is told that nobody knows; the answer arrives
+    # minutes later and must be found under the call from then on.
+    journal = Journal()
+    journal.open(1)
+    journal.start(1)
+    assert journal.refuse(Execution.UNKNOWN).refusal.execution is Execution.UNKNOWN
+    assert journal.spent() == (0, 0, 100, 1)
+    assert journal.answer(1).answer.text == "done"
+    assert journal.spent() == (40, 1, 0, 0)
+    second = Answer("other", Usage(generated=90))
+    assert journal(CloseCall(attempt(), answer=second)).answer.text == "done"
+    assert journal.spent() == (40, 1, 0, 0)
+
+
+def test_not_run_is_not_said_while_another_attempt_may_have_run():
+    # Two attempts of a repeatable call: one vanished with its server, the other was refused. The
+    # refusal says "not run", which holds for that attempt alone.
+    journal = Journal()
+    journal.open(1)
+    journal.start(1, 1)
+    journal.start(1, 2)
+    closed = journal.refuse(Execution.NOT_RUN, number=2)
+    assert closed.refusal.execution is Execution.UNKNOWN
+
+
+def test_an_answer_of_a_disproved_attempt_closes_nothing():
+    # A sidecar proved that an attempt never ran, and then an answer arrives under its number,
+    # crossed or forged. It was taken with an empty result: the entry had neither an answer nor a
+    # refusal to give to its caller.
+    journal = Journal()
+    journal.open(1)
+    journal.start(1)
+    journal(DisproveAttempt(attempt()))
+    assert code_of(journal.answer(1)) is RefusalCode.CONFLICT
+    assert isinstance(journal.start(1, number=2), AttemptRecorded)
+
+
+def test_an_answer_from_another_life_of_the_server_is_refused():
+    # The sidecar restarted; an answer comes under the attempt's number from the later life, which
+    # cannot know the attempt. Taken, it would be the answer to something else.
+    journal = Journal()
+    journal.open(1)
+    journal.start(1)
+    stranger = AttemptId("prog-1", 1, 1, "engine-1", "life-2")
+    assert code_of(journal(CloseCall(stranger, answer=Answer("x")))) is RefusalCode.CONFLICT
+
+
+def test_sub_agents_race_for_the_last_tokens_of_their_root():
+    # Two sub-agents open a call at the same moment, and the budget allows one of them. The other
+    # is told to come back, since the reservation may be given back.
+    journal = Journal(Budget(150, 10, 3_600))
+    for child in ("prog-2", "prog-3"):
+        assert isinstance(journal.open_program(child, parent="prog-1"), ProgramInfo)
+    assert isinstance(journal.open(1, "prog-2"), CallOpened)
+    refused = journal.open(1, "prog-3")
+    assert code_of(refused) is RefusalCode.BUDGET_EXHAUSTED
+    assert refused.retry_after_ms is not None
+    journal.start(1, program_id="prog-2")
+    journal.answer(1, program_id="prog-2", tokens=100)
+    last = journal.open(1, "prog-3")
+    assert code_of(last) is RefusalCode.BUDGET_EXHAUSTED
+    assert last.retry_after_ms is None
+
+
+def test_a_loop_without_end_is_stopped_by_the_budget_of_calls():
+    journal = Journal(Budget(1_000_000, 3, 3_600))
+    for seq in (1, 2, 3):
+        journal.open(seq)
+        journal.start(seq)
+        journal.answer(seq, tokens=1)
+    assert code_of(journal.open(4)) is RefusalCode.BUDGET_EXHAUSTED
+
+
+def test_more_tokens_than_reserved_are_counted_and_stop_the_next_call():
+    # An engine ignores max_tokens. What it generated was used, so it counts; the calls after it
+    # have to make do with the rest.
+    journal = Journal(Budget(200, 10, 3_600))
+    journal.open(1)
+    journal.start(1)
+    journal.answer(1, tokens=150)
+    assert journal.spent() == (150, 1, 0, 0)
+    assert code_of(journal.open(2)) is RefusalCode.BUDGET_EXHAUSTED
+
+
+def test_a_history_has_a_bound():
+    journal = Journal()
+    refused = journal.open(1, body="x" * (MAX_HISTORY_BYTES + 1))
+    assert code_of(refused) is RefusalCode.BUDGET_EXHAUSTED
+
+
+def test_ending_a_program_ends_its_sub_agents_and_their_unstarted_calls():
+    # A caller cancels while one sub-agent waits for a server and another runs. The waiting one
+    # must never be dispatched; the running one's answer is still recorded.
+    journal = Journal()
+    journal.open_program("prog-2", parent="prog-1")
+    journal.open_program("prog-3", parent="prog-2")
+    journal.open(1, "prog-2")
+    journal.open(1, "prog-3")
+    journal.start(1, program_id="prog-3")
+    journal(EndProgram("prog-1", "school", ProgramStatus.CANCELLED))
+    for program_id in ("prog-2", "prog-3"):
+        info = journal.state.program(program_id, "school").info
+        assert info.status is ProgramStatus.CANCELLED
+    started = journal.start(1, program_id="prog-2")
+    assert started.refusal.execution is Execution.NOT_RUN
+    assert code_of(journal.start(1, number=2, program_id="prog-3")) is RefusalCode.PROGRAM_ENDED
+    assert journal.answer(1, program_id="prog-3").answer.text == "done"
+    assert journal.spent() == (40, 1, 0, 0)
+
+
+def test_a_program_whose_process_died_expires_and_is_dropped_later():
+    # A program's process dies between two turns. Nobody ends the program, and the engine would
+    # hold its memory for ever.
+    journal = Journal(idle_seconds=30)
+    assert journal.state.next_due_ms() == NOW_MS + 30_000
+    journal.now_ms += 29_000
+    assert journal(ExpirePrograms()).program_ids == []
+    journal.now_ms += 1_000
+    assert journal(ExpirePrograms()).program_ids == ["prog-1"]
+    assert journal.state.living(["prog-1"]).program_ids == []
+    journal.restart()
+    journal.now_ms += KEEP_ENDED_MS
+    journal(ExpirePrograms())
+    assert code_of(journal.state.program("prog-1", "school")) is RefusalCode.NOT_FOUND
+    assert journal.state.next_due_ms() is None
+
+
+def test_a_program_that_waits_for_a_slow_sub_agent_is_not_idle():
+    # A tool of a sub-agent takes longer than the parent's idle time. Expired, the parent would
+    # take the running sub-agent with it.
+    journal = Journal(idle_seconds=30)
+    journal.open_program("prog-2", parent="prog-1", idle=30)
+    journal.open(1, "prog-2", timeout_ms=120_000)
+    journal.start(1, program_id="prog-2")
+    journal.now_ms += 100_000
+    assert journal(ExpirePrograms()).program_ids == []
+    journal.answer(1, program_id="prog-2")
+    journal.now_ms += 31_000
+    assert journal(ExpirePrograms()).program_ids == ["prog-2"]
+
+
+def test_the_budget_of_time_ends_a_program_that_is_busy():
+    journal = Journal(Budget(1_000, 10, 60), idle_seconds=30)
+    journal.open(1, timeout_ms=600_000)
+    journal.now_ms += 60_000
+    assert code_of(journal.start(1)) is RefusalCode.BUDGET_EXHAUSTED
+    assert journal(ExpirePrograms()).program_ids == ["prog-1"]
+
+
+def test_one_idempotency_key_opens_one_program_for_each_organisation():
+    # The answer to an open is lost and the caller sends it again, through another entry, which
+    # draws another program id.
+    journal = Journal()
+    first = journal.open_program("prog-2", idempotency_key="k")
+    assert journal.open_program("prog-3", idempotency_key="k") == first
+    other = OpenProgram("prog-4", "winery", Budget(), 30, idempotency_key="k")
+    assert journal(other).program_id == "prog-4"
+    changed = journal.open_program("prog-5", idle=31, idempotency_key="k")
+    assert code_of(changed) is RefusalCode.CONFLICT
+
+
+def test_a_leaders_clock_that_is_behind_does_not_turn_time_back():
+    # The next leader's clock is an hour slow. Were its time taken as it is, budgets of time would
+    # grow and programs expire an hour late.
+    journal = Journal(idle_seconds=30)
+    journal.now_ms += 30_000
+    journal.open_program("prog-2", idle=3_000)
+    journal.now_ms -= 3_600_000
+    assert journal(ExpirePrograms()).program_ids == ["prog-1"]
+
+
+def test_a_closed_call_is_told_to_a_query():
+    journal = Journal()
+    journal.open(1)
+    assert isinstance(journal.state.call("prog-1", 1, "school"), CallOpened)
+    journal.start(1)
+    assert journal.state.call("prog-1", 1, "school") == CallRunning("entry-1", attempt())
+    journal.answer(1)
+    assert isinstance(journal.state.call("prog-1", 1, "school"), CallClosed)
+    assert code_of(journal.state.call("prog-1", 1, "winery")) is RefusalCode.NOT_FOUND
--- /dev/null
+++ b/libs/state/tests/configuration_tests.py
@@ -0,0 +1,210 @@
+from __future__ import annotations
+
+import pytest
+from tarragonhall_model import Command, RefusalCode, encode
+from tarragonhall_state import (
+    DELTA_REVISIONS,
+    ChangeAccepted,
+    ChangeRefused,
+    ChangeSettings,
+    ControlState,
+    CreateFirstOperator,
+    CreateOperator,
+    CreateOrganisation,
+    Follower,
+    GrantKey,
+    ImportSettings,
+    OperatorRole,
+    RemoveOperator,
+    RollBack,
+    WithdrawKey,
+    key_id_of,
+)
+
+NOW_MS = 1_000_000
+KEY_HASH = "ab" * 32
+
+
+class Operators:
+    """Commits commands, each under a request id of its own."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+        self.now_ms = NOW_MS
+        self.count = 0
+        self(CreateOrganisation("school", "/texas/school", {}, "ana"))
+
+    def __call__(self, body: object) -> object:
+        self.count += 1
+        data = encode(Command(f"req-{self.count}", self.now_ms, body))
+        return self.state.apply(self.count, data)
+
+    def set(self, path: str, values: dict, unset: tuple = ()) -> object:
+        revision = self.state.revision
+        return self(ChangeSettings(path, values, list(unset), "ana", revision))
+
+    def policy(self):
+        return self.state.configuration.organisation("school")
+
+
+def findings_of(result: object) -> dict[str, str]:
+    assert isinstance(result, ChangeRefused), result
+    return {finding.place: finding.message for finding in result.findings}
+
+
+def test_values_are_inherited_and_say_where_they_come_from():
+    operators = Operators()
+    operators.set("/", {"weight": 2, "rate.burst": 30})
+    operators.set("/texas", {"rate.burst": 40})
+    assert (operators.policy().weight, operators.policy().rate.burst) == (2.0, 40.0)
+    tree = operators.state.configuration.tree
+    origins = {one.name: one.source for one in tree.explain("/texas/school")}
+    assert origins["weight"] == "/"
+    assert origins["rate.burst"] == "/texas"
+    assert origins["idle_seconds"] == "default"
+    levels = [(one.path, one.in_force) for one in tree.levels("/texas/school", "rate.burst")]
+    assert levels == [("/texas", True), ("/", False), ("default", False)]
+
+
+def test_all_findings_come_at_once_with_their_places():
+    operators = Operators()
+    change = ChangeSettings(
+        "/texas",
+        {"rate.burts": 3, "weight": -1, "enabled": "yes", "model.planner.version": "v1"},
+        ["rate.per_secnd"],
+        "ana",
+        operators.state.revision,
+    )
+    findings = findings_of(operators(change))
+    assert findings == {
+        "/set/rate.burts": "unknown name 'rate.burts'; did you mean 'rate.burst'?",
+        "/set/weight": "expected a number from 0.01 to 1000.0, got -1",
+        "/set/enabled": "expected true or false, got 'yes'",
+        "/set/model.planner.version": "models are set at the root path / only",
+        "/unset/0": "unknown name 'rate.per_secnd'; did you mean 'rate.per_second'?",
+    }
+
+
+@pytest.mark.parametrize("path", ["", "texas", "/Texas", "/texas/", "//", "/a" * 9, "/a b"])
+def test_a_path_that_is_none_is_refused(path):
+    operators = Operators()
+    revision = operators.state.revision
+    assert "/path" in findings_of(operators(ChangeSettings(path, {}, [], "ana", revision)))
+
+
+def test_a_dry_run_tells_the_change_and_makes_none():
+    operators = Operators()
+    before = operators.state.snapshot()
+    change = ChangeSettings("/texas", {"weight": 3}, [], "ana", operators.state.revision)
+    planned = operators.state.configuration.preview(change)
+    assert [(one.name, one.old, one.new) for one in planned.changes] == [("weight", None, 3.0)]
+    assert operators.state.snapshot() == before
+
+
+def test_a_rollback_is_a_new_change_and_leaves_other_subtrees_alone():
+    operators = Operators()
+    operators.set("/texas", {"weight": 3})
+    mark = operators.state.revision
+    operators.set("/texas", {"weight": 4, "idle_seconds": 60})
+    operators.set("/ar", {"weight": 9})
+    rolled = operators(RollBack("/texas", mark, "ana", operators.state.revision))
+    assert isinstance(rolled, ChangeAccepted)
+    assert rolled.revision == mark + 3
+    tree = operators.state.configuration.tree
+    assert tree.export("/") == {"/ar": {"weight": 9.0}, "/texas": {"weight": 3.0}}
+    kinds = [entry.kind for entry in tree.changes_within("/texas")]
+    assert kinds == ["CreateOrganisation", "ChangeSettings", "ChangeSettings", "RollBack"]
+
+
+def test_an_import_outside_its_subtree_is_refused_with_pointers():
+    operators = Operators()
+    nodes = {"/ar": {"weight": 1}, "/texas/a": {"wieght": 1}, "/texas/b": 5}
+    change = ImportSettings("/texas", nodes, "ana", operators.state.revision)
+    findings = findings_of(operators(change))
+    assert findings == {
+        "/nodes/~1ar": "is not within /texas",
+        "/nodes/~1texas~1a/wieght": "unknown name 'wieght'; did you mean 'weight'?",
+        "/nodes/~1texas~1b": "expected an object, got 5",
+    }
+
+
+def test_a_replaced_key_works_on_for_the_overlap_only():
+    # A key is rotated while its callers still hold the old one. Ended at once, every caller would
+    # be refused until its settings are changed; never ended, the old key would leak on.
+    operators = Operators()
+    operators(GrantKey(KEY_HASH, "school", "ana"))
+    successor = "cd" * 32
+    replaces = key_id_of(KEY_HASH)
+    operators(GrantKey(successor, "school", "ana", replaces=replaces, overlap_seconds=60))
+    keys = operators.state.configuration.keys
+    assert keys.policy(KEY_HASH).expires_at_ms == NOW_MS + 60_000
+    assert keys.policy(successor).expires_at_ms is None
+
+
+def test_a_withdrawn_key_cannot_be_granted_again():
+    # A key that leaked was withdrawn. A script that grants the same hash again must not bring it
+    # back.
+    operators = Operators()
+    operators(GrantKey(KEY_HASH, "school", "ana"))
+    operators(WithdrawKey(key_id_of(KEY_HASH), "ana"))
+    assert "/key_hash" in findings_of(operators(GrantKey(KEY_HASH, "school", "ana")))
+    assert operators.state.configuration.keys.policy(KEY_HASH) is None
+
+
+def test_only_hashes_of_keys_and_tokens_are_in_a_snapshot():
+    operators = Operators()
+    operators(GrantKey(KEY_HASH, "school", "ana"))
+    assert KEY_HASH.encode() in operators.state.snapshot()
+    assert b"thk_" not in operators.state.snapshot()
+
+
+def test_the_first_operator_is_made_once():
+    # Each founding member was initialised by mistake, and every one proposes a first operator.
+    # The second one must not get in beside the first.
+    operators = Operators()
+    assert isinstance(operators(CreateFirstOperator("root", "ab" * 32)), ChangeAccepted)
+    assert isinstance(operators(CreateFirstOperator("root", "ab" * 32)), ChangeAccepted)
+    assert isinstance(operators(CreateFirstOperator("root", "cd" * 32)), ChangeRefused)
+
+
+def test_an_operator_reaches_its_subtree_in_its_role_alone():
+    operators = Operators()
+    operators(CreateFirstOperator("root", "ab" * 32))
+    operators(CreateOperator("ana", "cd" * 32, "/texas", "editor", "root"))
+    ana = operators.state.configuration.operators.with_token("cd" * 32)
+    assert ana.may(OperatorRole.EDITOR, "/texas/school")
+    assert ana.may(OperatorRole.READER, "/texas")
+    assert not ana.may(OperatorRole.ADMIN, "/texas")
+    assert not ana.may(OperatorRole.READER, "/")
+    assert not ana.may(OperatorRole.READER, "/texas-2")
+
+
+def test_the_last_admin_over_everything_stays():
+    # An operator removes its own token. With no admin left, nobody could ever change anything.
+    operators = Operators()
+    operators(CreateFirstOperator("root", "ab" * 32))
+    refused = operators(RemoveOperator("root", "root"))
+    assert refused.code is RefusalCode.CONFLICT
+
+
+def test_a_model_is_set_at_the_root_and_goes_with_its_version():
+    operators = Operators()
+    operators.set("/", {"model.plan.8b.version": "v1", "model.plan.8b.max_tokens": 64})
+    follower = Follower()
+    follower.apply_policy(operators.state.policy_since(0))
+    assert follower.model_by_name["plan.8b"].max_tokens == 64
+    operators.set("/", {}, ("model.plan.8b.version",))
+    follower.apply_policy(operators.state.policy_since(follower.settings_revision))
+    assert follower.model_by_name == {}
+
+
+def test_one_far_behind_gets_the_whole_and_one_near_gets_a_delta():
+    # A process returns after more changes than deltas are kept for.
+    operators = Operators()
+    for number in range(DELTA_REVISIONS + 5):
+        operators.set("/texas", {"weight": 1 + number % 50})
+    assert operators.state.policy_since(1).full
+    assert not operators.state.policy_since(operators.state.revision - 5).full
+    follower = Follower()
+    follower.apply_policy(operators.state.policy_since(0))
+    assert follower.organisation_by_id["school"] == operators.policy()
--- /dev/null
+++ b/libs/state/tests/journal_properties_tests.py
@@ -0,0 +1,299 @@
+"""Properties of the program journal under any order of commands, resends and restarts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from tarragonhall_model import (
+    AbandonCall,
+    Answer,
+    AttemptId,
+    AttemptRecorded,
+    Budget,
+    CallClosed,
+    CallKind,
+    CallOpened,
+    CallSpec,
+    CloseCall,
+    Command,
+    DisproveAttempt,
+    EndProgram,
+    Execution,
+    ExpirePrograms,
+    OpenCall,
+    OpenProgram,
+    ProgramInfo,
+    ProgramStatus,
+    Refusal,
+    RefusalCode,
+    StartAttempt,
+    Usage,
+    encode,
+)
+from tarragonhall_state import JOURNAL_WINDOW_MS, ControlState
+from tarragonhall_state._program import AttemptState, CallState, Program
+
+ORGS = ("school", "winery")
+PROGRAMS = ("prog-1", "prog-2", "prog-3", "prog-4")
+ENTRIES = ("entry-1", "entry-2")
+MAX_TOKENS = 100
+
+ACTIONS = ("open", "open", "start", "start", "answer", "answer", "refuse", "disprove", "abandon")
+
+
+@dataclass(slots=True, frozen=True)
+class Choices:
+    """What one action may vary in."""
+
+    action: str
+    shift: int
+    entry_id: str
+    body: str
+    repeatable: bool
+    used: int
+    execution: Execution
+
+
+programs = st.sampled_from(PROGRAMS)
+orgs = st.sampled_from(ORGS)
+# Chooses among the programs or attempts that there are at the time.
+picks = st.integers(0, 11)
+# Ends must be rare, or no program gets far.
+rarely = st.integers(0, 5)
+choices = st.builds(
+    Choices,
+    action=st.sampled_from(ACTIONS),
+    shift=st.sampled_from((0, 0, 0, 0, 0, -1, 1)),
+    entry_id=st.sampled_from(ENTRIES),
+    body=st.sampled_from(("a", "a", "b")),
+    repeatable=st.booleans(),
+    used=st.integers(0, MAX_TOKENS),
+    execution=st.sampled_from(Execution),
+)
+NOBODY = Program("prog-0", "prog-0", "school", 1, 0, 0)
+
+
+def attempt_of(program_id: str, seq: int, number: int) -> AttemptId:
+    return AttemptId(program_id, seq, number, f"engine-{number}", "life-1")
+
+
+class JournalMachine(RuleBasedStateMachine):
+    """Applies every command to two members, one of which is restored from snapshots."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.steady = ControlState()
+        self.restarted = ControlState()
+        self.now_ms = 1_000
+        self.sent: list[tuple[str, object, int]] = []
+
+    @initialize()
+    def open_first(self) -> None:
+        self.commit(OpenProgram("prog-1", "school", Budget(650, 8, 60), 20))
+
+    def commit(self, body: object) -> object:
+        request_id = f"req-{len(self.sent)}"
+        self.sent.append((request_id, body, self.now_ms))
+        return self.apply(request_id, body)
+
+    def apply(self, request_id: str, body: object) -> object:
+        data = encode(Command(request_id, self.now_ms, body))
+        result = self.steady.apply(1, data)
+        assert self.restarted.apply(1, data) == result
+        return result
+
+    def all_programs(self) -> dict[str, Program]:
+        return self.steady._journals[0]._programs.by_id
+
+    def pick_program(self, pick: int, with_open_call: bool = False) -> Program:
+        """Return a program, an open one rather than an ended one."""
+        known = list(self.all_programs().values())
+        living = [program for program in known if program.is_open]
+        if with_open_call:
+            busy = [one for one in known if one.calls and one.calls[-1].state is CallState.OPEN]
+            living = busy or living
+        chosen = living or known or [NOBODY]
+        return chosen[pick % len(chosen)]
+
+    def pick_attempt(self, pick: int) -> AttemptId:
+        """Return a recorded attempt, or one that was never recorded where there is none."""
+        recorded = [
+            attempt.attempt_id
+            for program in self.all_programs().values()
+            for call in program.calls
+            for attempt in call.attempts
+        ]
+        return recorded[pick % len(recorded)] if recorded else attempt_of("prog-1", 1, 1)
+
+    @rule(program_id=programs, org_id=orgs, parent=st.none() | programs)
+    def open_program(self, program_id, org_id, parent) -> None:
+        result = self.commit(OpenProgram(program_id, org_id, Budget(650, 8, 60), 20, parent=parent))
+        if isinstance(result, ProgramInfo):
+            assert (result.org_id, result.parent) == (org_id, parent)
+
+    @rule(pick=picks, choices=choices)
+    def act(self, pick, choices) -> None:
+        """Do one thing to a call. One rule for all, so that each run has all of them."""
+        match choices.action:
+            case "open":
+                self.open_call(pick, choices)
+            case "start":
+                self.start_attempt(pick, choices)
+            case "answer":
+                self.answer(pick, choices)
+            case "refuse":
+                self.refuse(pick, choices)
+            case "disprove":
+                self.commit(DisproveAttempt(self.pick_attempt(pick)))
+            case "abandon":
+                self.abandon(pick, choices)
+
+    def open_call(self, pick: int, choices: Choices) -> None:
+        program = self.pick_program(pick)
+        program_id = program.program_id
+        seq = program.next_seq() + choices.shift
+        body = f"{program_id} {choices.body}"
+        spec = CallSpec(seq, CallKind.MODEL, "planner", body, choices.repeatable, MAX_TOKENS)
+        result = self.commit(OpenCall(program_id, program.org_id, spec, choices.entry_id))
+        if not isinstance(result, CallOpened):
+            return
+        for turn in result.history:
+            assert turn.prompt.startswith(program_id)
+            assert turn.answer.startswith(program_id)
+
+    def start_attempt(self, pick: int, choices: Choices) -> None:
+        program = self.pick_program(pick, with_open_call=True)
+        was_open = program.is_open
+        recorded = len(program.calls[-1].attempts) if program.calls else 0
+        number = recorded + 1 + choices.shift
+        attempt = attempt_of(program.program_id, max(1, len(program.calls)), number)
+        result = self.commit(StartAttempt(attempt, program.org_id, choices.entry_id))
+        if isinstance(result, AttemptRecorded):
+            assert was_open
+            assert choices.shift == 0
+
+    def answer(self, pick: int, choices: Choices) -> None:
+        attempt = self.pick_attempt(pick)
+        done = Answer(f"{attempt.program_id} {attempt.seq}", Usage(generated=choices.used))
+        result = self.commit(CloseCall(attempt, answer=done))
+        if isinstance(result, CallClosed):
+            assert (result.answer is None) != (result.refusal is None)
+
+    def refuse(self, pick: int, choices: Choices) -> None:
+        refusal = Refusal(RefusalCode.SERVER_FAILED, "failed", choices.execution)
+        attempt = self.pick_attempt(pick)
+        if choices.shift:
+            program = self.pick_program(pick, with_open_call=True)
+            attempt = attempt_of(program.program_id, max(1, len(program.calls)), 0)
+            refusal = Refusal(RefusalCode.DEADLINE, "too late")
+        self.commit(CloseCall(attempt, refusal=refusal))
+
+    def abandon(self, pick: int, choices: Choices) -> None:
+        program = self.pick_program(pick, with_open_call=True)
+        seq = max(1, len(program.calls))
+        body = AbandonCall(program.program_id, seq, program.org_id, choices.entry_id)
+        self.commit(body)
+
+    @rule(pick=picks, chance=rarely)
+    def end(self, pick, chance) -> None:
+        if chance:
+            return
+        program = self.pick_program(pick)
+        self.commit(EndProgram(program.program_id, program.org_id, ProgramStatus.FINISHED))
+
+    @rule(pick=picks)
+    def another_organisation_intrudes(self, pick) -> None:
+        program = self.pick_program(pick)
+        before = encode(program)
+        other = ORGS[1 - ORGS.index(program.org_id)]
+        seq = max(1, len(program.calls))
+        spec = CallSpec(seq, CallKind.MODEL, "planner", "a", True, MAX_TOKENS)
+        attempt = attempt_of(program.program_id, seq, 1)
+        tries = (
+            OpenCall(program.program_id, other, spec, "entry-1"),
+            StartAttempt(attempt, other, "entry-1"),
+            AbandonCall(program.program_id, seq, other, "entry-1"),
+            EndProgram(program.program_id, other, ProgramStatus.CANCELLED),
+        )
+        assert isinstance(self.commit(tries[pick % len(tries)]), Refusal)
+        assert encode(program) == before
+
+    @rule(seconds=st.sampled_from((1, 5, 15, 30, 3_700)), chance=rarely)
+    def wait_and_expire(self, seconds, chance) -> None:
+        if chance:
+            seconds = 1
+        self.now_ms += seconds * 1_000
+        self.commit(ExpirePrograms())
+
+    @rule(data=st.data())
+    def resend(self, data) -> None:
+        before = self.steady.snapshot()
+        oldest_ms = self.now_ms - JOURNAL_WINDOW_MS
+        within_window = [one for one in self.sent[-20:] if one[2] >= oldest_ms]
+        if not within_window:
+            return
+        request_id, body, _ = data.draw(st.sampled_from(within_window))
+        self.apply(request_id, body)
+        assert self.steady.snapshot() == before
+
+    @rule()
+    def restart(self) -> None:
+        again = ControlState()
+        again.restore(self.restarted.snapshot())
+        self.restarted = again
+
+    @invariant()
+    def calls_are_in_order(self) -> None:
+        for program in self.all_programs().values():
+            for call in program.calls[:-1]:
+                assert call.state is CallState.CLOSED
+            assert [call.spec.seq for call in program.calls] == list(
+                range(1, len(program.calls) + 1)
+            )
+
+    @invariant()
+    def no_budget_is_exceeded(self) -> None:
+        reserved_by_root: dict[str, int] = {}
+        for program in self.all_programs().values():
+            reserved_by_root.setdefault(program.root_id, 0)
+            for call in program.calls:
+                held = [call.holds_reservation, *(one.holds_reservation for one in call.attempts)]
+                reserved_by_root[program.root_id] += sum(held)
+        for program in self.all_programs().values():
+            purse = program.purse
+            if purse is None:
+                continue
+            assert purse.reserved_calls == reserved_by_root[program.program_id]
+            assert purse.reserved_tokens == MAX_TOKENS * purse.reserved_calls
+            assert purse.tokens + purse.reserved_tokens <= purse.budget.tokens
+            assert purse.calls + purse.reserved_calls <= purse.budget.calls
+
+    @invariant()
+    def what_must_not_repeat_has_one_attempt_at_most(self) -> None:
+        for program in self.all_programs().values():
+            for call in program.calls:
+                undisproved = [
+                    one for one in call.attempts if one.state is not AttemptState.DISPROVED
+                ]
+                assert call.spec.repeatable or len(undisproved) <= 1
+                if call.has_run_nowhere():
+                    assert undisproved == []
+
+    @invariant()
+    def each_program_has_its_own_answers(self) -> None:
+        for program in self.all_programs().values():
+            for call in program.calls:
+                if call.answer is not None:
+                    assert call.answer.text == f"{program.program_id} {call.spec.seq}"
+            other = ORGS[1 - ORGS.index(program.org_id)]
+            assert isinstance(self.steady.program(program.program_id, other), Refusal)
+
+    def teardown(self) -> None:
+        assert self.steady.snapshot() == self.restarted.snapshot()
+
+
+JournalMachine.TestCase.settings = settings(max_examples=100, stateful_step_count=40, deadline=None)
+test_the_journal_keeps_its_promises_under_any_commands = JournalMachine.TestCase
--- /dev/null
+++ b/libs/state/tests/quarantine_tests.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+from tarragonhall_model import AttemptId, ReportCrash
+from tarragonhall_state._quarantine import HELD_MS, PROVEN_MS, SUSPECT_MS, Quarantine
+
+NOW_MS = 1_000_000
+
+
+def crash(quarantine: Quarantine, *fingerprints: str, number: int = 1, now_ms: int = NOW_MS):
+    attempts = [
+        AttemptId(f"prog-{fingerprint}", 1, number, "engine-1", "life-1")
+        for fingerprint in fingerprints
+    ]
+    quarantine.report(ReportCrash("engine-1", "life-1", list(fingerprints), attempts), now_ms)
+
+
+def held(quarantine: Quarantine, now_ms: int = NOW_MS) -> set[str]:
+    return {name for name in "pabcd" if quarantine.status(name, now_ms).quarantined}
+
+
+def test_a_request_that_crashes_two_servers_alone_is_held():
+    # One request crashes every server that runs it, and its caller sends it again under a new
+    # program. Without quarantine it takes down the fleet, one server after the other.
+    quarantine = Quarantine()
+    crash(quarantine, "p")
+    assert held(quarantine) == set()
+    crash(quarantine, "p", number=2)
+    assert held(quarantine) == {"p"}
+    quarantine.clear("p")
+    assert held(quarantine) == {"p"}
+    assert held(quarantine, NOW_MS + PROVEN_MS) == set()
+
+
+def test_in_two_crowds_the_one_that_was_in_both_is_held_and_no_innocent_one():
+    # Two crashes, each with innocent requests beside the guilty one. Held as well, the innocent
+    # ones' callers would get refusals for having been in bad company.
+    quarantine = Quarantine()
+    crash(quarantine, "p", "a", "b")
+    crash(quarantine, "p", "c", "d", number=2)
+    assert held(quarantine) == {"p"}
+
+
+def test_innocent_ones_that_are_always_beside_it_are_not_held_for_good():
+    # The same requests are retried together again and again. They are told apart only once one of
+    # them runs without the other, so a hold must end by itself.
+    quarantine = Quarantine()
+    for number in (1, 2):
+        crash(quarantine, "p", "a", number=number)
+    assert held(quarantine) == set()
+    crash(quarantine, "p", "a", number=3)
+    assert held(quarantine) == {"p", "a"}
+    assert held(quarantine, NOW_MS + HELD_MS) == set()
+    crash(quarantine, "p", number=4, now_ms=NOW_MS + HELD_MS)
+    assert held(quarantine, NOW_MS + HELD_MS) == {"p"}
+
+
+def test_one_that_completes_is_cleared():
+    quarantine = Quarantine()
+    crash(quarantine, "p", "a")
+    quarantine.clear("a")
+    crash(quarantine, "a", number=2)
+    assert held(quarantine) == set()
+    assert quarantine.status("a", NOW_MS).crashes == 1
+
+
+def test_one_crash_that_is_reported_twice_counts_once():
+    # The sidecar's report is sent again after a lost answer, under a new request id. Counted
+    # twice, a single crash would quarantine its request.
+    quarantine = Quarantine()
+    crash(quarantine, "p")
+    crash(quarantine, "p")
+    assert quarantine.status("p", NOW_MS).crashes == 1
+    assert held(quarantine) == set()
+
+
+def test_suspects_are_forgotten_after_a_while():
+    quarantine = Quarantine()
+    crash(quarantine, "p")
+    crash(quarantine, "a", now_ms=NOW_MS + SUSPECT_MS)
+    assert list(quarantine.suspect_by_fingerprint) == ["a"]
