--- /dev/null
+++ b/libs/control/tests/admin_tests.py
@@ -0,0 +1,205 @@
+from __future__ import annotations
+
+import eventlet
+from tarragonhall_model import (
+    Budget,
+    OpenProgram,
+    ServerKind,
+    ServerRecord,
+    StorageError,
+    secret_hash,
+)
+from tarragonhall_state import Follower
+
+WAIT_SECONDS = 10.0
+
+
+def test_a_request_without_a_known_token_gets_nothing(start_group):
+    group = start_group("one")
+    admin = group.admin()
+    admin.token = "tho_wrong"
+    for method, path in (("GET", "/status"), ("POST", "/settings"), ("DELETE", "/keys/key-1")):
+        status, value = admin(method, path, {} if method == "POST" else None)
+        assert (status, value["error"]) == (401, "unauthenticated")
+
+
+def test_an_editor_of_one_team_changes_nothing_of_another(start_group):
+    # One team's token leaks, or its script names the wrong path. It must not reach beyond the
+    # team's subtree, nor read the keys of others.
+    group = start_group("one")
+    root = group.admin()
+    for org_id, path in (("school", "/texas/school"), ("winery", "/ar/winery")):
+        assert root("POST", "/organisations", {"org_id": org_id, "path": path})[0] == 200
+        assert root("POST", "/keys", {"org_id": org_id})[0] == 201
+    made = root("POST", "/operators", {"name": "ana", "path": "/texas", "role": "editor"})[1]
+    ana = group.admin()
+    ana.token = made["token"]
+    revision = ana("GET", "/status")[1]["revision"]
+    change = {"path": "/texas/school", "set": {"weight": 2}, "expected_revision": revision}
+    assert ana("POST", "/settings", change)[0] == 200
+    other = change | {"path": "/ar", "expected_revision": revision + 1}
+    assert ana("POST", "/settings", other)[0] == 403
+    assert ana("POST", "/keys", {"org_id": "winery"})[0] == 403
+    assert ana("POST", "/organisations", {"org_id": "x", "path": "/texas/x"})[0] == 403
+    assert [one["org_id"] for one in ana("GET", "/keys")[1]["keys"]] == ["school"]
+    assert ana("GET", "/settings/export?path=/")[0] == 403
+    assert ana("GET", "/operators")[1]["operators"] == []
+    assert root("DELETE", "/operators/ana", {})[0] == 200
+    assert ana("GET", "/status")[0] == 401
+
+
+def test_bad_input_is_answered_with_every_finding_and_its_place(start_group):
+    admin = start_group("one").admin()
+    status, value = admin("POST", "/settings", {"pth": "/a", "set": [], "expected_revision": "1"})
+    assert status == 422
+    places = {finding["place"]: finding["message"] for finding in value["findings"]}
+    assert places["/pth"] == "unknown name 'pth'; did you mean 'path'?"
+    assert {"/path", "/set", "/expected_revision"} < set(places)
+    body = {"path": "/a", "set": {"wieght": 1}, "expected_revision": 1}
+    status, value = admin("POST", "/settings", body)
+    assert (status, value["findings"][0]["place"]) == (422, "/set/wieght")
+    assert value["revision"] == 1
+    assert admin("GET", "/settings?pth=/")[1]["findings"][0]["place"] == "?pth"
+
+
+def test_a_resent_grant_gets_the_first_key_and_never_a_second_one(start_group):
+    # The answer with the new key is lost. The tool sends the request again. A second key would be
+    # in force without anyone knowing of the first.
+    group = start_group("one")
+    admin = group.admin()
+    admin("POST", "/organisations", {"org_id": "school", "path": "/school"})
+    drawn = {"org_id": "school", "request_id": "r-1"}
+    first = admin("POST", "/keys", drawn)[1]
+    again = admin("POST", "/keys", drawn)[1]
+    assert again["key_id"] == first["key_id"]
+    assert "key" not in again
+    own = {"org_id": "school", "key_hash": secret_hash("thk_own"), "request_id": "r-2"}
+    assert admin("POST", "/keys", own) == admin("POST", "/keys", own)
+    assert len(admin("GET", "/keys")[1]["keys"]) == 2
+    conflict = admin("POST", "/keys", own | {"request_id": "r-2", "overlap_seconds": 5})
+    assert conflict[0] == 409
+
+
+def test_settings_go_out_and_back_in_and_roll_back(start_group):
+    admin = start_group("one").admin()
+    admin("POST", "/organisations", {"org_id": "school", "path": "/texas/school"})
+    revision = admin("GET", "/settings")[1]["revision"]
+    change = {"path": "/texas", "set": {"weight": 2}, "expected_revision": revision}
+    dry = admin("POST", "/settings", change | {"dry_run": True})[1]
+    assert [(one["name"], one["old"], one["new"]) for one in dry["changes"]] == [
+        ("weight", None, 2.0)
+    ]
+    assert admin("POST", "/settings", change)[1]["revision"] == revision + 1
+    exported = admin("GET", "/settings/export?path=/texas")[1]
+    assert exported["nodes"] == {"/texas": {"weight": 2.0}}
+    nodes = {"/texas": {"weight": 3, "idle_seconds": 5}}
+    imported = {"path": "/texas", "nodes": nodes, "expected_revision": revision + 1}
+    assert admin("POST", "/settings/import", imported)[0] == 200
+    diff = admin("GET", f"/settings/diff?from={revision + 1}&to={revision + 2}")[1]
+    assert [(one["name"], one["before"], one["after"]) for one in diff["differences"]] == [
+        ("idle_seconds", None, 5),
+        ("weight", 2.0, 3.0),
+    ]
+    back = {"to_revision": revision + 1, "expected_revision": revision + 2}
+    assert admin("POST", "/settings/rollback", back)[0] == 200
+    assert admin("GET", "/settings/export?path=/texas")[1]["nodes"] == exported["nodes"]
+    levels = admin("GET", "/settings/explain?path=/texas/school&name=weight")[1]["levels"]
+    assert levels[0] == {"path": "/texas", "value": 2.0, "in_force": True}
+    history = admin("GET", "/settings/history?path=/texas&limit=2")[1]["changes"]
+    assert [one["kind"] for one in history] == ["RollBack", "ImportSettings"]
+    assert history[0]["author"] == "root"
+
+
+def test_a_drained_server_is_marked_in_the_view_also_when_it_announces_itself_again(start_group):
+    # An operator drains a server, and its sidecar restarts. Without the mark kept apart, the new
+    # announcement would bring the server back to work in the middle of its repair.
+    group = start_group("one")
+    context, client = group.client("sidecar-1")
+    record = ServerRecord(
+        "engine-1", context.incarnation, "127.0.0.1:9", "tx-waco", ServerKind.MODEL, ["planner"]
+    )
+    follower = Follower()
+    announced = [record]
+    client.follow(lambda: announced[0], follower)
+    group.until(lambda: follower.view.servers == [record])
+    admin = group.admin()
+    assert admin("POST", "/servers/engine-1/drain", {"draining": True})[0] == 200
+    group.until(lambda: follower.view.servers[0].draining)
+    announced[0] = ServerRecord(
+        "engine-1", "life-2", "127.0.0.1:9", "tx-waco", ServerKind.MODEL, ["planner"]
+    )
+    group.until(lambda: follower.view.servers[0].incarnation == "life-2")
+    assert follower.view.servers[0].draining
+    assert admin("POST", "/servers/engine-1/drain", {"draining": False})[0] == 200
+    group.until(lambda: not follower.view.servers[0].draining)
+    assert admin("POST", "/servers/engine-9/drain", {})[0] == 404
+
+
+def test_the_time_line_merges_all_linked_processes(start_group):
+    group = start_group("one")
+    context, _, _ = group.follower("entry-1")
+    group.until(lambda: group.state("one").view().entries)
+    context.timeline.add("call_dispatched", "prog-1", seq=1)
+    group.context_by_name["one"].timeline.add("call_closed", "prog-1", seq=1)
+    status, value = group.admin()("GET", "/timeline?program=prog-1")
+    assert status == 200
+    assert [(one["kind"], one["instance"]) for one in value["events"]] == [
+        ("call_dispatched", "entry-1"),
+        ("call_closed", "one"),
+    ]
+    assert value["missing"] == []
+
+
+def test_a_fourth_member_is_added_and_a_lost_one_replaced(start_group, tmp_path):
+    # The disk of a member is lost right after a new member was added. The one that comes back has
+    # forgotten its votes, so it must join under a new identity and be caught up first.
+    group = start_group("one", "two", "three")
+    admin = group.admin()
+    admin("POST", "/organisations", {"org_id": "school", "path": "/school"})
+    group.add("four")
+    body = {"member_id": "four", "address": group.address_by_name["four"]}
+    status, value = admin("POST", "/members", body)
+    assert status == 200, value
+    assert len(value["members"]) == 4
+    group.until(lambda: group.state("four").configuration.organisation("school"))
+    lost = next(name for name in ("one", "two", "three") if name != group.leader())
+    group.stop(lost)
+    (tmp_path / lost).rename(tmp_path / "lost-disk")
+    group.start(lost)
+    status, value = admin("POST", f"/members/{lost}/replace", {})
+    assert status == 200, value
+    group.until(lambda: group.state(lost).configuration.organisation("school"))
+    assert admin("DELETE", "/members/four")[0] == 200
+    members = admin("GET", "/members")[1]["members"]
+    assert sorted(one["member_id"] for one in members) == ["one", "three", "two"]
+
+
+def test_a_member_whose_disk_fails_takes_no_further_part(start_group, monkeypatch):
+    # The data folder of the leader fails. What it goes on promising would not be on any disk, so
+    # it stops, and the other members go on without it.
+    group = start_group("one", "two", "three")
+    failed = group.leader()
+    role = group.role_by_name[failed]
+
+    class BrokenReplica:
+        def step(self, _events, _now):
+            raise StorageError("disk full")
+
+        def __getattr__(self, name):
+            return getattr(healthy, name)
+
+    healthy = role.member.loop.replica
+    monkeypatch.setattr(role.member.loop, "replica", BrokenReplica())
+    group.until(lambda: group.leader() not in (None, failed), WAIT_SECONDS)
+    assert str(role.member.loop.failure) == "disk full"
+    _, client = group.client("entry-1")
+    assert client.propose(OpenProgram("prog-1", "school", Budget(), 60), WAIT_SECONDS)
+
+
+def test_a_drained_role_answers_what_is_at_hand_and_then_nobody(start_group):
+    group = start_group("one")
+    role = group.role_by_name["one"]
+    answer = eventlet.spawn(group.admin(), "GET", "/status")
+    eventlet.sleep(0)
+    assert role.drain(WAIT_SECONDS)
+    assert answer.wait()[0] == 200
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import random
 
@@ -98,6 +99,17 @@
         self.context_by_name[name] = context
         self.role_by_name[name] = start_control(self.settings(name), context, QUICK)
 
+    def add(self, name: str) -> None:
+        """Start a member that is none of the founders and waits to be added."""
+        founders = dict(self.address_by_name)
+        self.admin_by_name[name] = free_address()
+        self.address_by_name[name] = free_address()
+        settings = self.settings(name)
+        settings = dataclasses.replace(settings, members=founders)
+        context = make_process(name, [], self.address_by_name[name])
+        self.context_by_name[name] = context
+        self.role_by_name[name] = start_control(settings, context, QUICK)
+
     def stop(self, name: str) -> None:
         self.role_by_name.pop(name).stop()
         self.context_by_name.pop(name).hub.stop()
