--- a/libs/sidecar/tarragonhall_sidecar/_events.py
+++ b/libs/sidecar/tarragonhall_sidecar/_events.py
@@ -142,9 +142,14 @@
 
 @dataclass(slots=True, frozen=True)
 class ServerCrashed:
-    """The backend server crashed while these attempts ran on it."""
+    """The backend server crashed while these attempts ran on it.
+
+    `sends` tell their entries, once the crash is in the journal: an entry that tried again before
+    could not know that the request is quarantined, and would bring down the next server.
+    """
 
     dispatches: tuple[Dispatch, ...]
+    sends: tuple[Send, ...]
 
 
 Output = Reply | Send | StartRun | StopRun | ProbeNow | CommitEnd | ServerCrashed
--- a/libs/sidecar/tarragonhall_sidecar/_execution.py
+++ b/libs/sidecar/tarragonhall_sidecar/_execution.py
@@ -363,13 +363,14 @@
             outputs += self._end(attempt, AttemptOutcome.FAILED, now, attempt.end.detail)
         if not crashed:
             return outputs
-        outputs.append(ServerCrashed(tuple(attempt.dispatch for attempt in crashed)))
         together = ", ".join(attempt.key for attempt in crashed)
+        detail = f"the backend server crashed; it ran: {together}"
+        sends: list[Output] = []
         for attempt in crashed:
             outputs.append(StopRun(attempt.key, abandon=True))
-            detail = f"the backend server crashed; it ran: {together}"
-            outputs += self._end(attempt, AttemptOutcome.CRASHED, now, detail)
-        return outputs
+            sends += self._end(attempt, AttemptOutcome.CRASHED, now, detail)
+        dispatches = tuple(attempt.dispatch for attempt in crashed)
+        return [*outputs, ServerCrashed(dispatches, tuple(sends))]
 
     def _settle(self, attempt: Attempt, now: float) -> list[Output]:
         """Commit an end that no one acknowledged."""
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -197,8 +197,8 @@
                 eventlet.spawn_after(GATHER_SECONDS, self._probe)
             case CommitEnd():
                 eventlet.spawn_n(self._commit, output)
-            case ServerCrashed(dispatches):
-                self._note_crash(dispatches)
+            case ServerCrashed():
+                self._note_crash(output)
 
     def _run(self, dispatch, seconds_left: float) -> None:
         key = dispatch.attempt.key
@@ -237,13 +237,25 @@
             self._ms_per_token = pace
         self._ms_per_token += PACE_WEIGHT * (pace - self._ms_per_token)
 
-    def _note_crash(self, dispatches: tuple) -> None:
+    def _note_crash(self, crash: ServerCrashed) -> None:
         server_id = self._settings.server_id
-        log.warning("server.crashed", server=server_id, attempts=len(dispatches))
+        attempts = len(crash.dispatches)
+        log.warning("server.crashed", server=server_id, attempts=attempts)
         self._context.metrics.count("sidecar.crash")
-        self._context.timeline.add("server.crash", server=server_id, attempts=len(dispatches))
-        report = crash_report(server_id, self._incarnation, dispatches)
-        eventlet.spawn_n(self._propose_until_done, report, f"crash-{secrets.token_hex(8)}")
+        self._context.timeline.add("server.crash", server=server_id, attempts=attempts)
+        eventlet.spawn_n(self._report_crash, crash)
+
+    def _report_crash(self, crash: ServerCrashed) -> None:
+        server_id = self._settings.server_id
+        report = crash_report(server_id, self._incarnation, crash.dispatches)
+        request_id = f"crash-{secrets.token_hex(8)}"
+        # Without control the entries are told all the same, a little later: they cannot record a
+        # further attempt without control either.
+        told = self._try_propose(report, request_id)
+        for send in crash.sends:
+            self._perform(send)
+        if not told:
+            self._propose_until_done(report, request_id)
 
     # What goes to control.
 
@@ -255,12 +267,16 @@
         self._handle(Committed(key))
 
     def _propose_until_done(self, command: object, request_id: str) -> None:
-        while not self._stopped:
-            try:
-                self._control.propose(command, PROPOSE_SECONDS, request_id)
-                return
-            except UnavailableError:
-                eventlet.sleep(PROPOSE_AGAIN_SECONDS)
+        while not self._stopped and not self._try_propose(command, request_id):
+            eventlet.sleep(PROPOSE_AGAIN_SECONDS)
+
+    def _try_propose(self, command: object, request_id: str) -> bool:
+        try:
+            self._control.propose(command, PROPOSE_SECONDS, request_id)
+        except UnavailableError:
+            self._context.metrics.count("sidecar.propose_failed")
+            return False
+        return True
 
     def _carry_out(self, order: EngineOrder) -> OrderDone:
         try:
