--- /dev/null
+++ b/libs/decisions/tests/conftest.py
@@ -0,0 +1,206 @@
+"""A small discrete-event model of entries, their peers and control, for the tests of the rate."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+from tarragonhall_decisions import Admitted, Ask, Deadline, RateLimiter, RateRefused, Tell
+from tarragonhall_model import EntryRecord, OrganisationPolicy, Rate, View
+
+ORG = "org-1"
+WAY_S = 0.0005
+HEARTBEAT_S = 1.0
+
+
+@dataclass(slots=True)
+class Faults:
+    """How bad the network and the processes are; chances lie between 0 and 1."""
+
+    loss: float = 0.0
+    slow: float = 0.0
+    max_delay_s: float = 0.0
+    pause: float = 0.0
+    cut: float = 0.0
+    views: float = 0.0
+
+
+@dataclass(slots=True)
+class RateModel:
+    """Entries that share one organisation's rate; `admitted_at` is what its callers receive."""
+
+    rate: Rate
+    entry_ids: list[str]
+    seed: int = 1
+    faults: Faults = field(default_factory=Faults)
+    now: float = 0.0
+    view: View | None = None
+    limiter_by_id: dict[str, RateLimiter] = field(default_factory=dict)
+    paused_until: dict[str, float] = field(default_factory=dict)
+    cut: set[str] = field(default_factory=set)
+    admitted_at: list[float] = field(default_factory=list)
+    offered_at: dict[str, float] = field(default_factory=dict)
+    waits: list[float] = field(default_factory=list)
+    refused: list[RateRefused] = field(default_factory=list)
+    _events: list = field(default_factory=list)
+    _order: int = 0
+    rng: random.Random = field(default_factory=random.Random)
+
+    def start(self) -> None:
+        """Start every entry and put all of them into the first view."""
+        self.rng = random.Random(self.seed)
+        for entry_id in self.entry_ids:
+            self.start_entry(entry_id)
+        self.set_entries(self.entry_ids)
+
+    def start_entry(self, entry_id: str, life: int = 1) -> None:
+        """Start an entry (again), knowing nothing."""
+        limiter = RateLimiter(entry_id, str(life), random.Random(self.seed + life))
+        limiter.set_policy(OrganisationPolicy(ORG, ORG, rate=self.rate), self.now)
+        self.limiter_by_id[entry_id] = limiter
+        self.at(self.now, lambda: self._heartbeat(entry_id, limiter))
+
+    def set_entries(self, entry_ids: list[str]) -> None:
+        """Commit a view and push it to its members and to those that were in the last one."""
+        epoch = self.view.epoch + 1 if self.view else 1
+        records = [EntryRecord(i, "1", f"addr-{i}", "zone") for i in sorted(entry_ids)]
+        self.view = View(epoch, records, [])
+        pushed = self.view
+        for entry_id in self.limiter_by_id:
+            self._send_from_control(entry_id, lambda limiter: limiter.on_view(pushed, self.now))
+
+    def offer(self, entry_id: str, call_id: str, timeout_s: float, started: bool = False) -> None:
+        """Let a caller send a call to an entry now."""
+        self.offered_at[call_id] = self.now
+        deadline = Deadline(self.now + timeout_s)
+        self._on(
+            entry_id,
+            lambda limiter: limiter.offer(ORG, call_id, deadline, started, self.now),
+        )
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self._order += 1
+        heapq.heappush(self._events, (max(when, self.now), self._order, action))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until:
+            when, _, action = heapq.heappop(self._events)
+            self.now = max(self.now, when)
+            action()
+        self.now = max(self.now, until)
+
+    def kill(self, entry_id: str) -> None:
+        """End an entry's process; what it held is gone."""
+        del self.limiter_by_id[entry_id]
+
+    def _delay(self) -> float | None:
+        if self.rng.random() < self.faults.loss:
+            return None
+        if self.rng.random() < self.faults.slow:
+            return self.rng.uniform(WAY_S, self.faults.max_delay_s)
+        return WAY_S
+
+    def _on(self, entry_id: str, action: Callable[[RateLimiter], object]) -> None:
+        """Let an entry act now, or at the end of its pause."""
+        limiter = self.limiter_by_id.get(entry_id)
+        if limiter is None:
+            return
+        resume_at = self.paused_until.get(entry_id, 0.0)
+        if resume_at > self.now:
+            self.at(resume_at, lambda: self._on(entry_id, action))
+            return
+        self._perform(entry_id, limiter, action(limiter) or [])
+        wake_at = limiter.next_wake()
+        if wake_at is not None:
+            self.at(max(wake_at, self.now + 1e-6), lambda: self._wake(entry_id, limiter))
+
+    def _wake(self, entry_id: str, limiter: RateLimiter) -> None:
+        due = limiter.next_wake()
+        if self.limiter_by_id.get(entry_id) is limiter and due is not None and due <= self.now:
+            self._on(entry_id, lambda current: current.tick(self.now))
+
+    def _perform(self, entry_id: str, limiter: RateLimiter, outputs: list) -> None:
+        for output in outputs:
+            match output:
+                case Admitted(call_id):
+                    self.admitted_at.append(self.now)
+                    self.waits.append(self.now - self.offered_at[call_id])
+                case RateRefused():
+                    self.refused.append(output)
+                case Ask():
+                    self._ask(entry_id, limiter, output)
+                case Tell(peer, message):
+                    self._deliver(peer, lambda peer, m=message: peer.handle(m, self.now))
+
+    def _deliver(self, entry_id: str, action: Callable[[RateLimiter], object]) -> None:
+        delay = self._delay()
+        if delay is not None:
+            self.at(self.now + delay, lambda: self._on(entry_id, action))
+
+    def _ask(self, entry_id: str, limiter: RateLimiter, ask: Ask) -> None:
+        def answer(owner: RateLimiter) -> None:
+            reply = owner.handle(ask.message, self.now)
+
+            def take(asker: RateLimiter) -> list:
+                if asker is not limiter:
+                    return []
+                return asker.on_reply(ask.entry_id, ORG, reply, ask.sent_at, self.now)
+
+            self._deliver(entry_id, take)
+
+        self._deliver(ask.entry_id, answer)
+
+    def _heartbeat(self, entry_id: str, limiter: RateLimiter) -> None:
+        if self.limiter_by_id.get(entry_id) is not limiter:
+            return
+        resume_at = self.paused_until.get(entry_id, 0.0)
+        if resume_at > self.now:
+            self.at(resume_at, lambda: self._heartbeat(entry_id, limiter))
+            return
+        self.at(self.now + HEARTBEAT_S, lambda: self._heartbeat(entry_id, limiter))
+        sent_at = self.now
+        delay = self._delay()
+        if entry_id in self.cut or delay is None:
+            return
+
+        def confirm() -> None:
+            view = self.view
+
+            def learn(current: RateLimiter) -> list:
+                if current is not limiter:
+                    return []
+                outputs = current.on_view(view, self.now)
+                current.on_fresh(sent_at)
+                return outputs
+
+            self._send_from_control(entry_id, learn)
+
+        self.at(self.now + delay, confirm)
+
+    def _send_from_control(self, entry_id: str, action: Callable[[RateLimiter], object]) -> None:
+        if entry_id not in self.cut:
+            self._deliver(entry_id, action)
+
+
+@pytest.fixture
+def rate_model() -> Callable[..., RateModel]:
+    """Return a maker of started models."""
+
+    def make(rate: Rate, entries: int, seed: int = 1, faults: Faults | None = None) -> RateModel:
+        ids = [f"entry-{number}" for number in range(entries)]
+        model = RateModel(rate, ids, seed, faults or Faults())
+        model.start()
+        return model
+
+    return make
+
+
+@pytest.fixture
+def faults() -> type[Faults]:
+    """Return the class of faults."""
+    return Faults
