--- a/libs/fakes/tarragonhall_fakes/__main__.py
+++ b/libs/fakes/tarragonhall_fakes/__main__.py
@@ -39,6 +39,10 @@
 
 def load() -> None:
     """Run the load tool."""
+    import eventlet
+
+    # First of all: callers are green threads, and their HTTP client must not block the others.
+    eventlet.monkey_patch()
     from tarragonhall_fakes._load import main
 
     main()
--- /dev/null
+++ b/libs/fakes/tarragonhall_fakes/_load_run.py
@@ -0,0 +1,165 @@
+"""Run a workload open loop: every program starts at its intended time, come what may."""
+
+from __future__ import annotations
+
+import collections
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import eventlet
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from tarragonhall_fakes._load_caller import Callers, ProgramResult
+from tarragonhall_fakes._load_results import LoadResult, judge
+from tarragonhall_fakes._load_workload import Workload
+
+HELD_EVERY_S = 0.25
+# Ended programs' memory is released at once; what a listing still shows after this is orphaned.
+RELEASE_GRACE_S = 8.0
+RELEASE_POLL_S = 0.5
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Where the system and the fakes behind it are reached."""
+
+    entries: list[str]
+    engines: list[str]
+    services: list[str]
+    key_by_org: dict[str, str]
+
+
+@dataclass(slots=True)
+class TimedAction:
+    """Something to do at a time after the start, such as a fault or the end of a process."""
+
+    at: float
+    action: Callable[[], None]
+
+
+@dataclass(slots=True)
+class LoadOptions:
+    """How callers behave: their patience for a program, and each organisation's rate and burst."""
+
+    name: str
+    patience_s: float = 60.0
+    timeout_s: float = 30.0
+    rate: tuple[float, float] = (1e9, 1e9)
+    actions: list[TimedAction] = field(default_factory=list)
+
+
+def run_load(workload: Workload, deployment: Deployment, options: LoadOptions) -> LoadResult:
+    """Run a workload to its end and return what was measured."""
+    callers = Callers(
+        deployment.entries, deployment.key_by_org, options.patience_s, options.timeout_s
+    )
+    watcher = eventlet.spawn(_watch_held, callers, deployment)
+    callers.start_clock()
+    actions = [eventlet.spawn_after(item.at, item.action) for item in options.actions]
+    pool = eventlet.GreenPool(10_000)
+    threads = []
+    for plan in workload.programs:
+        # Open loop: a late start counts against the system, since latency counts from `plan.at`.
+        eventlet.sleep(max(0.0, plan.at - callers.now()))
+        threads.append(pool.spawn(callers.run, plan))
+    results = [thread.wait() for thread in threads]
+    for action in actions:
+        action.wait()
+    watcher.kill()
+    _check_budgets(callers, results)
+    result = judge(options.name, workload, results, callers.journal, options.rate)
+    result.orphaned_tokens = orphaned_tokens(deployment, results)
+    _check_effects(deployment, workload, results, result)
+    return result
+
+
+def post_fault(address: str, fault: dict) -> None:
+    """Ask a fake for a fault."""
+    urllib3.request("POST", f"http://{address}/faults", json=fault, retries=False)
+
+
+def clear_faults(address: str) -> None:
+    """Let a fake behave again."""
+    urllib3.request("DELETE", f"http://{address}/faults", retries=False)
+
+
+def _watch_held(callers: Callers, deployment: Deployment) -> None:
+    """Note, four times a second, how many tokens of each program any engine holds."""
+    while True:
+        held: dict[str, int] = {}
+        for engine in deployment.engines:
+            for item in _held(engine):
+                held[item["program"]] = max(held.get(item["program"], 0), item["tokens"])
+        callers.journal.held_by_program = held
+        eventlet.sleep(HELD_EVERY_S)
+
+
+def _held(engine: str) -> list[dict]:
+    try:
+        return urllib3.request("GET", f"http://{engine}/v1/held", retries=False).json()["programs"]
+    except HTTPError:
+        return []
+
+
+def orphaned_tokens(deployment: Deployment, results: list[ProgramResult]) -> int:
+    """Return the tokens that engines still hold for programs that have ended."""
+    ended = {
+        program_id
+        for result in results
+        if result.finished_at is not None
+        for program_id in result.program_ids
+    }
+    deadline = time.monotonic() + RELEASE_GRACE_S
+    while True:
+        tokens = sum(
+            item["tokens"]
+            for engine in deployment.engines
+            for item in _held(engine)
+            if item["program"] in ended
+        )
+        if not tokens or time.monotonic() > deadline:
+            return tokens
+        eventlet.sleep(RELEASE_POLL_S)
+
+
+def _check_budgets(callers: Callers, results: list[ProgramResult]) -> None:
+    for result in results:
+        if not result.program_ids:
+            continue
+        try:
+            report = callers.report(result.plan.org, result.program_ids[0])
+        except HTTPError:
+            continue
+        if "spent" not in report:
+            continue
+        for name in ("tokens", "calls"):
+            if report["spent"][name] > report["budget"][name]:
+                result.overrun = name
+
+
+def _check_effects(
+    deployment: Deployment, workload: Workload, results: list[ProgramResult], into: LoadResult
+) -> None:
+    """Compare the services' ledgers with what finished programs asked for."""
+    count_by_body: collections.Counter[str] = collections.Counter()
+    for service in deployment.services:
+        effects = urllib3.request("GET", f"http://{service}/ledger").json()["effects"]
+        count_by_body.update(_key(effect["body"]) for effect in effects)
+    names = {plan.name for plan in workload.programs}
+    into.doubled_effects = sum(
+        count - 1 for key, count in count_by_body.items() if key.rpartition("/")[0] in names
+    )
+    for result in results:
+        if result.finished_at is None:
+            continue
+        for seq, step in enumerate(result.plan.steps, start=1):
+            if step.kind == "service" and not count_by_body[f"{result.plan.name}/{seq}"]:
+                into.missing_effects += 1
+
+
+def _key(body: str) -> str:
+    value = json.loads(body)
+    return f"{value.get('program')}/{value.get('seq')}"
