--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,6 @@
 
 docs: setup
 	$(BIN)/python -m mkdocs build --strict --quiet --site-dir build/site
+
+measure: setup
+	$(BIN)/python tools/measure.py
--- a/libs/fakes/tarragonhall_fakes/__init__.py
+++ b/libs/fakes/tarragonhall_fakes/__init__.py
@@ -5,6 +5,16 @@
 from tarragonhall_fakes._batch import EngineOptions, answer_to
 from tarragonhall_fakes._engine import Engine, start_engine
 from tarragonhall_fakes._faults import Fault, FaultKind
+from tarragonhall_fakes._load_results import LoadResult, table
+from tarragonhall_fakes._load_run import (
+    Deployment,
+    LoadOptions,
+    TimedAction,
+    clear_faults,
+    post_fault,
+    run_load,
+)
+from tarragonhall_fakes._load_workload import Workload, make_workload
 from tarragonhall_fakes._processes import LocalProcess, ProcessError, run_script, script
 from tarragonhall_fakes._relay import Relay
 from tarragonhall_fakes._server import FakeServer
@@ -12,18 +22,28 @@
 
 __all__ = [
     "ATTEMPT_HEADER",
+    "Deployment",
     "Engine",
     "EngineOptions",
     "FakeServer",
     "Fault",
     "FaultKind",
+    "LoadOptions",
+    "LoadResult",
     "LocalProcess",
     "ProcessError",
     "Relay",
     "Service",
+    "TimedAction",
+    "Workload",
     "answer_to",
+    "clear_faults",
+    "make_workload",
+    "post_fault",
+    "run_load",
     "run_script",
     "script",
     "start_engine",
     "start_service",
+    "table",
 ]
--- a/libs/fakes/tarragonhall_fakes/_load_run.py
+++ b/libs/fakes/tarragonhall_fakes/_load_run.py
@@ -13,6 +13,7 @@
 from urllib3.exceptions import HTTPError
 
 from tarragonhall_fakes._load_caller import Callers, ProgramResult
+from tarragonhall_fakes._load_direct import DirectCallers
 from tarragonhall_fakes._load_results import LoadResult, judge
 from tarragonhall_fakes._load_workload import Workload
 
@@ -42,20 +43,22 @@
 
 @dataclass(slots=True)
 class LoadOptions:
-    """How callers behave: their patience for a program, and each organisation's rate and burst."""
+    """How callers behave: their patience for a program, and each organisation's rate and burst.
+
+    With `direct` they go straight to the backend servers, for comparison.
+    """
 
     name: str
     patience_s: float = 60.0
     timeout_s: float = 30.0
     rate: tuple[float, float] = (1e9, 1e9)
+    direct: bool = False
     actions: list[TimedAction] = field(default_factory=list)
 
 
 def run_load(workload: Workload, deployment: Deployment, options: LoadOptions) -> LoadResult:
     """Run a workload to its end and return what was measured."""
-    callers = Callers(
-        deployment.entries, deployment.key_by_org, options.patience_s, options.timeout_s
-    )
+    callers = _make_callers(deployment, options)
     watcher = eventlet.spawn(_watch_held, callers, deployment)
     callers.start_clock()
     actions = [eventlet.spawn_after(item.at, item.action) for item in options.actions]
@@ -69,13 +72,21 @@
     for action in actions:
         action.wait()
     watcher.kill()
-    _check_budgets(callers, results)
+    if not options.direct:
+        _check_budgets(callers, results)
     result = judge(options.name, workload, results, callers.journal, options.rate)
     result.orphaned_tokens = orphaned_tokens(deployment, results)
     _check_effects(deployment, workload, results, result)
     return result
 
 
+def _make_callers(deployment: Deployment, options: LoadOptions) -> Callers:
+    patience = {"patience_s": options.patience_s, "timeout_s": options.timeout_s}
+    if options.direct:
+        return DirectCallers(deployment.engines, deployment.services, **patience)
+    return Callers(deployment.entries, deployment.key_by_org, **patience)
+
+
 def post_fault(address: str, fault: dict) -> None:
     """Ask a fake for a fault."""
     urllib3.request("POST", f"http://{address}/faults", json=fault, retries=False)
