--- /dev/null
+++ b/libs/decisions/tests/rate_owner_tests.py
@@ -0,0 +1,171 @@
+"""Change of the owner of a bucket, step by step: each case in which two could grant at once."""
+
+from __future__ import annotations
+
+import random
+
+from tarragonhall_decisions import RateLimiter, Tell
+from tarragonhall_model import (
+    EntryRecord,
+    HandOver,
+    NotOwner,
+    OrganisationPolicy,
+    Rate,
+    ReturnTokens,
+    TakeTokens,
+    TokensGranted,
+    View,
+    rendezvous,
+)
+
+ORG = "org-1"
+RATE = Rate(100.0, 10.0)
+IDS = ["a", "b", "c"]
+OWNER = rendezvous(ORG, IDS)
+OTHERS = [entry for entry in IDS if entry != OWNER]
+NEXT = rendezvous(ORG, OTHERS)
+
+
+def view(epoch: int, ids: list[str]) -> View:
+    """Return a view of these entries."""
+    return View(epoch, [EntryRecord(i, "1", i, "zone") for i in ids], [])
+
+
+def limiter(entry_id: str, now: float = 0.0) -> RateLimiter:
+    """Return the limiter of an entry that knows the organisation."""
+    made = RateLimiter(entry_id, "1", random.Random(1))
+    made.set_policy(OrganisationPolicy(ORG, ORG, rate=RATE), now)
+    return made
+
+
+def ask(owner: RateLimiter, epoch: int, now: float, wanted: float = 10.0) -> float | None:
+    """Return the tokens that an owner grants, or None if it grants from no bucket."""
+    reply = owner.handle(TakeTokens(ORG, "holder@1", wanted, epoch), now)
+    if isinstance(reply, NotOwner):
+        return None
+    assert isinstance(reply, TokensGranted)
+    return reply.tokens
+
+
+def running_owner() -> RateLimiter:
+    """Return the first owner with a full bucket at time 20."""
+    owner = limiter(OWNER)
+    owner.on_view(view(1, IDS), 0.0)
+    owner.on_fresh(19.9)
+    return owner
+
+
+def test_new_owner_waits_two_leases_and_a_slice():
+    """The earlier owner was cut off and still grants, and an entry that owned the bucket in a view
+    between the two may do so a lease longer. Were the new owner to start before, callers would see
+    twice the rate for a moment.
+    """
+    new = limiter(NEXT)
+    new.on_view(view(1, IDS), 0.0)
+    new.on_fresh(9.9)
+    new.on_view(view(2, OTHERS), 10.0)
+    new.on_fresh(14.3)
+    assert ask(new, 2, 14.4) is None
+    assert ask(new, 2, 14.6) is not None
+
+
+def test_owner_that_lost_touch_and_views_starts_anew():
+    """An owner is cut off from control while another entry owns its bucket, and comes back when it
+    owns it again. It never heard of the other owner, whose grants may still be spent.
+    """
+    owner = running_owner()
+    assert ask(owner, 1, 20.0, 1.0) == 1.0
+    owner.on_view(view(3, IDS), 30.0)
+    owner.on_fresh(29.9)
+    assert ask(owner, 3, 30.0) is None
+
+
+def test_owner_in_touch_keeps_its_bucket_over_skipped_views():
+    """Servers come and go and an entry misses a view now and then. Callers must not wait."""
+    owner = running_owner()
+    owner.on_view(view(3, IDS), 20.5)
+    owner.on_fresh(20.4)
+    assert ask(owner, 3, 20.6) == 10.0
+
+
+def test_wait_grows_when_a_view_was_missed():
+    """While an entry waits out earlier owners it misses a view in which another owned the bucket,
+    perhaps by a hand-over. That one may go on granting until its lease ends.
+    """
+    new = limiter(OWNER)
+    new.on_view(view(5, IDS), 0.0)
+    new.on_fresh(3.9)
+    new.on_view(view(7, IDS), 4.0)
+    new.on_fresh(6.4)
+    assert ask(new, 7, 6.4) is None
+    assert ask(new, 7, 6.6) is not None
+
+
+def test_owner_without_fresh_view_grants_nothing():
+    """An owner is cut off from control; it cannot know whether it still owns the bucket."""
+    owner = running_owner()
+    assert ask(owner, 1, 21.8, 1.0) == 1.0
+    assert ask(owner, 1, 22.0, 1.0) is None
+
+
+def test_hand_over_of_an_earlier_turn_is_not_taken():
+    """A hand-over is stuck on a slow link while the bucket moves away and back. Taken then, it
+    would bring tokens to life that others have spent since.
+    """
+    owner = limiter(OWNER)
+    owner.on_view(view(5, IDS), 0.0)
+    owner.on_view(view(6, OTHERS), 1.0)
+    owner.on_view(view(7, IDS), 2.0)
+    owner.on_fresh(2.0)
+    owner.handle(HandOver(ORG, 10.0, 5), 2.1)
+    assert ask(owner, 7, 2.2) is None
+    owner.handle(HandOver(ORG, 10.0, 7), 2.3)
+    assert ask(owner, 7, 2.4) == 10.0
+
+
+def test_hand_over_that_comes_before_the_view_is_kept():
+    """The earlier owner hears of the new view first. Were its hand-over dropped, callers would wait
+    seconds for nothing.
+    """
+    new = limiter(NEXT)
+    new.on_view(view(1, IDS), 0.0)
+    new.handle(HandOver(ORG, 7.0, 2), 10.0)
+    new.on_view(view(2, OTHERS), 10.1)
+    new.on_fresh(10.0)
+    assert ask(new, 2, 10.1) == 7.0
+
+
+def test_tokens_in_slices_go_along_with_the_bucket():
+    """The bucket is handed over while a holder has all its tokens and has not spent them yet. The
+    new owner must count them, or the holder's calls come on top of the burst.
+    """
+    owner = running_owner()
+    assert ask(owner, 1, 20.0) == 10.0
+    (told,) = owner.on_view(view(2, OTHERS), 20.0)
+    assert isinstance(told, Tell)
+    assert told.entry_id == NEXT
+    new = limiter(NEXT)
+    new.on_view(view(1, IDS), 0.0)
+    new.on_view(view(2, OTHERS), 20.0)
+    new.on_fresh(20.0)
+    new.handle(told.message, 20.001)
+    assert ask(new, 2, 20.4) == 0.0
+    # When the slice has ended, its tokens count as spent, and the bucket fills at the rate.
+    assert ask(new, 2, 20.6) == 9.0
+
+
+def test_owner_that_lost_touch_hands_nothing_over():
+    """An owner comes back after a long cut; the next one has waited it out and runs already."""
+    owner = running_owner()
+    ask(owner, 1, 20.0)
+    assert owner.on_view(view(2, OTHERS), 30.0) == []
+
+
+def test_doubled_return_does_not_create_tokens():
+    """A message that gives tokens back arrives twice."""
+    owner = running_owner()
+    reply = owner.handle(TakeTokens(ORG, "holder@1", 10.0, 1), 20.0)
+    back = ReturnTokens(ORG, "holder@1", 6.0, reply.slice_id)
+    owner.handle(back, 20.0)
+    owner.handle(back, 20.0)
+    assert ask(owner, 1, 20.0) == 6.0
--- /dev/null
+++ b/libs/fakes/tests/load_tests.py
@@ -0,0 +1,69 @@
+"""The load tool's own arithmetic: a wrong ruler would make every figure wrong."""
+
+from __future__ import annotations
+
+from tarragonhall_fakes import make_workload
+from tarragonhall_fakes._load_caller import Journal, ProgramResult, RefusalSeen
+from tarragonhall_fakes._load_results import judge, max_min, worst_served, wrongful_refusals
+from tarragonhall_fakes._load_workload import ProgramPlan, Step, Workload
+
+
+def test_same_seed_gives_the_same_programs():
+    """Two runs are only comparable when their callers do the same."""
+    first = make_workload("agency", 5, 20.0, 2.0)
+    assert first == make_workload("agency", 5, 20.0, 2.0)
+    assert first != make_workload("agency", 6, 20.0, 2.0)
+    starts = [plan.at for plan in first.programs]
+    assert starts == sorted(starts)
+
+
+def test_hot_factor_changes_one_organisation_only():
+    """The others must send the same with and without the hot tenant."""
+    calm = make_workload("association", 1, 30.0, 3.0)
+    hot = make_workload("association", 1, 30.0, 3.0, hot_factor=10.0)
+
+    def starts(workload: Workload, org: str) -> list[float]:
+        return [plan.at for plan in workload.programs if plan.org == org]
+
+    assert len(starts(hot, "association-1")) > 5 * len(starts(calm, "association-1"))
+    assert starts(hot, "association-3") == starts(calm, "association-3")
+
+
+def test_share_due_is_what_was_asked_for_or_an_even_part():
+    """One organisation asks for little and is due all of it; the rest is divided evenly."""
+    due = max_min({"small": 10.0, "mid": 100.0, "large": 1_000.0}, 150.0)
+    assert due == {"small": 10.0, "mid": 70.0, "large": 70.0}
+
+
+def plan(org: str, tokens: int) -> ProgramPlan:
+    """Return a program of one call."""
+    return ProgramPlan(f"{org}-p", org, 0.0, [Step("model", "m", 10, tokens)])
+
+
+def test_worst_served_is_found():
+    """One organisation gets a tenth of what it is due while another gets all."""
+    workload = Workload("w", 1.0, ["a", "b"])
+    results = [
+        ProgramResult(plan("a", 100), tokens=100, finished_at=1.0),
+        ProgramResult(plan("b", 100), tokens=10),
+    ]
+    org, share = worst_served(workload, results)
+    assert org == "b"
+    assert abs(share - 10 / 55) < 1e-9
+
+
+def test_refusal_inside_the_rate_is_wrongful():
+    """An organisation that keeps its rate is refused once; one far above it many times."""
+    journal = Journal({"calm": [0.0, 1.0, 2.0], "hot": [n / 100 for n in range(200)]})
+    journal.refusals.append(RefusalSeen("calm", 2.0, "overloaded", "not_run"))
+    journal.refusals.extend(RefusalSeen("hot", 1.0 + n / 100, "rate_exceeded", "not_run")
+                            for n in range(50))  # fmt: skip
+    journal.refusals.append(RefusalSeen("calm", 2.0, "bad_input", "not_run"))
+    assert wrongful_refusals(journal, 1.0, 5.0) == 1
+
+
+def test_latency_counts_from_the_intended_start():
+    """A program that could not start in time waited all the same."""
+    late = ProgramResult(ProgramPlan("p", "a", 2.0, []), finished_at=5.0)
+    result = judge("w", Workload("w", 1.0, ["a"]), [late], Journal(), (1.0, 1.0))
+    assert 2_990 <= result.p50_ms <= 3_010
