--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus
+.PHONY: setup demo test unit features format lint docs measure bench-consensus bench-state bench-sidecar
 
 setup: $(STAMP)
 
@@ -44,3 +44,6 @@
 
 bench-consensus: setup
 	$(BIN)/python benchmarks/consensus_bench.py
+
+measure: setup
+	$(BIN)/python tools/measure.py
