Patch the standard library before any test module is collected

With several libraries in one pytest run, a server module imported before the patch of a later conftest kept its blocking selector, and the tests of the tool hung for good (seen: no progress in 120 s).

--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -6,13 +6,10 @@
 import time
 
 import eventlet
-
-eventlet.monkey_patch()
-
-import pytest  # noqa: E402
-import urllib3  # noqa: E402
-from tarragonhall_entry import EntrySettings, start_entry  # noqa: E402
-from tarragonhall_model import (  # noqa: E402
+import pytest
+import urllib3
+from tarragonhall_entry import EntrySettings, start_entry
+from tarragonhall_model import (
     AbandonCall,
     Accepted,
     Answer,
@@ -47,7 +44,7 @@
     View,
     secret_hash,
 )
-from tarragonhall_wire import HybridClock, Metrics, Peer, ProcessContext, Timeline  # noqa: E402
+from tarragonhall_wire import HybridClock, Metrics, Peer, ProcessContext, Timeline
 
 KEY = "thk_test"
 POLICY = PolicyDelta(
