--- a/libs/state/tarragonhall_state/_calls.py
+++ b/libs/state/tarragonhall_state/_calls.py
@@ -57,7 +57,7 @@
         if existing is not None:
             if not _is_same_call(existing.spec, spec):
                 return Refusal(RefusalCode.CONFLICT, f"call {spec.seq} had another body")
-            return self._open_again(program, existing, command.entry_id, living_entries)
+            return self._open_again(program, existing, command, living_entries)
         refusal = self._refuse_open(program, spec, now_ms)
         if refusal is not None:
             return refusal
@@ -169,17 +169,23 @@
         return known
 
     def _open_again(
-        self, program: Program, call: Call, entry_id: str, living_entries: Container[str]
+        self, program: Program, call: Call, command: OpenCall, living_entries: Container[str]
     ) -> CallOutcome:
-        """Answer a resend. A call whose entry is gone passes to the entry that asks."""
+        """Answer a resend. A call whose entry is gone passes to the entry that asks.
+
+        So does one that may be repeated and whose attempt the asking entry found lost: its end may
+        never be known, and the call would stay open until the program expires.
+        """
         known = _status(program, call)
+        if isinstance(known, CallRunning) and _is_lost(call, command, known):
+            known = _opened(program, call)
         if not isinstance(known, CallOpened):
             return known
-        if call.entry_id != entry_id and call.entry_id in living_entries:
+        if call.entry_id != command.entry_id and call.entry_id in living_entries:
             return CallRunning(call.entry_id)
         if not program.is_open:
             return Refusal(RefusalCode.PROGRAM_ENDED, "the program has ended")
-        call.entry_id = entry_id
+        call.entry_id = command.entry_id
         return known
 
     def _refuse_open(self, program: Program, spec: CallSpec, now_ms: int) -> Refusal | None:
@@ -319,6 +325,12 @@
     return replace(one, timeout_ms=0, stream=False) == replace(other, timeout_ms=0, stream=False)
 
 
+def _is_lost(call: Call, command: OpenCall, running: CallRunning) -> bool:
+    """Return whether the live attempt of a repeatable call is the one that was found lost."""
+    lost = command.lost_attempt
+    return call.spec.repeatable and lost is not None and lost == running.attempt
+
+
 def _is_previous_closed(program: Program, seq: int) -> bool:
     previous = program.slot(seq - 1)
     return previous is None or previous.state is CallState.CLOSED
--- a/libs/state/tarragonhall_state/_journal.py
+++ b/libs/state/tarragonhall_state/_journal.py
@@ -23,6 +23,7 @@
     ProgramStatus,
     Quarantined,
     Refusal,
+    RefusalCode,
     ReportCrash,
     StartAttempt,
     fingerprint,
@@ -33,9 +34,15 @@
 from tarragonhall_state._commands import CancelProgram
 from tarragonhall_state._program import CallState
 from tarragonhall_state._programs import NOT_FOUND, Programs, ProgramsSnapshot
-from tarragonhall_state._quarantine import Quarantine
+from tarragonhall_state._quarantine import HELD_MS, Quarantine
 
 JOURNAL_SHARDS = 1
+# Ten minutes: as long as an innocent request that was in a crowd is held.
+QUARANTINED = Refusal(
+    RefusalCode.QUARANTINED,
+    "the request crashed the backend servers that ran it",
+    retry_after_ms=HELD_MS,
+)
 
 
 @record
@@ -62,7 +69,7 @@
             case OpenProgram():
                 return self._programs.open(body, now_ms)
             case OpenCall():
-                return self._calls.open(body, living_entries, now_ms)
+                return self._open_call(body, living_entries, now_ms)
             case StartAttempt():
                 return self._calls.start_attempt(body, now_ms)
             case DisproveAttempt():
@@ -148,6 +155,20 @@
         self._programs.restore(snapshot.programs)
         self._quarantine = snapshot.quarantine
 
+    def _open_call(
+        self, command: OpenCall, living_entries: Container[str], now_ms: int
+    ) -> CallOutcome:
+        """Open a call, unless it is new and its request is quarantined."""
+        if not self._quarantine.suspect_by_fingerprint:
+            return self._calls.open(command, living_entries, now_ms)
+        spec = command.spec
+        mark = fingerprint(command.org_id, spec.target, spec.body)
+        known = self._calls.status(command.program_id, spec.seq, command.org_id, living_entries)
+        is_new = isinstance(known, Refusal)
+        if is_new and self._quarantine.status(mark, now_ms).quarantined:
+            return QUARANTINED
+        return self._calls.open(command, living_entries, now_ms)
+
     def _close(self, command: CloseCall, now_ms: int) -> object:
         result = self._calls.close(command, now_ms)
         if command.answer is None or not self._quarantine.suspect_by_fingerprint:
--- /dev/null
+++ b/libs/state/tests/takeover_tests.py
@@ -0,0 +1,77 @@
+from __future__ import annotations
+
+from tarragonhall_model import (
+    AttemptId,
+    AttemptRecorded,
+    Budget,
+    CallKind,
+    CallOpened,
+    CallRunning,
+    CallSpec,
+    OpenCall,
+    OpenProgram,
+    Refusal,
+    RefusalCode,
+    ReportCrash,
+    StartAttempt,
+    fingerprint,
+)
+from tarragonhall_state._journal import Journal
+
+SPEC = CallSpec(1, CallKind.SERVICE, "desk", "{}")
+LOST = AttemptId("prog", 1, 1, "desk-1", "life")
+
+
+def journal_with_attempt(spec: CallSpec = SPEC) -> Journal:
+    journal = Journal()
+    apply(journal, OpenProgram("prog", "org", Budget(), 600))
+    apply(journal, OpenCall("prog", "org", spec, "entry-1"))
+    assert isinstance(apply(journal, StartAttempt(LOST, "org", "entry-1")), AttemptRecorded)
+    return journal
+
+
+def apply(journal: Journal, command: object, living: set[str] = frozenset()) -> object:
+    return journal.apply(command, living, 1_000)
+
+
+def test_a_repeatable_call_whose_attempt_is_lost_is_open_to_a_further_attempt():
+    # The entry and the server of a call die together. Without a further attempt the caller's
+    # resends would wait for an end that never comes.
+    journal = journal_with_attempt()
+    again = OpenCall("prog", "org", SPEC, "entry-2")
+    assert apply(journal, again) == CallRunning("entry-1", LOST)
+    opened = apply(journal, OpenCall("prog", "org", SPEC, "entry-2", LOST))
+    assert isinstance(opened, CallOpened)
+    second = AttemptId("prog", 1, opened.attempts + 1, "desk-2", "life")
+    assert apply(journal, StartAttempt(second, "org", "entry-2")) == AttemptRecorded(second)
+
+
+def test_a_call_that_may_not_be_repeated_stays_with_its_lost_attempt():
+    # The lost attempt may have billed the district. A second one could bill it again.
+    spec = CallSpec(1, CallKind.SERVICE, "desk", "{}", repeatable=False)
+    journal = journal_with_attempt(spec)
+    lost = OpenCall("prog", "org", spec, "entry-2", LOST)
+    assert apply(journal, lost) == CallRunning("entry-1", LOST)
+
+
+def test_an_entry_that_is_alive_keeps_its_call():
+    # Only the link between the second entry and the server is broken; the first entry will hear
+    # the end. Taken over, the call would run twice for nothing.
+    journal = journal_with_attempt()
+    lost = OpenCall("prog", "org", SPEC, "entry-2", LOST)
+    assert apply(journal, lost, {"entry-1"}) == CallRunning("entry-1")
+
+
+def test_a_request_that_crashed_two_servers_is_refused_under_a_new_program():
+    # A caller sends the request that crashes servers again, under a new program each time. Its
+    # first call would take down one more server each time.
+    journal = journal_with_attempt()
+    mark = fingerprint("org", "desk", "{}")
+    for number in (1, 2):
+        attempt = AttemptId("prog", 1, number, f"desk-{number}", "life")
+        apply(journal, ReportCrash(f"desk-{number}", "life", [mark], [attempt]))
+    apply(journal, OpenProgram("prog-2", "org", Budget(), 600))
+    refused = apply(journal, OpenCall("prog-2", "org", SPEC, "entry-1"))
+    assert isinstance(refused, Refusal)
+    assert refused.code is RefusalCode.QUARANTINED
+    assert isinstance(apply(journal, OpenCall("prog", "org", SPEC, "entry-1")), CallRunning)
