Prove the entry with real processes; let a stop end while a balancer probes

The stop under load failed first: the entry did not end within 20 s. Cause, from a dump of its green threads: the listener counted its last second anew after each connection, and the callers' probes of readyz came faster than that. Ruled out: calls or links still under way (none). A second fault showed in the test of it: with a timeout of zero eventlet's socket gives out plain blocking connections, so an idle one from the backlog stopped the whole process. The deadline now counts from the stop and the connections are green.

--- a/features/environment.py
+++ b/features/environment.py
@@ -16,3 +16,10 @@
     """Stop what the scenario started, newest first."""
     for stop in reversed(context.to_stop):
         stop()
+
+
+def after_all(_context):
+    """Stop the deployment that the scenarios shared."""
+    from deployment import stop_shared_deployment
+
+    stop_shared_deployment()
--- /dev/null
+++ b/features/steps/deployment.py
@@ -0,0 +1,212 @@
+"""A small deployment of real processes for the features, and callers of it.
+
+One control member, one sidecar process before a fake service and a fake engine, and two entries. It
+is shared by all scenarios; each makes sure first that everything runs.
+"""
+
+from __future__ import annotations
+
+import json
+import shutil
+import socket
+import tempfile
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import eventlet
+import urllib3
+from tarragonhall_fakes import (
+    Engine,
+    LocalProcess,
+    Service,
+    run_script,
+    script,
+    start_engine,
+    start_service,
+)
+from urllib3.exceptions import HTTPError
+
+ENTRIES = ("entry-1", "entry-2")
+RATE = 500
+WAIT_SECONDS = 20.0
+
+
+def free_address() -> str:
+    """Return a loopback address that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@dataclass(slots=True)
+class Deployment:
+    """The processes, the fakes behind them, and what callers need."""
+
+    folder: Path
+    service: Service
+    engine: Engine
+    process_by_name: dict[str, LocalProcess] = field(default_factory=dict)
+    callers_address: dict[str, str] = field(default_factory=dict)
+    control: str = ""
+    admin: str = ""
+    token: str = ""
+
+    def start(self, name: str) -> None:
+        """Start a process, unless it runs, and wait until it is ready."""
+        process = self.process_by_name.get(name)
+        if process is None or not process.running():
+            command = [script("tarragonhalld"), "--settings", str(self.folder / f"{name}.json")]
+            process = LocalProcess(command, self.folder / f"{name}.log")
+            self.process_by_name[name] = process
+        if name in self.callers_address:
+            process.wait_ready(f"http://{self.callers_address[name]}/readyz")
+
+    def ensure(self) -> None:
+        """Make sure that every process runs and no fault is left over."""
+        self.service.faults.clear()
+        self.service.seconds_per_call = 0.0
+        self.engine.faults.clear()
+        for name in ("control-1", "sidecar-1", *ENTRIES):
+            self.start(name)
+
+    def tool(self, *arguments: str) -> dict:
+        """Run the operators' tool and return its JSON."""
+        command = ["--admin", self.admin, "--token", self.token, "--json", *arguments]
+        return json.loads(run_script("tarragonhall", *command))
+
+    def new_organisation(self, rate: int = RATE, burst: int = RATE) -> tuple[str, str]:
+        """Create an organisation; return its name and a key of it."""
+        name = f"org-{uuid.uuid4().hex[:8]}"
+        path = f"/tests/{name}"
+        self.tool("org", "create", name, path, f"rate.per_second={rate}", f"rate.burst={burst}")
+        return name, self.tool("key", "grant", name)["key"]
+
+    def caller(self, key: str) -> Caller:
+        """Return a caller with a key."""
+        return Caller(self, key)
+
+    def effects(self, body: str) -> int:
+        """Return how often a service call with this body took effect."""
+        return sum(body in entry["body"] for entry in self.service.ledger)
+
+    def stop(self) -> None:
+        """Stop everything and remove the files."""
+        for process in reversed(self.process_by_name.values()):
+            process.resume()
+            process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a caller received: the status, the JSON body, and through which entry."""
+
+    status: int
+    value: dict
+    entry: str
+
+    def text(self) -> str:
+        """Return the text of the answer."""
+        return self.value["answer"]["text"]
+
+
+@dataclass(slots=True)
+class Caller:
+    """A caller with a key, on connections that stay open."""
+
+    deployment: Deployment
+    key: str
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(retries=False, timeout=30.0, maxsize=50)
+    )
+
+    def send(self, entry: str, method: str, path: str, body: object = None) -> Reply:
+        """Send one request through an entry."""
+        url = f"http://{self.deployment.callers_address[entry]}{path}"
+        headers = {"Authorization": f"Bearer {self.key}"}
+        response = self.http.request(method, url, json=body, headers=headers)
+        return Reply(response.status, response.json(), entry)
+
+    def open(self, entry: str = ENTRIES[0]) -> str:
+        """Open a program and return its id."""
+        reply = self.send(entry, "POST", "/v1/programs", {})
+        assert reply.status == 201, reply
+        return reply.value["program_id"]
+
+    def call(self, entry: str, program_id: str, seq: int, body: str, **fields) -> Reply:
+        """Send a service call that may not be repeated, unless the fields say otherwise."""
+        call = {"seq": seq, "kind": "service", "target": "order-desk", "body": body}
+        call |= {"repeatable": False, "timeout_ms": 20_000} | fields
+        return self.send(entry, "POST", f"/v1/programs/{program_id}/calls", call)
+
+    def call_anywhere(self, program_id: str, seq: int, body: str, **fields) -> Reply:
+        """Send a call as through a balancer: to another entry while one does not answer."""
+        with eventlet.Timeout(WAIT_SECONDS):
+            while True:
+                for entry in ENTRIES:
+                    try:
+                        return self.call(entry, program_id, seq, body, **fields)
+                    except HTTPError:
+                        continue
+                eventlet.sleep(0.05)
+
+
+def wait_until(condition, seconds: float = WAIT_SECONDS) -> None:
+    """Wait for something to become true."""
+    with eventlet.Timeout(seconds, False):
+        while not condition():
+            eventlet.sleep(0.01)
+        return
+    raise AssertionError(f"not within {seconds} s")
+
+
+_shared: list[Deployment] = []
+
+
+def shared_deployment() -> Deployment:
+    """Return the one deployment of this run, with everything running."""
+    if not _shared:
+        _shared.append(_make_deployment())
+    _shared[0].ensure()
+    return _shared[0]
+
+
+def stop_shared_deployment() -> None:
+    """Stop the deployment, if one was made."""
+    while _shared:
+        _shared.pop().stop()
+
+
+def _make_deployment() -> Deployment:
+    folder = Path(tempfile.mkdtemp(prefix="tarragonhall-features-"))
+    service, service_server = start_service()
+    engine, engine_server = start_engine()
+    made = Deployment(folder, service, engine)
+    made.control, made.admin = free_address(), free_address()
+    _write_settings(made, service_server.address, engine_server.address)
+    control = str(folder / "control-1.json")
+    made.token = run_script("tarragonhalld", "--settings", control, "--init").strip()
+    return made
+
+
+def _write_settings(made: Deployment, service: str, engine: str) -> None:
+    control = {
+        "data_folder": "control",
+        "admin": made.admin,
+        "members": {"control-1": made.control},
+    }
+    _write(made, "control-1", made.control, {"control": control})
+    desk = {"server_id": "desk-1", "server": service, "kind": "service", "serves": ["order-desk"]}
+    model = {"server_id": "engine-1", "server": engine, "kind": "model", "serves": ["planner"]}
+    _write(made, "sidecar-1", free_address(), {"sidecars": [desk, model]})
+    for name in ENTRIES:
+        made.callers_address[name] = free_address()
+        entry = {"listen": made.callers_address[name], "drain_grace_ms": 500}
+        _write(made, name, free_address(), {"entry": entry})
+
+
+def _write(made: Deployment, name: str, listen: str, roles: dict) -> None:
+    link = {"listen": listen, "secret_file": "link.secret", "controls": [made.control]}
+    settings = {"instance": name, "availability_zone": "tx-austin", "link": link} | roles
+    (made.folder / f"{name}.json").write_text(json.dumps(settings))
--- a/libs/wire/tarragonhall_wire/_http.py
+++ b/libs/wire/tarragonhall_wire/_http.py
@@ -211,10 +211,11 @@
     for the response that asks them to close.
     """
 
-    __slots__ = ("_open", "_socket", "_stopping", "_waiter")
+    __slots__ = ("_deadline", "_open", "_socket", "_stopping", "_waiter")
 
     def __init__(self, listening_socket) -> None:
         self._socket = listening_socket
+        self._deadline = 0.0
         self._open: list = []
         self._stopping = False
         self._waiter = None
@@ -222,6 +223,7 @@
     def stop(self) -> None:
         """Make `accept` give out the backlog and then end the server."""
         self._stopping = True
+        self._deadline = time.monotonic() + LINGER_SECONDS
         # Thrown from the loop itself: thrown from here, this thread would never go on.
         eventlet.hubs.get_hub().schedule_call_global(0, self._interrupt)
 
@@ -242,16 +244,19 @@
             self._waiter = None
 
     def _accept_from_backlog(self):
-        self._socket.settimeout(0)
-        deadline = time.monotonic() + LINGER_SECONDS
+        # The deadline counts from the stop: balancers go on probing, and counted from the last
+        # connection it would never come. A timeout of zero would make eventlet's socket give out
+        # plain blocking connections, and an idle one of these stops the whole process.
+        self._socket.settimeout(LINGER_POLL_SECONDS)
         while True:
             with contextlib.suppress(BlockingIOError, TimeoutError):
                 return self._keep(self._socket.accept())
             self._forget_closed()
-            if not self._open or time.monotonic() > deadline:
+            if not self._open or time.monotonic() > self._deadline:
                 self._socket.close()
+                # Connections accepted just now get their requests read before the idle are closed.
+                eventlet.sleep(LINGER_POLL_SECONDS)
                 raise SystemExit
-            eventlet.sleep(LINGER_POLL_SECONDS)
 
     def _keep(self, accepted):
         self._forget_closed()
--- a/libs/wire/tests/http_tests.py
+++ b/libs/wire/tests/http_tests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import json
 
 import eventlet
@@ -110,6 +111,24 @@
     assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
 
 
+def test_a_stop_ends_although_a_balancer_goes_on_probing(server):
+    # A balancer probes the instance several times a second on new connections, and a client keeps
+    # one open. The stop must not wait for a pause between the probes: there is none.
+    idle = socket.create_connection(("127.0.0.1", server.port))
+
+    def probe() -> None:
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            while True:
+                urllib3.request("GET", f"http://127.0.0.1:{server.port}/items/a", retries=False)
+                eventlet.sleep(0.05)
+
+    probing = eventlet.spawn(probe)
+    eventlet.sleep(0.1)
+    assert server.stop(3)
+    probing.kill()
+    idle.close()
+
+
 def test_while_draining_each_response_asks_to_close_the_connection(server):
     server.drain()
     response = urllib3.request("GET", f"http://127.0.0.1:{server.port}/items/a")
