--- a/libs/decisions/tarragonhall_decisions/_routing.py
+++ b/libs/decisions/tarragonhall_decisions/_routing.py
@@ -160,6 +160,12 @@
         if state is not None:
             state.on_end(attempt_key, units, answered, now)
 
+    def on_unused(self, server_id: str, attempt_key: str) -> None:
+        """Note that an attempt was not sent after all; nothing is learnt of the server."""
+        state = self._state_by_id.get(server_id)
+        if state is not None and state.open_by_key.pop(attempt_key, None) is not None:
+            state.changes_since_report -= 1
+
     def learn_prefill(self, recomputed_tokens: int, seconds: float) -> None:
         """Learn the time to the first token of a call that recomputed so many tokens."""
         if recomputed_tokens < MIN_LEARNT_TOKENS:
--- a/libs/entry/tarragonhall_entry/_attempt_flow.py
+++ b/libs/entry/tarragonhall_entry/_attempt_flow.py
@@ -69,8 +69,10 @@
     refusal: Refusal
 
 
-def run_attempt(call: Call, opened: CallOpened, attempt: AttemptId, server: ServerRecord) -> Steps:
-    """Make one attempt.
+def start_attempt(
+    call: Call, opened: CallOpened, attempt: AttemptId, server: ServerRecord
+) -> Steps:
+    """Record an attempt and make it.
 
     Return `Failed`, `GivenUp`, or what the journal says became of the call: `CallClosed`,
     `CallRunning`, `Refusal` or `Unavailable`.
@@ -78,11 +80,15 @@
     result = yield Commit(StartAttempt(attempt, call.org_id, call.entry_id))
     match result:
         case AttemptRecorded():
-            pass
+            return (yield from run_attempt(call, opened, attempt, server))
         case Refusal():
             return GivenUp(result)
         case _:
             return result
+
+
+def run_attempt(call: Call, opened: CallOpened, attempt: AttemptId, server: ServerRecord) -> Steps:
+    """Make an attempt that is recorded; return as `start_attempt` does."""
     # The key may have been withdrawn while the call waited or while this commit was under way.
     refusal = yield CheckKey()
     if refusal is not None:
--- a/libs/entry/tarragonhall_entry/_effects.py
+++ b/libs/entry/tarragonhall_entry/_effects.py
@@ -17,7 +17,8 @@
     """One call at this entry. `deadline` is on this process's monotonic clock, in seconds.
 
     `call_id` is this entry's own name for it: a resend with another body is another call here.
-    `unproven` is an attempt of which it is not known that it never ran, once there is one.
+    `unproven` is an attempt of which it is not known that it never ran, once there is one. `place`
+    is held for the first attempt where that was recorded together with the call.
     """
 
     call_id: str
@@ -28,6 +29,7 @@
     entry_id: str
     deadline: float
     unproven: AttemptId | None = None
+    place: Assigned | None = None
 
     @property
     def name(self) -> tuple[str, int]:
@@ -90,10 +92,22 @@
 
 @dataclass(slots=True, frozen=True)
 class EndPlace:
-    """Give the place on the server back. Result: None. `tokens` were generated there."""
+    """Give the place on the server back. Result: None. `tokens` were generated there; with `used`
+    unset nothing was sent there.
+    """
+
+    answered: bool = False
+    tokens: int = 0
+    used: bool = True
 
-    answered: bool
-    tokens: int
+
+@dataclass(slots=True, frozen=True)
+class TryTurn:
+    """Take a place without waiting. Result: `Assigned`, None where none is free, or a `Refusal`
+    where the queue would refuse the call.
+    """
+
+    started: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -201,6 +215,7 @@
     | CheckKey
     | WaitTurn
     | EndPlace
+    | TryTurn
     | SendDispatch
     | AwaitEnd
     | Reattach
--- a/libs/entry/tarragonhall_entry/_flow.py
+++ b/libs/entry/tarragonhall_entry/_flow.py
@@ -16,6 +16,7 @@
     AbandonCall,
     CallAbandoned,
     CallClosed,
+    CallKind,
     CallOpened,
     CallRunning,
     CloseCall,
@@ -26,7 +27,13 @@
     RefusalCode,
 )
 
-from tarragonhall_entry._attempt_flow import Failed, GivenUp, follow_running, run_attempt
+from tarragonhall_entry._attempt_flow import (
+    Failed,
+    GivenUp,
+    follow_running,
+    run_attempt,
+    start_attempt,
+)
 from tarragonhall_entry._effects import (
     AskControl,
     Assigned,
@@ -40,6 +47,7 @@
     Pause,
     Restart,
     TakeToken,
+    TryTurn,
     Unavailable,
     WaitTurn,
 )
@@ -77,14 +85,37 @@
     refusal = yield TakeToken()
     if refusal is not None:
         return (yield from _refuse_unopened(call, refusal))
+    place = (yield TryTurn(call.spec.seq > 1)) if _needs_no_prefix(call) else None
+    if isinstance(place, Refusal):
+        return (yield from _refuse_unopened(call, place))
+    result = yield from _open(call, place)
     tries = 0
-    while True:
-        result = yield Commit(_open_command(call))
+    while _is_early(result):
         tries += 1
-        if not _is_early(result) or not (yield AwaitPredecessor(tries)):
-            break
+        if not (yield AwaitPredecessor(tries)):
+            return result
+        result = yield from _open(call, None)
+    return result
+
+
+def _needs_no_prefix(call: Call) -> bool:
+    """Return whether a server can be chosen before the journal has told where the prefix is."""
+    return call.spec.kind is CallKind.SERVICE or call.spec.seq == 1
+
+
+def _open(call: Call, place: Assigned | None) -> Steps:
+    """Open the call; with a place at hand its first attempt is recorded in the same commit."""
+    command = _open_command(call)
+    if place is not None:
+        command = replace(command, first_attempt=next_attempt(call, 1, place.server))
+    result = yield Commit(command)
     if isinstance(result, CallOpened):
         yield Note("call.opened", {"seq": call.spec.seq, "target": call.spec.target})
+        if result.started:
+            call.place = place
+            return result
+    if place is not None:
+        yield EndPlace(used=False)
     return result
 
 
@@ -118,13 +149,18 @@
     attempts = opened.attempts
     tries = 0
     while True:
-        turn = yield WaitTurn(*turn_wish(call, opened), frozenset(excluded))
-        if not isinstance(turn, Assigned):
-            return (yield from _give_up(call, turn))
-        attempts += 1
         tries += 1
-        attempt = next_attempt(call, attempts, turn.server)
-        outcome = yield from run_attempt(call, opened, attempt, turn.server)
+        if call.place is not None:
+            turn, call.place = call.place, None
+            attempt = next_attempt(call, attempts, turn.server)
+            outcome = yield from run_attempt(call, opened, attempt, turn.server)
+        else:
+            turn = yield WaitTurn(*turn_wish(call, opened), frozenset(excluded))
+            if not isinstance(turn, Assigned):
+                return (yield from _give_up(call, turn))
+            attempts += 1
+            attempt = next_attempt(call, attempts, turn.server)
+            outcome = yield from start_attempt(call, opened, attempt, turn.server)
         yield _end_place(outcome)
         match outcome:
             case GivenUp(refusal=refusal):
@@ -144,7 +180,7 @@
 def _end_place(outcome: object) -> EndPlace:
     if isinstance(outcome, CallClosed) and outcome.answer is not None:
         return EndPlace(True, outcome.answer.usage.generated)
-    return EndPlace(False, 0)
+    return EndPlace()
 
 
 def _with_detail(refusal: Refusal, failed: Failed) -> Refusal:
--- a/libs/entry/tarragonhall_entry/_runner.py
+++ b/libs/entry/tarragonhall_entry/_runner.py
@@ -41,6 +41,7 @@
     Restart,
     SendDispatch,
     TakeToken,
+    TryTurn,
     Unavailable,
     WaitTurn,
 )
@@ -126,6 +127,8 @@
             log.exception("call.failed", program_id=call.program_id, seq=call.spec.seq)
             refusal = Refusal(RefusalCode.UNAVAILABLE, "internal error", Execution.UNKNOWN)
             closed = CallClosed(refusal=refusal)
+            # A place that a broken flow left behind would be lost for good.
+            self._turns.end(call, EndPlace(used=False))
         self._dispatcher.forget_call(running)
         if self.running_by_name.get(call.name) is running:
             del self.running_by_name[call.name]
@@ -158,8 +161,10 @@
                 return self._check_key(call)
             case WaitTurn():
                 return self._turns.wait(call, effect)
-            case EndPlace(answered=answered, tokens=tokens):
-                return self._turns.end(call, answered, tokens)
+            case EndPlace():
+                return self._turns.end(call, effect)
+            case TryTurn(started=started):
+                return self._turns.try_now(call, started)
             case SendDispatch(server=server, message=message):
                 return self._dispatcher.dispatch(running, server, message)
             case AwaitEnd(attempt=attempt):
--- a/libs/entry/tarragonhall_entry/_scheduler.py
+++ b/libs/entry/tarragonhall_entry/_scheduler.py
@@ -160,6 +160,15 @@
             and not self.router.serves(waiting.call.spec.target)
         ]
 
+    def unused(self, call: Call) -> None:
+        """Give back the place of a call that was not sent there; nothing is learnt from it."""
+        placed = self._placed_by_id.pop(call.call_id, None)
+        if placed is None:
+            return
+        self.router.on_unused(placed.server.server_id, call.call_id)
+        self.quarantine.on_end(placed.fingerprint, placed.server.server_id, False)
+        self._queue(call.spec.target).on_end(placed.queued, 0.0)
+
     def end(self, call: Call, answered: bool, tokens: int, now: float) -> None:
         """Give the place of a call back and learn from how it went."""
         placed = self._placed_by_id.pop(call.call_id, None)
--- a/libs/entry/tarragonhall_entry/_turns.py
+++ b/libs/entry/tarragonhall_entry/_turns.py
@@ -10,7 +10,7 @@
 from tarragonhall_wire import ProcessContext
 
 from tarragonhall_entry._access import Access
-from tarragonhall_entry._effects import Assigned, Call, WaitTurn
+from tarragonhall_entry._effects import Assigned, Call, EndPlace, WaitTurn
 from tarragonhall_entry._scheduler import Outcome, Scheduler, no_server
 
 # A key withdrawn while a call waits must end the wait within seconds; looking costs one lookup.
@@ -38,11 +38,7 @@
     def wait(self, call: Call, wish: WaitTurn) -> Assigned | Refusal:
         """Wait for a place on a server, at most until the call's deadline."""
         started = self._context.monotonic()
-        event = Event()
-        self._event_by_id[call.call_id] = event
-        weight = self._follower.organisation_by_id[call.org_id].weight
-        self._tell(self._scheduler.offer(call, wish, weight, started))
-        self.pump()
+        event = self._offer(call, wish)
         if not event.ready():
             self._context.timeline.add("call.queued", call.program_id, seq=call.spec.seq)
         with eventlet.Timeout(max(0.0, call.deadline - started), False):
@@ -54,9 +50,22 @@
         self._context.metrics.timing("entry.queue_ms", waited_ms)
         return event.wait()
 
-    def end(self, call: Call, answered: bool, tokens: int) -> None:
+    def try_now(self, call: Call, started: bool) -> Assigned | Refusal | None:
+        """Return a place on a server where one is free now, or why the queue refuses the call."""
+        event = self._offer(call, WaitTurn(started, None, 0, 0, frozenset()))
+        if event.ready():
+            return event.wait()
+        self._scheduler.remove(call)
+        del self._event_by_id[call.call_id]
+        return None
+
+    def end(self, call: Call, effect: EndPlace) -> None:
         """Give a place back."""
-        self._scheduler.end(call, answered, tokens, self._context.monotonic())
+        if effect.used:
+            now = self._context.monotonic()
+            self._scheduler.end(call, effect.answered, effect.tokens, now)
+        else:
+            self._scheduler.unused(call)
         self.pump()
 
     def refuse(self, refusal: Refusal, program_id: str | None = None) -> None:
@@ -73,6 +82,14 @@
         """End the sweep."""
         self._stopped = True
 
+    def _offer(self, call: Call, wish: WaitTurn) -> Event:
+        event = Event()
+        self._event_by_id[call.call_id] = event
+        weight = self._follower.organisation_by_id[call.org_id].weight
+        self._tell(self._scheduler.offer(call, wish, weight, self._context.monotonic()))
+        self.pump()
+        return event
+
     def _tell(self, outcomes: list[Outcome]) -> None:
         for outcome in outcomes:
             self._wake(outcome.waiting.call, outcome.result)
--- a/libs/entry/tests/flow_tests.py
+++ b/libs/entry/tests/flow_tests.py
@@ -23,6 +23,7 @@
     Restart,
     SendDispatch,
     TakeToken,
+    TryTurn,
     Unavailable,
     WaitTurn,
 )
@@ -105,7 +106,7 @@
     return CallClosed(command.answer, command.refusal)
 
 
-OPENED = [(TakeToken, None), (OpenCall, CallOpened(0, []))]
+OPENED = [(TakeToken, None), (TryTurn, None), (OpenCall, CallOpened(0, []))]
 
 
 def attempt_on(name: str, reply: object) -> list[tuple[type, object]]:
@@ -133,7 +134,9 @@
 
 
 def test_a_resend_of_a_closed_call_gets_the_recorded_answer():
-    result, _ = run(call(), [(TakeToken, None), (OpenCall, CallClosed(answer=ANSWER))])
+    result, _ = run(
+        call(), [(TakeToken, None), (TryTurn, None), (OpenCall, CallClosed(answer=ANSWER))]
+    )
     assert result.answer == ANSWER
 
 
@@ -299,6 +302,7 @@
         call(),
         [
             (TakeToken, None),
+            (TryTurn, None),
             (OpenCall, early),
             (AwaitPredecessor, True),
             (OpenCall, CallClosed(answer=ANSWER)),
@@ -313,6 +317,7 @@
         call(),
         [
             (TakeToken, None),
+            (TryTurn, None),
             (OpenCall, CallRunning("entry-2", attempt)),
             (Reattach, Accepted()),
             (AwaitEnd, ended(AttemptOutcome.ANSWERED, ANSWER)),
@@ -349,6 +354,7 @@
         call(),
         [
             (TakeToken, None),
+            (TryTurn, None),
             (OpenCall, CallRunning("entry-2", attempt)),
             (Reattach, LinkLost()),
             (EntryInView, False),
@@ -380,3 +386,48 @@
         ],
     )
     assert result.refusal.execution is Execution.UNKNOWN
+
+
+def test_a_free_server_saves_the_commit_of_the_first_attempt():
+    result, effects = run(
+        call(),
+        [
+            (TakeToken, None),
+            (TryTurn, Assigned(server())),
+            (
+                OpenCall,
+                lambda command: CallOpened(1, [], started=command.first_attempt.number == 1),
+            ),
+            (CheckKey, None),
+            (SendDispatch, Accepted()),
+            (AwaitEnd, ended(AttemptOutcome.ANSWERED, ANSWER)),
+            (CloseCall, closed),
+        ],
+    )
+    assert result.answer == ANSWER
+    assert [type(e.body) for e in effects if isinstance(e, Commit)] == [OpenCall, CloseCall]
+
+
+def test_the_place_of_a_resend_is_given_back_unused():
+    # The caller sends a finished call again. The place taken for it before the journal was asked
+    # must be free again, or the server would seem full after a few resends.
+    result, effects = run(
+        call(),
+        [
+            (TakeToken, None),
+            (TryTurn, Assigned(server())),
+            (OpenCall, CallClosed(answer=ANSWER)),
+        ],
+    )
+    assert result.answer == ANSWER
+    assert [effect for effect in effects if isinstance(effect, EndPlace)] == [EndPlace(used=False)]
+
+
+def test_a_call_that_the_queue_refuses_costs_no_commit():
+    # A tenant sends far more than the servers can take. If each refusal were put in the journal,
+    # the overload of one target would become that of everybody's journal.
+    full = Refusal(RefusalCode.OVERLOADED, "full", retry_after_ms=100)
+    missing = Refusal(RefusalCode.NOT_FOUND, "no such call")
+    result, effects = run(call(), [(TakeToken, None), (TryTurn, full), (AskControl, missing)])
+    assert result.refusal == full
+    assert not any(isinstance(effect, Commit) for effect in effects)
--- a/libs/model/tarragonhall_model/_commands.py
+++ b/libs/model/tarragonhall_model/_commands.py
@@ -49,6 +49,9 @@
 
     `lost_attempt` is the live attempt of a call that may be repeated, where the sender found that
     its end cannot be known any more; the call is then open to a further attempt.
+
+    `first_attempt` is recorded together with a call that opens for the first time, as by
+    `StartAttempt`; the result's `started` says so. It saves a commit on the way of most calls.
     """
 
     program_id: str
@@ -56,6 +59,7 @@
     spec: CallSpec
     entry_id: str
     lost_attempt: AttemptId | None = None
+    first_attempt: AttemptId | None = None
 
 
 @record
@@ -214,13 +218,15 @@
     """The call is open and no live attempt of it is known; `attempts` were recorded so far.
 
     `history` holds the earlier model calls of the program, oldest first. `prefix_server` is the
-    backend server that ran the last of them and may still hold their prefix.
+    backend server that ran the last of them and may still hold their prefix. `started` says that
+    the `first_attempt` of the command was recorded and may be dispatched.
     """
 
     attempts: int
     history: list[Turn]
     prefix_server: str | None = None
     deadline_at_ms: int = 0
+    started: bool = False
 
 
 @record
--- a/libs/state/tarragonhall_state/_calls.py
+++ b/libs/state/tarragonhall_state/_calls.py
@@ -65,7 +65,12 @@
         call = self._put(program, spec, command.entry_id, now_ms)
         program.history_bytes += len(spec.body)
         self._programs.touch(program, now_ms, call.deadline_at_ms)
-        return _opened(program, call)
+        if command.first_attempt is None:
+            return _opened(program, call)
+        start = StartAttempt(command.first_attempt, command.org_id, command.entry_id)
+        recorded = self.start_attempt(start, now_ms)
+        started = isinstance(recorded, AttemptRecorded)
+        return replace(_opened(program, call), started=started)
 
     def start_attempt(
         self, command: StartAttempt, now_ms: int
--- a/libs/state/tests/takeover_tests.py
+++ b/libs/state/tests/takeover_tests.py
@@ -75,3 +75,14 @@
     assert isinstance(refused, Refusal)
     assert refused.code is RefusalCode.QUARANTINED
     assert isinstance(apply(journal, OpenCall("prog", "org", SPEC, "entry-1")), CallRunning)
+
+
+def test_a_first_attempt_is_recorded_with_its_call_but_never_with_a_resend():
+    journal = Journal()
+    apply(journal, OpenProgram("prog", "org", Budget(), 600))
+    command = OpenCall("prog", "org", SPEC, "entry-1", first_attempt=LOST)
+    opened = apply(journal, command)
+    assert (opened.started, opened.attempts) == (True, 1)
+    other = AttemptId("prog", 1, 1, "desk-2", "life")
+    again = OpenCall("prog", "org", SPEC, "entry-2", first_attempt=other)
+    assert apply(journal, again) == CallRunning("entry-1", LOST)
