--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus
+.PHONY: bench-sidecar setup demo test unit features format lint docs bench measure capacity bench-consensus
 
 setup: $(STAMP)
 
@@ -44,3 +44,6 @@
 
 bench-consensus: setup
 	$(BIN)/python benchmarks/consensus_bench.py
+
+bench-sidecar: setup
+	$(BIN)/python benchmarks/sidecar_bench.py
