--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test unit features format lint docs bench measure capacity
+.PHONY: setup demo test unit features format lint docs bench bench-state measure capacity
 
 setup: $(STAMP)
 
@@ -41,3 +41,6 @@
 
 docs: setup
 	$(BIN)/python -m mkdocs build --strict --quiet --site-dir build/site
+
+bench-state: setup
+	$(BIN)/python benchmarks/state_bench.py
--- a/libs/control/tarragonhall_control/_followers.py
+++ b/libs/control/tarragonhall_control/_followers.py
@@ -24,12 +24,13 @@
     the reply brings the rest.
     """
 
-    __slots__ = ("_metrics", "_sent_by_link", "_state")
+    __slots__ = ("_metrics", "_pushed", "_sent_by_link", "_state")
 
     def __init__(self, state: ControlState, metrics: Metrics) -> None:
         self._state = state
         self._metrics = metrics
         self._sent_by_link: dict[Link, Sent] = {}
+        self._pushed = Sent(0, 0)
 
     def note(self, link: Link, revision: int, epoch: int) -> None:
         """Remember what a follower has, as of its heartbeat and the reply to it."""
@@ -49,6 +50,11 @@
     def push(self) -> None:
         """Send each follower what it lacks; those who lack the same share one delta."""
         revision, epoch = self._state.revision, self._state.epoch
+        # Asked after every step of the log. Going through all followers each time would cost the
+        # square of their number a second, since each one's heartbeat is a step.
+        if self._pushed == Sent(revision, epoch):
+            return
+        self._pushed = Sent(revision, epoch)
         news_by_lack: dict[tuple[int, bool], News] = {}
         for link, sent in list(self._sent_by_link.items()):
             if sent.revision >= revision and sent.epoch >= epoch:
--- a/libs/state/tests/calls_tests.py
+++ b/libs/state/tests/calls_tests.py
@@ -131,6 +131,15 @@
     assert journal.start(1, number=2, entry="entry-2") == CallRunning("entry-1", attempt())
 
 
+def test_of_two_entries_that_race_for_a_repeatable_call_the_loser_is_told_who_runs_it():
+    # The loser must wait for the winner's attempt; told of a mere conflict, it would fail its
+    # caller although the call runs.
+    journal = Journal()
+    journal.open(1)
+    journal.start(1, entry="entry-1")
+    assert journal.start(1, entry="entry-2") == CallRunning("entry-1", attempt())
+
+
 def test_what_must_not_repeat_gets_a_second_attempt_only_after_proof():
     # The server with the first attempt goes silent. Only the sidecar's tombstone shows that the
     # call never started there; without it a second attempt could send a second van.
@@ -306,6 +315,36 @@
     assert journal(ExpirePrograms()).program_ids == ["prog-2"]
 
 
+def test_a_program_is_idle_from_the_end_of_a_long_call_not_from_its_deadline():
+    # A call that might have taken an hour ends after half a minute, and then its caller's process
+    # dies. Its program must not hold engine memory for the rest of the hour.
+    journal = Journal(idle_seconds=30)
+    journal.open(1, timeout_ms=3_000_000)
+    journal.start(1)
+    journal.now_ms += 31_000
+    assert journal(ExpirePrograms()).program_ids == []
+    journal.answer(1)
+    journal.now_ms += 30_000
+    assert journal(ExpirePrograms()).program_ids == ["prog-1"]
+
+
+def test_programs_expire_in_the_same_order_on_a_restored_member():
+    # A member that took a snapshot queues its programs anew. If it listed them in another order,
+    # two members would hold two results for one command, and a resend would depend on the leader.
+    journal = Journal(idle_seconds=30)
+    journal.now_ms += 5_000
+    journal.open_program("prog-2", idle=30)
+    journal.now_ms += 15_000
+    journal.open(1, timeout_ms=1)
+    twin = ControlState()
+    twin.restore(journal.state.snapshot())
+    journal.now_ms += 100_000
+    data = encode(Command("req-expire", journal.now_ms, ExpirePrograms()))
+    expired = journal.state.apply(99, data)
+    assert expired == twin.apply(99, data)
+    assert expired.program_ids == ["prog-1", "prog-2"]
+
+
 def test_the_budget_of_time_ends_a_program_that_is_busy():
     journal = Journal(Budget(1_000, 10, 60), idle_seconds=30)
     journal.open(1, timeout_ms=600_000)
