--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test unit features format lint docs measure bench-consensus bench-state bench-sidecar
+.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus bench-state bench-sidecar bench-path
 
 setup: $(STAMP)
 
@@ -45,5 +45,13 @@
 bench-consensus: setup
 	$(BIN)/python benchmarks/consensus_bench.py
 
+bench-sidecar: setup
+	$(BIN)/python benchmarks/sidecar_bench.py
+
+bench-state: setup
+	$(BIN)/python benchmarks/state_bench.py
+
+bench: bench-consensus bench-state bench-sidecar
+
 measure: setup
 	$(BIN)/python tools/measure.py
