--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -18,6 +18,7 @@
 import urllib3
 from tarragonhall_fakes import (
     Engine,
+    FakeServer,
     LocalProcess,
     Service,
     run_script,
@@ -45,6 +46,7 @@
 
     folder: Path
     service: Service
+    service_server: FakeServer
     engine: Engine
     process_by_name: dict[str, LocalProcess] = field(default_factory=dict)
     callers_address: dict[str, str] = field(default_factory=dict)
@@ -67,6 +69,7 @@
         self.service.faults.clear()
         self.service.seconds_per_call = 0.0
         self.engine.faults.clear()
+        self.restart_service_if_crashed()
         for name in ("control-1", "sidecar-1", *ENTRIES):
             self.start(name)
 
@@ -86,6 +89,17 @@
         """Return a caller with a key."""
         return Caller(self, key)
 
+    def restart_service_if_crashed(self) -> None:
+        """Do as the platform does with a backend server that died."""
+        if self.service_server.crashed:
+            self.service.life = uuid.uuid4().hex
+            self.service_server.start()
+
+    def wait_for_request(self, body: str) -> None:
+        """Wait until a call with this body has reached the service, which may not have acted."""
+        data = body.encode()
+        wait_until(lambda: any(data in one.body for one in self.service_server.received))
+
     def effects(self, body: str) -> int:
         """Return how often a service call with this body took effect."""
         return sum(body in entry["body"] for entry in self.service.ledger)
@@ -182,7 +196,7 @@
     folder = Path(tempfile.mkdtemp(prefix="tarragonhall-features-"))
     service, service_server = start_service()
     engine, engine_server = start_engine()
-    made = Deployment(folder, service, engine)
+    made = Deployment(folder, service, service_server, engine)
     made.control, made.admin = free_address(), free_address()
     _write_settings(made, service_server.address, engine_server.address)
     control = str(folder / "control-1.json")
--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -50,6 +50,7 @@
 
 @when('the caller sends call {seq:d} "{body}" through "{entry}"')
 def send_call(context, seq, body, entry):
+    context.last_body = body
     context.waiting.append(eventlet.spawn(_call_or_none, context, entry, seq, body))
 
 
@@ -75,11 +76,8 @@
 
 @when('"{entry}" is killed while the call runs')
 def kill_while_running(context, entry):
-    received = context.deployment.service
-    before = len(received.ledger)
-    # Dispatched, but the service has not acted yet.
-    eventlet.sleep(0.7)
-    assert len(received.ledger) == before
+    context.deployment.wait_for_request(context.last_body)
+    assert context.deployment.effects(context.last_body) == 0
     context.deployment.process_by_name[entry].kill()
     context.waiting.clear()
 
--- a/libs/entry/tarragonhall_entry/_api.py
+++ b/libs/entry/tarragonhall_entry/_api.py
@@ -8,8 +8,10 @@
 import structlog
 from tarragonhall_model import (
     CallClosed,
+    CallKind,
     CallOpened,
     CallRunning,
+    CallSpec,
     EndProgram,
     Execution,
     OpenProgram,
@@ -35,7 +37,7 @@
 
 from tarragonhall_entry._access import Access, RefusedError
 from tarragonhall_entry._effects import Call
-from tarragonhall_entry._requests import load_call, load_open
+from tarragonhall_entry._requests import load_call, load_idempotency_key, load_open
 from tarragonhall_entry._responses import (
     closed_response,
     error_response,
@@ -49,11 +51,9 @@
 log = structlog.get_logger(__name__)
 
 CONTROL_SECONDS = 6.0
-DEFAULT_MODEL_TOKENS = 4_096
 # The final refusal of a call travels to its listeners through two commits at most.
 ANSWER_GRACE_SECONDS = 0.5
 FETCH_RETRY_MS = 1_000
-MAX_IDEMPOTENCY_KEY = 256
 
 
 class CallersApi:
@@ -108,7 +108,7 @@
         """Open a program."""
         _, organisation = self._authenticate(request)
         body = load_open(request.json())
-        idempotency_key = request.headers.get("idempotency-key")
+        idempotency_key = load_idempotency_key(request.headers.get("idempotency-key"))
         command = OpenProgram(
             program_id=new_id("prog", self._context.rng),
             org_id=organisation.org_id,
@@ -156,7 +156,7 @@
         """Run a call, or join it, or return its recorded answer."""
         arrived = self._context.monotonic()
         key_hash, organisation = self._authenticate(request)
-        spec = load_call(request.json(), DEFAULT_MODEL_TOKENS)
+        spec = load_call(request.json(), self._follower.model_by_name)
         call = Call(
             call_id=f"{request.parts['program_id']}/{spec.seq}/{next(self._call_numbers)}",
             program_id=request.parts["program_id"],
@@ -165,6 +165,7 @@
             spec=spec,
             entry_id=self._context.instance,
             deadline=arrived + spec.timeout_ms / 1000,
+            model_version=self._model_version(spec),
         )
         running = self._runner.start(call)
         if spec.stream:
@@ -172,6 +173,10 @@
         closed = running.wait(self._left(call))
         return closed_response(call.program_id, spec.seq, closed or _still_running())
 
+    def _model_version(self, spec: CallSpec) -> str | None:
+        model = self._follower.model_by_name.get(spec.target)
+        return model.version if model is not None and spec.kind is CallKind.MODEL else None
+
     def _stream(self, running: RunningCall, call: Call) -> Iterator[bytes]:
         queue = running.listen()
         while True:
--- a/libs/entry/tarragonhall_entry/_effects.py
+++ b/libs/entry/tarragonhall_entry/_effects.py
@@ -28,6 +28,7 @@
     spec: CallSpec
     entry_id: str
     deadline: float
+    model_version: str | None = None
     unproven: AttemptId | None = None
     place: Assigned | None = None
 
--- a/libs/entry/tarragonhall_entry/_messages.py
+++ b/libs/entry/tarragonhall_entry/_messages.py
@@ -39,6 +39,7 @@
         history=history,
         priority=0,
         deadline_ms=call.spec.timeout_ms,
+        model_version=call.model_version,
     )
 
 
--- a/libs/entry/tarragonhall_entry/_requests.py
+++ b/libs/entry/tarragonhall_entry/_requests.py
@@ -15,13 +15,16 @@
     Group,
     InputError,
     MapOf,
+    ModelPolicy,
     Text,
     Whole,
+    escape,
 )
 
 MAX_TIMEOUT_MS = 3_600_000
 DEFAULT_TIMEOUT_MS = 60_000
 MAX_TOKENS = 10_000_000
+DEFAULT_MODEL_TOKENS = 4_096
 MAX_SEQ = 1_000_000
 MAX_LABELS = 32
 MAX_TEXT = 256
@@ -61,9 +64,10 @@
     def load(self, value: object, place: str) -> tuple[Any, list[Finding]]:
         """Check one value."""
         loaded, findings = Text().load(value, place)
-        if loaded is not None and len(loaded) > self.maximum:
-            return None, [Finding(place, f"longer than {self.maximum} characters")]
-        return loaded, findings
+        if loaded is None:
+            return loaded, findings
+        findings = _check_text(loaded, self.maximum, place)
+        return (None if findings else loaded), findings
 
     def schema(self) -> dict:
         """Return the JSON Schema of this option."""
@@ -78,20 +82,40 @@
 
     def load(self, value: object, place: str) -> tuple[Any, list[Finding]]:
         """Return the text that travels; an object keeps one spelling however it was sent."""
-        text = value if isinstance(value, str) else json.dumps(value, sort_keys=True)
-        if len(text) > MAX_BODY_CHARACTERS:
-            return None, [Finding(place, f"longer than {MAX_BODY_CHARACTERS} characters")]
-        return text, []
+        try:
+            text = value if isinstance(value, str) else _canonical(value)
+        except (ValueError, RecursionError):
+            return None, [Finding(place, "is no JSON value: too deep, or not a finite number")]
+        findings = _check_text(text, MAX_BODY_CHARACTERS, place)
+        return (None if findings else text), findings
 
     def schema(self) -> dict:
         """Return the JSON Schema of this option."""
         return {}
 
 
+def _canonical(value: object) -> str:
+    return json.dumps(value, sort_keys=True, allow_nan=False)
+
+
+def _check_text(text: str, maximum: int, place: str) -> list[Finding]:
+    if len(text) > maximum:
+        return [Finding(place, f"longer than {maximum} characters")]
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        # Half of a surrogate pair: JSON can spell it, but no other process could read it.
+        return [Finding(place, "holds half of a surrogate pair")]
+    return []
+
+
 def _check_open(made: OpenRequest, place: str) -> list[Finding]:
     if len(made.labels) > MAX_LABELS:
         return [Finding(f"{place}/labels", f"more than {MAX_LABELS} labels")]
-    return []
+    findings = []
+    for name in made.labels:
+        findings.extend(_check_text(name, MAX_TEXT, f"{place}/labels/{escape(name)}"))
+    return findings
 
 
 def _check_call(made: CallRequest, place: str) -> list[Finding]:
@@ -131,17 +155,27 @@
     return _load(OPEN_OPTIONS, value)
 
 
-def load_call(value: dict, model_tokens: int) -> CallSpec:
-    """Check the body of a call; `model_tokens` is the bound where the caller states none.
+def load_idempotency_key(value: str | None) -> str | None:
+    """Check the `Idempotency-Key` header."""
+    if value is None:
+        return None
+    findings = _check_text(value, MAX_TEXT, "Idempotency-Key")
+    if findings:
+        raise InputError(findings)
+    return value
+
+
+def load_call(value: dict, model_by_name: dict[str, ModelPolicy]) -> CallSpec:
+    """Check the body of a call; the models in force bound its `max_tokens`.
 
     A service call is taken as not repeatable unless its caller says so: a wrong guess the other way
     would charge somebody twice.
     """
     request = _load(CALL_OPTIONS, value)
     is_model = request.kind is CallKind.MODEL
-    tokens = request.max_tokens
-    if tokens is None:
-        tokens = model_tokens if is_model else 0
+    tokens = request.max_tokens or 0
+    if is_model:
+        tokens = _model_tokens(request, model_by_name.get(request.target))
     return CallSpec(
         seq=request.seq,
         kind=request.kind,
@@ -154,6 +188,16 @@
     )
 
 
+def _model_tokens(request: CallRequest, model: ModelPolicy | None) -> int:
+    most = model.max_tokens if model is not None else MAX_TOKENS
+    if request.max_tokens is None:
+        return min(DEFAULT_MODEL_TOKENS, most)
+    if not 1 <= request.max_tokens <= most:
+        place = "/max_tokens"
+        raise InputError([Finding(place, f"expected a number from 1 to {most} for this model")])
+    return request.max_tokens
+
+
 def _load(options: Group, value: dict) -> Any:
     made, findings = options.load(value)
     if findings:
--- a/libs/wire/tarragonhall_wire/_http.py
+++ b/libs/wire/tarragonhall_wire/_http.py
@@ -55,7 +55,7 @@
         if not self.body:
             return {}
         try:
-            value = json.loads(self.body)
+            value = json.loads(self.body, object_pairs_hook=_refuse_doubled)
         except (ValueError, RecursionError) as error:
             raise InputError([Finding("", f"malformed JSON: {error}")]) from error
         if not isinstance(value, dict):
@@ -73,6 +73,14 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+def _refuse_doubled(pairs: list[tuple[str, object]]) -> dict:
+    # The plain parser keeps the last of two equal names; the first would be lost without a word.
+    made = dict(pairs)
+    if len(made) < len(pairs):
+        raise ValueError("a name stands twice in one object")
+    return made
+
+
 Route = tuple[str, re.Pattern[str], Callable[[HttpRequest], HttpResponse]]
 
 
