--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus bench-state bench-sidecar bench-path
+.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus bench-state bench-sidecar run-association run-agency
 
 setup: $(STAMP)
 
@@ -24,6 +24,9 @@
 	$(BIN)/python -m behave --format progress --no-capture features
 	$(BIN)/python -m pytest
 
+run-association run-agency: run-%: setup
+	$(BIN)/python -W ignore tools/run_deployment.py $*
+
 unit: setup
 	$(BIN)/python -m pytest
 
