--- a/libs/fakes/tarragonhall_fakes/_load_direct.py
+++ b/libs/fakes/tarragonhall_fakes/_load_direct.py
@@ -37,7 +37,7 @@
             except (HTTPError, ValueError) as error:
                 raise GaveUpError(f"failed: {type(error).__name__}") from error
             if done is not None:
-                result.tokens += done["tokens"]
+                result.tokens_at.append((self.now(), done["tokens"]))
                 missing = max(0, min(history, done["prompt_tokens"]) - done["cached_tokens"])
                 result.recomputed_tokens += missing
                 result.wasted_tokens += min(missing, max(0, held - done["cached_tokens"]))
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -55,6 +55,7 @@
 
     folder: Path
     zones: tuple[str, str]
+    token: str = ""
     ports: dict[str, str] = field(default_factory=dict)
     process_by_name: dict[str, LocalProcess] = field(default_factory=dict)
 
@@ -132,6 +133,7 @@
         self.write_settings()
         control_file = str(self.folder / "control.json")
         token = run_script("tarragonhalld", "--settings", control_file, "--init").strip()
+        self.token = token
         engines = [f"engine-{number}" for number in range(ENGINES)]
         servers = [*engines, "service"]
         for name in [*servers, "control", *(f"sidecar-{name}" for name in servers)]:
@@ -195,7 +197,11 @@
         title = f"{name} {mode}{' direct' if direct else ''}"
         actions = faults(system, seconds) if mode == "faults" else []
         options = LoadOptions(title, 60.0, rate=RATE, direct=direct, actions=actions)
-        return run_load(workload, deployment, options)
+        result = run_load(workload, deployment, options)
+        for program_id in result.failed_ids:
+            events = system.tool(system.token, "timeline", "--program", program_id)
+            (folder / f"{program_id}.json").write_text(json.dumps(events, indent=1))
+        return result
     finally:
         system.stop()
 
