--- a/libs/fakes/tarragonhall_fakes/_load_results.py
+++ b/libs/fakes/tarragonhall_fakes/_load_results.py
@@ -45,6 +45,7 @@
     lost_connections: int = 0
     refusals_by_code: dict[str, int] = field(default_factory=dict)
     failures: dict[str, int] = field(default_factory=dict)
+    slowest_id: str = ""
     failed_ids: list[str] = field(default_factory=list)
     finished_by_org: dict[str, str] = field(default_factory=dict)
 
@@ -77,6 +78,7 @@
     result.p50_ms = histogram.get_value_at_percentile(50)
     result.p95_ms = histogram.get_value_at_percentile(95)
     result.p99_ms = histogram.get_value_at_percentile(99)
+    result.slowest_id = slowest(results)
     result.others_p50_ms = others.get_value_at_percentile(50)
     result.others_p95_ms = others.get_value_at_percentile(95)
     result.wasted_tokens = sum(program.wasted_tokens for program in results)
@@ -95,6 +97,14 @@
     return result
 
 
+def slowest(results: list[ProgramResult]) -> str:
+    """Return the id of the finished program that took longest, to look at its time line."""
+    finished = [program for program in results if program.finished_at is not None]
+    if not finished:
+        return ""
+    return max(finished, key=ProgramResult.latency).program_ids[0]
+
+
 def worst_served(workload: Workload, results: list[ProgramResult]) -> tuple[str, float]:
     """Return the organisation with the least share received of its share due, and that ratio.
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -198,9 +198,10 @@
         actions = faults(system, seconds) if mode == "faults" else []
         options = LoadOptions(title, 60.0, rate=RATE, direct=direct, actions=actions)
         result = run_load(workload, deployment, options)
-        for program_id in result.failed_ids:
-            events = system.tool(system.token, "timeline", "--program", program_id)
-            (folder / f"{program_id}.json").write_text(json.dumps(events, indent=1))
+        if not direct:
+            for program_id in [*result.failed_ids, result.slowest_id]:
+                events = system.tool(system.token, "timeline", "--program", program_id)
+                (folder / f"{program_id}.json").write_text(json.dumps(events, indent=1))
         return result
     finally:
         system.stop()
