End only the heartbeats of the node that leaves

An entry that left first ended the heartbeats of the sidecars in its process, and they were taken for dead after three seconds. The new test failed before and passes now.

--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -55,13 +55,13 @@
 class ControlClient:
     """Talks to whichever control member leads."""
 
-    __slots__ = ("_context", "_leader", "_next", "_stopped", "followers")
+    __slots__ = ("_context", "_leader", "_left", "_next", "followers")
 
     def __init__(self, context: ProcessContext) -> None:
         self._context = context
         self._leader: str | None = None
         self._next = 0
-        self._stopped = False
+        self._left: set[str] = set()
         self.followers: list[FollowerApi] = []
         context.hub.handle(News, self._on_news)
 
@@ -103,20 +103,24 @@
                     return reply
 
     def follow(self, node: Callable[[], EntryRecord | ServerRecord], follower: FollowerApi) -> None:
-        """Keep a follower fresh and `node` announced, from a green thread, until `stop`."""
+        """Keep a follower fresh and `node` announced, from a green thread, until it leaves."""
         self.followers.append(follower)
         eventlet.spawn_n(self._follow_loop, node, follower)
 
     def leave(self, node: EntryRecord | ServerRecord, timeout_s: float) -> None:
-        """Leave the view; after a failure the missing heartbeats do the same, later."""
-        self._stopped = True
+        """Leave the view; after a failure the missing heartbeats do the same, later.
+
+        Only this node's heartbeats end: an entry that leaves first must not take the sidecars of
+        its process out of the view while they still work for others.
+        """
+        self._left.add(_node_id(node))
         try:
             self.ask(Leaving(node), timeout_s)
         except UnavailableError as error:
             log.warning("control.leave_failed", error=str(error))
 
     def _follow_loop(self, node: Callable, follower: FollowerApi) -> None:
-        while not self._stopped:
+        while _node_id(node()) not in self._left:
             sent_at = self._context.monotonic()
             beat = Heartbeat(node(), follower.settings_revision, follower.view.epoch)
             try:
@@ -142,3 +146,7 @@
         addresses = self._context.control_addresses
         self._next += 1
         return addresses[self._next % len(addresses)]
+
+
+def _node_id(node: EntryRecord | ServerRecord) -> str:
+    return node.entry_id if isinstance(node, EntryRecord) else node.server_id
