--- a/libs/entry/tarragonhall_entry/_attempt_flow.py
+++ b/libs/entry/tarragonhall_entry/_attempt_flow.py
@@ -117,11 +117,19 @@
             return (yield from _follow(call, attempt))
         case Rejected(reason=reason) if reason is not RejectReason.INCARNATION:
             return (yield from _disprove(call, attempt, reply, "the server never started it"))
-    if running.entry_id != call.entry_id and (yield EntryInView(running.entry_id)):
+    if (yield from _may_be_followed(call, running)):
         return None
     return (yield from _ask_server(call, attempt))
 
 
+def _may_be_followed(call: Call, running: CallRunning) -> Steps:
+    """Return whether the entry that holds the call may be waiting for the end of its attempt."""
+    if running.entry_id == call.entry_id or not (yield EntryInView(running.entry_id)):
+        return False
+    # Nobody can follow an attempt whose server's life is over; its entry gets time to say so.
+    return call.is_patient or (yield FindServer(running.attempt)) is not None
+
+
 def _follow(call: Call, attempt: AttemptId) -> Steps:
     """Wait for the end of an attempt that a sidecar has accepted."""
     ended = yield AwaitEnd(attempt)
--- a/libs/entry/tarragonhall_entry/_effects.py
+++ b/libs/entry/tarragonhall_entry/_effects.py
@@ -11,6 +11,9 @@
 from tarragonhall_decisions import Failure
 from tarragonhall_model import AttemptId, CallSpec, Dispatch, ServerRecord
 
+# Three seconds at the pause of `_flow`: far more than the commits that the holder needs to get on.
+HELD_WAITS = 30
+
 
 @dataclass(slots=True)
 class Call:
@@ -18,7 +21,8 @@
 
     `call_id` is this entry's own name for it: a resend with another body is another call here.
     `unproven` is an attempt of which it is not known that it never ran, once there is one. `place`
-    is held for the first attempt where that was recorded together with the call.
+    is held for the first attempt where that was recorded together with the call. `waits` counts how
+    often it waited for the entry that holds the call.
     """
 
     call_id: str
@@ -31,6 +35,12 @@
     model_version: str | None = None
     unproven: AttemptId | None = None
     place: Assigned | None = None
+    waits: int = 0
+
+    @property
+    def is_patient(self) -> bool:
+        """Return whether the entry that holds the call may have more time."""
+        return self.waits < HELD_WAITS
 
     @property
     def name(self) -> tuple[str, int]:
--- a/libs/entry/tarragonhall_entry/_flow.py
+++ b/libs/entry/tarragonhall_entry/_flow.py
@@ -225,7 +225,12 @@
 
 
 def _wait_for_holder(call: Call, running: CallRunning) -> Steps:
-    """Give the entry that holds a call time to get on with it, then look again."""
+    """Give the entry that holds a call time to get on with it, then look again.
+
+    It may have given the call up while control did not answer. So its call is taken over in the
+    end; if it is still at it after all, the journal lets only one of both start an attempt.
+    """
+    call.waits += 1
     if not (yield Pause(HELD_PAUSE_SECONDS)):
         return Refusal(
             RefusalCode.DEADLINE,
@@ -241,4 +246,11 @@
 
 
 def _open_command(call: Call) -> OpenCall:
-    return OpenCall(call.program_id, call.org_id, call.spec, call.entry_id, call.unproven)
+    return OpenCall(
+        call.program_id,
+        call.org_id,
+        call.spec,
+        call.entry_id,
+        lost_attempt=call.unproven,
+        take_over=not call.is_patient,
+    )
--- a/libs/model/tarragonhall_model/_commands.py
+++ b/libs/model/tarragonhall_model/_commands.py
@@ -50,6 +50,9 @@
     `lost_attempt` is the live attempt of a call that may be repeated, where the sender found that
     its end cannot be known any more; the call is then open to a further attempt.
 
+    With `take_over` the call passes to the sender although the entry that holds it lives: it may
+    have given up without being able to say so.
+
     `first_attempt` is recorded together with a call that opens for the first time, as by
     `StartAttempt`; the result's `started` says so. It saves a commit on the way of most calls.
     """
@@ -60,6 +63,7 @@
     entry_id: str
     lost_attempt: AttemptId | None = None
     first_attempt: AttemptId | None = None
+    take_over: bool = False
 
 
 @record
--- a/libs/state/tarragonhall_state/_calls.py
+++ b/libs/state/tarragonhall_state/_calls.py
@@ -187,7 +187,8 @@
             known = _opened(program, call)
         if not isinstance(known, CallOpened):
             return known
-        if call.entry_id != command.entry_id and call.entry_id in living_entries:
+        held = call.entry_id != command.entry_id and call.entry_id in living_entries
+        if held and not command.take_over:
             return CallRunning(call.entry_id)
         if not program.is_open:
             return Refusal(RefusalCode.PROGRAM_ENDED, "the program has ended")
--- a/libs/state/tests/takeover_tests.py
+++ b/libs/state/tests/takeover_tests.py
@@ -86,3 +86,16 @@
     other = AttemptId("prog", 1, 1, "desk-2", "life")
     again = OpenCall("prog", "org", SPEC, "entry-2", first_attempt=other)
     assert apply(journal, again) == CallRunning("entry-1", LOST)
+
+
+def test_a_call_passes_from_a_living_entry_to_one_that_waited_long_enough():
+    # The first entry gave the call up while control did not answer, and lives on. Its caller's
+    # resends go through the second one, which would wait for the first for ever.
+    journal = Journal()
+    living = {"entry-1", "entry-2"}
+    apply(journal, OpenProgram("prog", "org", Budget(), 600))
+    apply(journal, OpenCall("prog", "org", SPEC, "entry-1"), living)
+    again = OpenCall("prog", "org", SPEC, "entry-2")
+    assert apply(journal, again, living) == CallRunning("entry-1")
+    patient = OpenCall("prog", "org", SPEC, "entry-2", take_over=True)
+    assert isinstance(apply(journal, patient, living), CallOpened)
