--- a/libs/entry/tarragonhall_entry/_role.py
+++ b/libs/entry/tarragonhall_entry/_role.py
@@ -107,9 +107,10 @@
         stopping = eventlet.spawn(self._http.stop, max(0.0, now + timeout_s - self._now()))
         while steps.step(self._calls_at_hand(stopping), self._now()) is DrainPhase.CLOSED:
             eventlet.sleep(DRAIN_STEP_SECONDS)
-        if steps.phase is DrainPhase.FORCED:
+        forced = steps.phase is DrainPhase.FORCED
+        if forced:
             self._hand_back()
-        ended = stopping.wait() and not self._runner.running_by_name
+        ended = stopping.wait() and not forced
         self._leave()
         log.info("entry.drained", forced=not ended)
         return ended
--- a/libs/entry/tests/role_tests.py
+++ b/libs/entry/tests/role_tests.py
@@ -133,6 +133,18 @@
     assert entry.control.left
 
 
+def test_a_call_that_still_waits_at_the_end_of_a_drain_is_handed_back(entry):
+    # No server takes the call and the instance has to go. Its caller is told in time to send it to
+    # another entry, and that it did not run, instead of seeing the connection break.
+    waiting = eventlet.spawn(entry.call)
+    eventlet.sleep(0.05)
+    assert entry.role.drain(1.3) is False
+    refused = waiting.wait()
+    assert (refused.status, refused.json()["error"]) == (503, "shutting_down")
+    assert refused.json()["execution"] == "not_run"
+    assert entry.control.call_by_name == {}
+
+
 def _wait_for_dispatch(link, count: int = 1) -> Dispatch:
     with eventlet.Timeout(5):
         while True:
