--- a/features/environment.py
+++ b/features/environment.py
@@ -19,7 +19,7 @@
 
 
 def after_all(_context):
-    """Stop the deployment that the scenarios shared."""
-    from deployment import stop_shared_deployment
+    """Stop the deployments that the scenarios shared."""
+    from deployment import stop_shared_deployments
 
-    stop_shared_deployment()
+    stop_shared_deployments()
--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -1,7 +1,8 @@
 """A small deployment of real processes for the features, and callers of it.
 
-One control member, one sidecar process before a fake service and a fake engine, and two entries. It
-is shared by all scenarios; each makes sure first that everything runs.
+One or three control members, one sidecar process before a fake service and a fake engine, and two
+entries. It is shared by the scenarios that want as many control members; each makes sure first that
+everything runs.
 """
 
 from __future__ import annotations
@@ -48,8 +49,8 @@
     engine: Engine
     process_by_name: dict[str, LocalProcess] = field(default_factory=dict)
     callers_address: dict[str, str] = field(default_factory=dict)
-    control: str = ""
-    admin: str = ""
+    control_address: dict[str, str] = field(default_factory=dict)
+    admin_address: dict[str, str] = field(default_factory=dict)
     token: str = ""
 
     def start(self, name: str) -> None:
@@ -67,13 +68,15 @@
         self.service.faults.clear()
         self.service.seconds_per_call = 0.0
         self.engine.faults.clear()
-        for name in ("control-1", "sidecar-1", *ENTRIES):
+        for name in (*self.control_address, "sidecar-1", *ENTRIES):
             self.start(name)
 
     def tool(self, *arguments: str) -> dict:
         """Run the operators' tool and return its JSON."""
-        command = ["--admin", self.admin, "--token", self.token, "--json", *arguments]
-        return json.loads(run_script("tarragonhall", *command))
+        command = ["--token", self.token, "--json"]
+        for admin in self.admin_address.values():
+            command += ["--admin", admin]
+        return json.loads(run_script("tarragonhall", *command, *arguments))
 
     def new_organisation(self, rate: int = RATE, burst: int = RATE) -> tuple[str, str]:
         """Create an organisation; return its name and a key of it."""
@@ -93,7 +96,8 @@
     def stop(self) -> None:
         """Stop everything and remove the files."""
         for process in reversed(self.process_by_name.values()):
-            process.resume()
+            if process.running():
+                process.resume()
             process.kill()
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -161,29 +165,32 @@
     raise AssertionError(f"not within {seconds} s")
 
 
-_shared: list[Deployment] = []
+_deployment_by_members: dict[int, Deployment] = {}
 
 
-def shared_deployment() -> Deployment:
-    """Return the one deployment of this run, with everything running."""
-    if not _shared:
-        _shared.append(_make_deployment())
-    _shared[0].ensure()
-    return _shared[0]
+def shared_deployment(members: int = 1) -> Deployment:
+    """Return the deployment of this run with so many control members, with everything running."""
+    if members not in _deployment_by_members:
+        _deployment_by_members[members] = _make_deployment(members)
+    made = _deployment_by_members[members]
+    made.ensure()
+    return made
 
 
-def stop_shared_deployment() -> None:
-    """Stop the deployment, if one was made."""
-    while _shared:
-        _shared.pop().stop()
+def stop_shared_deployments() -> None:
+    """Stop the deployments that were made."""
+    while _deployment_by_members:
+        _deployment_by_members.popitem()[1].stop()
 
 
-def _make_deployment() -> Deployment:
+def _make_deployment(members: int) -> Deployment:
     folder = Path(tempfile.mkdtemp(prefix="tarragonhall-features-"))
     service, service_server = start_service()
     engine, engine_server = start_engine()
     made = Deployment(folder, service, engine)
-    made.control, made.admin = free_address(), free_address()
+    for number in range(1, members + 1):
+        made.control_address[f"control-{number}"] = free_address()
+        made.admin_address[f"control-{number}"] = free_address()
     _write_settings(made, service_server.address, engine_server.address)
     control = str(folder / "control-1.json")
     made.token = run_script("tarragonhalld", "--settings", control, "--init").strip()
@@ -191,12 +198,13 @@
 
 
 def _write_settings(made: Deployment, service: str, engine: str) -> None:
-    control = {
-        "data_folder": "control",
-        "admin": made.admin,
-        "members": {"control-1": made.control},
-    }
-    _write(made, "control-1", made.control, {"control": control})
+    for name, address in made.control_address.items():
+        control = {
+            "data_folder": f"data-{name}",
+            "admin": made.admin_address[name],
+            "members": made.control_address,
+        }
+        _write(made, name, address, {"control": control})
     desk = {"server_id": "desk-1", "server": service, "kind": "service", "serves": ["order-desk"]}
     model = {"server_id": "engine-1", "server": engine, "kind": "model", "serves": ["planner"]}
     _write(made, "sidecar-1", free_address(), {"sidecars": [desk, model]})
@@ -207,6 +215,10 @@
 
 
 def _write(made: Deployment, name: str, listen: str, roles: dict) -> None:
-    link = {"listen": listen, "secret_file": "link.secret", "controls": [made.control]}
+    link = {
+        "listen": listen,
+        "secret_file": "link.secret",
+        "controls": list(made.control_address.values()),
+    }
     settings = {"instance": name, "availability_zone": "tx-austin", "link": link} | roles
     (made.folder / f"{name}.json").write_text(json.dumps(settings))
--- a/libs/state/tarragonhall_state/_follower.py
+++ b/libs/state/tarragonhall_state/_follower.py
@@ -18,8 +18,10 @@
 )
 
 # A change must be in force everywhere within 5 s. A process may act on settings that were current
-# when it last asked; with a lease of 3 s it stops 2 s before the bound, whatever was lost.
-FRESHNESS_LEASE_SECONDS = 3.0
+# when it last asked; with a lease of 4 s it stops 1 s before the bound, whatever was lost. Its
+# heartbeats are a second apart and an election takes up to 2 s: with 3 s, entries refused callers
+# as stale after the leader was killed, although nothing had changed.
+FRESHNESS_LEASE_SECONDS = 4.0
 
 
 class Follower:
--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import eventlet
@@ -26,12 +28,14 @@
 )
 
 from tarragonhall_wire._context import ProcessContext
+from tarragonhall_wire._link import Link
 
 log = structlog.get_logger(__name__)
 
 HEARTBEAT_SECONDS = 1.0
 # One member that answers nothing must not use up the whole time of a request: the next is tried.
-ATTEMPT_SECONDS = 1.5
+# An election takes about this long, so a heartbeat finds the next leader before its lease ends.
+ATTEMPT_SECONDS = 1.0
 RETRY_SECONDS = 0.05
 
 
@@ -52,6 +56,14 @@
     def confirm(self, fresh: Fresh, sent_at: float) -> None: ...
 
 
+@dataclass(slots=True, frozen=True)
+class TimedReply:
+    """A reply, and when the request it answers was sent, in monotonic seconds."""
+
+    reply: object
+    sent_at: float
+
+
 class ControlClient:
     """Talks to whichever control member leads."""
 
@@ -79,14 +91,21 @@
 
     def ask(self, message: object, timeout_s: float) -> object:
         """Send a request to the leader until it is answered, or raise `UnavailableError`."""
+        return self.ask_timed(message, timeout_s).reply
+
+    def ask_timed(self, message: object, timeout_s: float) -> TimedReply:
+        """Like `ask`, with the instant at which the request that was answered had been sent."""
         deadline = self._context.monotonic() + timeout_s
         while True:
             left = deadline - self._context.monotonic()
             if left <= 0:
                 raise UnavailableError("no control member answered in time")
-            address = self._candidate()
+            link = self._open_link()
+            if link is None:
+                eventlet.sleep(RETRY_SECONDS)
+                continue
+            sent_at = self._context.monotonic()
             try:
-                link = self._context.hub.wait_for(address, min(left, ATTEMPT_SECONDS))
                 reply = link.request(message, min(left, ATTEMPT_SECONDS))
             except LinkError:
                 self._leader = None
@@ -99,8 +118,7 @@
                 case Busy(retry_after_ms=pause_ms):
                     eventlet.sleep(min(left, pause_ms / 1000))
                 case _:
-                    self._leader = address
-                    return reply
+                    return TimedReply(reply, sent_at)
 
     def follow(self, node: Callable[[], EntryRecord | ServerRecord], follower: FollowerApi) -> None:
         """Keep a follower fresh and `node` announced, from a green thread, until `stop`."""
@@ -117,16 +135,14 @@
 
     def _follow_loop(self, node: Callable, follower: FollowerApi) -> None:
         while not self._stopped:
-            sent_at = self._context.monotonic()
             beat = Heartbeat(node(), follower.settings_revision, follower.view.epoch)
             try:
-                reply = self.ask(beat, ATTEMPT_SECONDS * 2)
+                timed = self.ask_timed(beat, ATTEMPT_SECONDS * 2)
             except UnavailableError:
                 self._context.metrics.count("control.heartbeat_failed")
                 continue
-            # `sent_at` precedes every resend, so the lease errs on the short side.
-            if isinstance(reply, Fresh):
-                follower.confirm(reply, sent_at)
+            if isinstance(timed.reply, Fresh):
+                follower.confirm(timed.reply, timed.sent_at)
             eventlet.sleep(HEARTBEAT_SECONDS * self._context.rng.uniform(0.8, 1.0))
 
     def _on_news(self, _link: object, news: News) -> None:
@@ -136,9 +152,22 @@
             if news.view is not None:
                 follower.apply_view(news.view)
 
-    def _candidate(self) -> str:
-        if self._leader is not None:
-            return self._leader
-        addresses = self._context.control_addresses
+    def _open_link(self) -> Link | None:
+        """Return the link to the leader, or to the next member that can be reached at all.
+
+        A member that is down must not hold a request up: while it is dialled again, the others are
+        asked. Every member is dialled, so that a link is open before it is needed.
+        """
+        link_by_address = {}
+        # The leader may be a member that joined after this process read its settings.
+        known = [self._leader] if self._leader is not None else []
+        for address in dict.fromkeys(known + self._context.control_addresses):
+            with contextlib.suppress(LinkError):
+                link_by_address[address] = self._context.hub.link_to(address)
+        if self._leader in link_by_address:
+            return link_by_address[self._leader]
+        if not link_by_address:
+            return None
         self._next += 1
-        return addresses[self._next % len(addresses)]
+        links = list(link_by_address.values())
+        return links[self._next % len(links)]
