Keep a waiting call that was asked for again with a new key when the old one is withdrawn

The call was checked with the key of its first sending only, so a rotation of keys refused it although its resend came with the new one. The test failed before and passes now.

--- a/libs/entry/tarragonhall_entry/_runner.py
+++ b/libs/entry/tarragonhall_entry/_runner.py
@@ -112,6 +112,9 @@
         """Run a call in a green thread of its own, or join it where it already runs here."""
         running = self.running_by_name.get(call.name)
         if running is not None and is_resend(running.call, call):
+            # The key of the resend was checked just now. The first one may be withdrawn meanwhile,
+            # which must not refuse whoever asks with another.
+            running.call.key_hash = call.key_hash
             return running
         running = RunningCall(call)
         self.running_by_name.setdefault(call.name, running)
--- a/libs/entry/tarragonhall_entry/_turns.py
+++ b/libs/entry/tarragonhall_entry/_turns.py
@@ -85,7 +85,9 @@
     def _offer(self, call: Call, wish: WaitTurn) -> Event:
         event = Event()
         self._event_by_id[call.call_id] = event
-        weight = self._follower.organisation_by_id[call.org_id].weight
+        # The organisation may have been removed since the key was checked; the next check says so.
+        organisation = self._follower.organisation_by_id.get(call.org_id)
+        weight = organisation.weight if organisation is not None else 1.0
         self._tell(self._scheduler.offer(call, wish, weight, self._context.monotonic()))
         self.pump()
         return event
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -218,10 +218,10 @@
         url = f"http://{self.address}{path}"
         return self.http.request(method, url, json=body, headers=headers, timeout=10)
 
-    def call(self, seq: int = 1, program_id: str = "prog-1", **fields):
+    def call(self, seq: int = 1, program_id: str = "prog-1", key: str = KEY, **fields):
         """Send a call and return the response."""
         body = {"seq": seq, "kind": "service", "target": "desk", "body": {}} | fields
-        return self.request("POST", f"/v1/programs/{program_id}/calls", body)
+        return self.request("POST", f"/v1/programs/{program_id}/calls", body, key)
 
 
 @pytest.fixture
--- a/libs/entry/tests/role_tests.py
+++ b/libs/entry/tests/role_tests.py
@@ -8,6 +8,7 @@
     Accepted,
     Chunk,
     Dispatch,
+    KeyPolicy,
     PolicyDelta,
     encode,
     secret_hash,
@@ -109,6 +110,21 @@
     assert entry.control.call_by_name == {}
 
 
+def test_a_call_asked_for_again_with_a_new_key_outlives_the_old_one(entry):
+    # Keys are rotated: the caller sends its waiting call again with the new key, and the old one is
+    # withdrawn. The call must go on, and not be refused for a key that nobody uses any more.
+    new = KeyPolicy(secret_hash("thk_new"), "org")
+    entry.control.follower.apply_policy(PolicyDelta(1, 2, keys=(new,)))
+    first = eventlet.spawn(entry.call)
+    eventlet.sleep(0.05)
+    again = eventlet.spawn(entry.call, key="thk_new")
+    eventlet.sleep(0.05)
+    entry.control.follower.apply_policy(PolicyDelta(2, 3, removed_keys=(secret_hash("thk_test"),)))
+    eventlet.sleep(0.5)
+    entry.serve(entry.answer_at_once("kept"))
+    assert [one.wait().json()["answer"]["text"] for one in (first, again)] == ["kept", "kept"]
+
+
 def test_the_key_never_reaches_a_sidecar(entry):
     link = entry.serve(entry.answer_at_once())
     entry.call()
