--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -64,16 +64,24 @@
     sent_at: float
 
 
+@dataclass(slots=True, frozen=True)
+class OpenMember:
+    """A control member to which a link is open."""
+
+    address: str
+    link: Link
+
+
 class ControlClient:
     """Talks to whichever control member leads."""
 
-    __slots__ = ("_context", "_leader", "_next", "_stopped", "followers")
+    __slots__ = ("_context", "_leader", "_left", "_next", "followers")
 
     def __init__(self, context: ProcessContext) -> None:
         self._context = context
         self._leader: str | None = None
         self._next = 0
-        self._stopped = False
+        self._left: set[str] = set()
         self.followers: list[FollowerApi] = []
         context.hub.handle(News, self._on_news)
 
@@ -100,13 +108,13 @@
             left = deadline - self._context.monotonic()
             if left <= 0:
                 raise UnavailableError("no control member answered in time")
-            link = self._open_link()
-            if link is None:
+            member = self._choose_member()
+            if member is None:
                 eventlet.sleep(RETRY_SECONDS)
                 continue
             sent_at = self._context.monotonic()
             try:
-                reply = link.request(message, min(left, ATTEMPT_SECONDS))
+                reply = member.link.request(message, min(left, ATTEMPT_SECONDS))
             except LinkError:
                 self._leader = None
                 eventlet.sleep(RETRY_SECONDS)
@@ -118,23 +126,28 @@
                 case Busy(retry_after_ms=pause_ms):
                     eventlet.sleep(min(left, pause_ms / 1000))
                 case _:
+                    self._leader = member.address
                     return TimedReply(reply, sent_at)
 
     def follow(self, node: Callable[[], EntryRecord | ServerRecord], follower: FollowerApi) -> None:
-        """Keep a follower fresh and `node` announced, from a green thread, until `stop`."""
+        """Keep a follower fresh and `node` announced, from a green thread, until it leaves."""
         self.followers.append(follower)
         eventlet.spawn_n(self._follow_loop, node, follower)
 
     def leave(self, node: EntryRecord | ServerRecord, timeout_s: float) -> None:
-        """Leave the view; after a failure the missing heartbeats do the same, later."""
-        self._stopped = True
+        """Leave the view; after a failure the missing heartbeats do the same, later.
+
+        Only this node's heartbeats end: an entry that leaves first must not take the sidecars of
+        its process out of the view while they still work for others.
+        """
+        self._left.add(_node_id(node))
         try:
             self.ask(Leaving(node), timeout_s)
         except UnavailableError as error:
             log.warning("control.leave_failed", error=str(error))
 
     def _follow_loop(self, node: Callable, follower: FollowerApi) -> None:
-        while not self._stopped:
+        while _node_id(node()) not in self._left:
             beat = Heartbeat(node(), follower.settings_revision, follower.view.epoch)
             try:
                 timed = self.ask_timed(beat, ATTEMPT_SECONDS * 2)
@@ -152,22 +165,25 @@
             if news.view is not None:
                 follower.apply_view(news.view)
 
-    def _open_link(self) -> Link | None:
-        """Return the link to the leader, or to the next member that can be reached at all.
+    def _choose_member(self) -> OpenMember | None:
+        """Return the leader, or the next member that can be reached at all.
 
         A member that is down must not hold a request up: while it is dialled again, the others are
         asked. Every member is dialled, so that a link is open before it is needed.
         """
-        link_by_address = {}
+        members = []
         # The leader may be a member that joined after this process read its settings.
         known = [self._leader] if self._leader is not None else []
         for address in dict.fromkeys(known + self._context.control_addresses):
             with contextlib.suppress(LinkError):
-                link_by_address[address] = self._context.hub.link_to(address)
-        if self._leader in link_by_address:
-            return link_by_address[self._leader]
-        if not link_by_address:
+                members.append(OpenMember(address, self._context.hub.link_to(address)))
+        if not members:
             return None
+        if members[0].address == self._leader:
+            return members[0]
         self._next += 1
-        links = list(link_by_address.values())
-        return links[self._next % len(links)]
+        return members[self._next % len(members)]
+
+
+def _node_id(node: EntryRecord | ServerRecord) -> str:
+    return node.entry_id if isinstance(node, EntryRecord) else node.server_id
