Split the sidecar's shell by job, and release under pressure as decided elsewhere

Change: reconciler, order desk and committer are modules of their own; the engine's listing states its capacity and the decisions library names what goes.

--- a/libs/fakes/tarragonhall_fakes/_engine.py
+++ b/libs/fakes/tarragonhall_fakes/_engine.py
@@ -134,7 +134,7 @@
     def _held(self, exchange: Exchange) -> None:
         held = self.batch.cache.held.items()
         programs = [{"program": name, "tokens": len(tokens)} for name, tokens in reversed(held)]
-        exchange.reply({"programs": programs})
+        exchange.reply({"programs": programs, "capacity": self.options.cache_tokens})
 
     def _release(self, exchange: Exchange) -> None:
         # A fault that matches the program makes this engine forget to release, as some do.
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -27,6 +27,7 @@
 
 from tarragonhall_sidecar._answers import AnswerError, AnswerStream
 from tarragonhall_sidecar._events import Broke, Finished, Probed
+from tarragonhall_sidecar._reconcile import Listing
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 CONNECT_SECONDS = 2.0
@@ -126,12 +127,14 @@
         finally:
             connection.close()
 
-    def held_programs(self) -> list[str]:
-        """Return the programs that the engine holds memory for, most recently used first."""
+    def listing(self) -> Listing:
+        """Return what the engine holds memory for, most recently used first."""
+        value = self.ask("GET", "/v1/held")
         try:
-            return [item["program"] for item in self.ask("GET", "/v1/held")["programs"]]
+            tokens_by_program = {item["program"]: item["tokens"] for item in value["programs"]}
         except (KeyError, TypeError) as error:
             raise BackendError(f"/v1/held: lacks {error}") from error
+        return Listing(tokens_by_program, value.get("capacity"))
 
     def release(self, program_id: str) -> None:
         """Ask the engine to free what it holds for a program; its listing shows if it did."""
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -12,18 +12,17 @@
     AttemptOutcome,
     EngineOrder,
     LinkError,
-    Living,
     LoadReport,
     OrderDone,
-    QueryLiving,
     ServerKind,
     ServerRecord,
 )
 from tarragonhall_state import Follower
-from tarragonhall_wire import ControlClient, Link, ProcessContext, UnavailableError
+from tarragonhall_wire import ControlClient, Link, ProcessContext
 
-from tarragonhall_sidecar._backend import Backend, BackendError
-from tarragonhall_sidecar._commits import command_for, crash_report
+from tarragonhall_sidecar._attempt import Identity, State
+from tarragonhall_sidecar._backend import Backend
+from tarragonhall_sidecar._commits import Committer, crash_report
 from tarragonhall_sidecar._events import (
     Arrived,
     CommitEnd,
@@ -41,10 +40,10 @@
     StopRun,
     Tick,
 )
-from tarragonhall_sidecar._execution import Execution, Identity, State
+from tarragonhall_sidecar._execution import Execution
 from tarragonhall_sidecar._memory import AttemptMemory
-from tarragonhall_sidecar._orders import OrderGate
-from tarragonhall_sidecar._reconcile import Releases
+from tarragonhall_sidecar._order_desk import OrderDesk
+from tarragonhall_sidecar._reconciler import Reconciler
 from tarragonhall_sidecar._reports import HELD_PROGRAMS, ReportPacer
 from tarragonhall_sidecar._settings import SidecarSettings
 
@@ -55,10 +54,6 @@
 PROBE_SECONDS = 1.0
 # The runs that a crash takes with it break within this of one another; they are judged together.
 GATHER_SECONDS = 0.05
-RECONCILE_SECONDS = 2.0
-PROPOSE_SECONDS = 5.0
-# A leader change takes a second or two; asking more often only loads the new one.
-PROPOSE_AGAIN_SECONDS = 0.5
 # How much one run counts in the running mean of the time for each token.
 PACE_WEIGHT = 0.2
 
@@ -66,9 +61,9 @@
 class Sidecar:
     """Serves one backend server until stopped."""
 
-    __slots__ = ("_backend", "_context", "_control", "_execution", "_follower", "_incarnation",
-                 "_leaving", "_link_by_peer", "_ms_per_token", "_order_lock", "_orders", "_outbox",
-                 "_outbox_wake", "_pacer", "_peer_by_link", "_peers", "_probing", "_releases",
+    __slots__ = ("_backend", "_committer", "_context", "_control", "_execution", "_follower",
+                 "_incarnation", "_leaving", "_link_by_peer", "_ms_per_token", "_order_desk",
+                 "_outbox", "_outbox_wake", "_pacer", "_peer_by_link", "_peers", "_reconciler",
                  "_run_by_key", "_settings", "_stopped")  # fmt: skip
 
     def __init__(
@@ -82,9 +77,11 @@
         identity = Identity(settings.server_id, self._incarnation, settings.kind, settings.slots)
         self._execution = Execution(identity, set(settings.serves), AttemptMemory())
         self._follower = Follower()
-        self._releases = Releases()
-        self._orders = OrderGate()
-        self._order_lock = eventlet.semaphore.Semaphore(1)
+        self._committer = Committer(self._incarnation, control, context.metrics)
+        self._order_desk = OrderDesk(self._backend, self._follower, context, self._execution.serves)
+        self._reconciler: Reconciler | None = None
+        if settings.kind is ServerKind.MODEL:
+            self._reconciler = Reconciler(self._backend, control, context, self._execution)
         self._pacer = ReportPacer()
         self._peers = itertools.count(1)
         self._peer_by_link: dict[Link, int] = {}
@@ -93,7 +90,6 @@
         self._outbox_wake = eventlet.semaphore.Semaphore(0)
         self._run_by_key: dict[str, tuple] = {}
         self._ms_per_token = 0.0
-        self._probing = False
         self._leaving = False
         self._stopped = False
 
@@ -101,8 +97,8 @@
         """Begin to announce, probe, report and reconcile."""
         for loop in (self._send_loop, self._tick_loop, self._probe_loop):
             eventlet.spawn_n(loop)
-        if self._settings.kind is ServerKind.MODEL:
-            eventlet.spawn_n(self._reconcile_loop)
+        if self._reconciler is not None:
+            eventlet.spawn_n(self._reconciler.run)
         self._control.follow(self.record, self._follower)
 
     def record(self) -> ServerRecord:
@@ -139,19 +135,12 @@
 
     def program_ended(self, program_id: str) -> None:
         """Release what the engine holds for a program, now and until its listing shows it gone."""
-        if self._settings.kind is ServerKind.MODEL:
-            self._releases.program_ended(program_id)
-            eventlet.spawn_n(self._release_quietly, program_id)
+        if self._reconciler is not None:
+            self._reconciler.program_ended(program_id)
 
     def order(self, order: EngineOrder) -> OrderDone:
-        """Carry out an order, one at a time."""
-        with self._order_lock:
-            # Asked only now: the lease may have run out while another order was carried out.
-            fresh = self._follower.is_fresh(self._context.monotonic())
-            refused = self._orders.refusal(order, self._follower.fencing, fresh)
-            if refused is not None:
-                return refused
-            return self._carry_out(order)
+        """Carry out an order to the engine, or say why not."""
+        return self._order_desk.carry_out(order)
 
     def leave(self, timeout_s: float) -> bool:
         """Take no new work and finish what is at hand; return whether all of it ended in time."""
@@ -168,6 +157,9 @@
     def stop(self) -> None:
         """Stop everything at once."""
         self._stopped = True
+        self._committer.stopped = True
+        if self._reconciler is not None:
+            self._reconciler.stopped = True
         for run, _dispatch in list(self._run_by_key.values()):
             run.kill()
 
@@ -198,7 +190,7 @@
             case CommitEnd():
                 eventlet.spawn_n(self._commit, output)
             case ServerCrashed():
-                self._note_crash(output)
+                eventlet.spawn_n(self._report_crash, output)
 
     def _run(self, dispatch, seconds_left: float) -> None:
         key = dispatch.attempt.key
@@ -237,60 +229,20 @@
             self._ms_per_token = pace
         self._ms_per_token += PACE_WEIGHT * (pace - self._ms_per_token)
 
-    def _note_crash(self, crash: ServerCrashed) -> None:
+    def _commit(self, commit: CommitEnd) -> None:
+        if self._committer.commit_end(commit):
+            self._handle(Committed(commit.end.attempt.key))
+
+    def _report_crash(self, crash: ServerCrashed) -> None:
         server_id = self._settings.server_id
         attempts = len(crash.dispatches)
         log.warning("server.crashed", server=server_id, attempts=attempts)
         self._context.metrics.count("sidecar.crash")
         self._context.timeline.add("server.crash", server=server_id, attempts=attempts)
-        eventlet.spawn_n(self._report_crash, crash)
-
-    def _report_crash(self, crash: ServerCrashed) -> None:
-        server_id = self._settings.server_id
         report = crash_report(server_id, self._incarnation, crash.dispatches)
-        request_id = f"crash-{secrets.token_hex(8)}"
-        # Without control the entries are told all the same, a little later: they cannot record a
-        # further attempt without control either.
-        told = self._try_propose(report, request_id)
+        self._committer.report_crash(report)
         for send in crash.sends:
             self._perform(send)
-        if not told:
-            self._propose_until_done(report, request_id)
-
-    # What goes to control.
-
-    def _commit(self, commit: CommitEnd) -> None:
-        key = commit.end.attempt.key
-        request_id = f"end-{self._incarnation}-{key}"
-        self._context.metrics.count("sidecar.late_end")
-        self._propose_until_done(command_for(commit), request_id)
-        self._handle(Committed(key))
-
-    def _propose_until_done(self, command: object, request_id: str) -> None:
-        while not self._stopped and not self._try_propose(command, request_id):
-            eventlet.sleep(PROPOSE_AGAIN_SECONDS)
-
-    def _try_propose(self, command: object, request_id: str) -> bool:
-        try:
-            self._control.propose(command, PROPOSE_SECONDS, request_id)
-        except UnavailableError:
-            self._context.metrics.count("sidecar.propose_failed")
-            return False
-        return True
-
-    def _carry_out(self, order: EngineOrder) -> OrderDone:
-        try:
-            self._backend.order(order)
-        except BackendError as error:
-            return OrderDone(order.order_id, False, str(error))
-        if order.action.startswith("load"):
-            self._execution.serves.add(order.model)
-        if order.action == "unload":
-            self._execution.serves.discard(order.model)
-        done = OrderDone(order.order_id, True)
-        self._orders.carried_out(done)
-        self._context.timeline.add("engine.order", order=order.order_id, action=order.action)
-        return done
 
     # Loops.
 
@@ -346,6 +298,7 @@
             self._perform(Send(peer, report))
 
     def _load_report(self) -> LoadReport:
+        held = self._reconciler.held() if self._reconciler is not None else []
         return LoadReport(
             server_id=self._settings.server_id,
             incarnation=self._incarnation,
@@ -355,40 +308,9 @@
             ms_per_token=round(self._ms_per_token, 1),
             healthy=self._execution.up,
             draining=self._execution.draining,
-            held_programs=tuple(self._releases.held[:HELD_PROGRAMS]),
+            held_programs=tuple(held[:HELD_PROGRAMS]),
         )
 
-    def _reconcile_loop(self) -> None:
-        while not self._stopped:
-            eventlet.sleep(RECONCILE_SECONDS)
-            if not self._execution.up:
-                continue
-            try:
-                self._reconcile()
-            except (BackendError, UnavailableError) as error:
-                self._context.metrics.count("sidecar.reconcile_failed")
-                log.debug("sidecar.reconcile_failed", error=str(error))
-
-    def _reconcile(self) -> None:
-        self._releases.listed(self._backend.held_programs())
-        asked = self._releases.to_ask(self._context.monotonic())
-        if asked:
-            reply = self._control.ask(QueryLiving(asked), PROPOSE_SECONDS)
-            if isinstance(reply, Living):
-                self._releases.answered(asked, reply.program_ids, self._context.monotonic())
-        for program_id in self._releases.to_release(self._execution.programs()):
-            self._context.metrics.count("sidecar.release")
-            self._backend.release(program_id)
-
-    def _release_quietly(self, program_id: str) -> None:
-        if program_id in self._execution.programs():
-            return
-        try:
-            self._backend.release(program_id)
-        except BackendError:
-            # The listing still shows it, so the next round asks again.
-            self._context.metrics.count("sidecar.release_failed")
-
     def _peer_of(self, link: Link) -> int:
         peer = self._peer_by_link.get(link)
         if peer is None:
--- a/libs/sidecar/tests/execution_tests.py
+++ b/libs/sidecar/tests/execution_tests.py
@@ -20,6 +20,7 @@
     RejectReason,
     ServerKind,
 )
+from tarragonhall_sidecar._attempt import Identity, State
 from tarragonhall_sidecar._events import (
     Arrived,
     Broke,
@@ -37,7 +38,7 @@
     StopRun,
     Tick,
 )
-from tarragonhall_sidecar._execution import UNACKNOWLEDGED_SECONDS, Execution, Identity, State
+from tarragonhall_sidecar._execution import UNACKNOWLEDGED_SECONDS, Execution
 from tarragonhall_sidecar._memory import AttemptMemory
 
 SLOTS = 2
