Show what callers receive when backend servers and sidecars fail

Six scenarios over real processes: a service that acts and hangs, one that goes silent, a crossed answer, a sidecar killed under a bill, a poisonous prompt sent again under new programs, a drain. Tried first with a call right after the first start: it was refused, truthfully, because the rate could not be checked in time, so the scenarios begin once the organisation has been served.

--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -18,6 +18,7 @@
 import urllib3
 from tarragonhall_fakes import (
     Engine,
+    FakeServer,
     LocalProcess,
     Service,
     run_script,
@@ -46,6 +47,8 @@
     folder: Path
     service: Service
     engine: Engine
+    service_server: FakeServer
+    engine_server: FakeServer
     process_by_name: dict[str, LocalProcess] = field(default_factory=dict)
     callers_address: dict[str, str] = field(default_factory=dict)
     control: str = ""
@@ -67,6 +70,9 @@
         self.service.faults.clear()
         self.service.seconds_per_call = 0.0
         self.engine.faults.clear()
+        for server in (self.service_server, self.engine_server):
+            if server.crashed:
+                server.start()
         for name in ("control-1", "sidecar-1", *ENTRIES):
             self.start(name)
 
@@ -182,7 +188,7 @@
     folder = Path(tempfile.mkdtemp(prefix="tarragonhall-features-"))
     service, service_server = start_service()
     engine, engine_server = start_engine()
-    made = Deployment(folder, service, engine)
+    made = Deployment(folder, service, engine, service_server, engine_server)
     made.control, made.admin = free_address(), free_address()
     _write_settings(made, service_server.address, engine_server.address)
     control = str(folder / "control-1.json")
--- /dev/null
+++ b/features/steps/servers_steps.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import time
+
+import eventlet
+from behave import given, then, when
+from deployment import ENTRIES, wait_until
+from tarragonhall_fakes import Fault, FaultKind
+
+
+@given("the caller has been served before")
+def given_served_before(context):
+    # The first owner of an organisation's bucket waits before it grants; these scenarios are about
+    # servers, and their calls have little time.
+    def served() -> bool:
+        program_id = context.caller.open()
+        body = f"first of {context.org}"
+        return context.caller.call(ENTRIES[0], program_id, 1, body).status == 200
+
+    wait_until(served)
+
+
+@given('the order desk does "{kind}" with "{body}"')
+def given_desk_fault(context, kind, body):
+    context.deployment.service.faults.add(Fault(FaultKind(kind), match=body))
+
+
+@given("the order desk takes {seconds:g} second for a call")
+def given_slow_desk(context, seconds):
+    context.deployment.service.seconds_per_call = seconds
+
+
+@given("the engine crashes whenever it meets the poisonous prompt and is restarted each time")
+def given_poison(context):
+    deployment = context.deployment
+    context.poison = f"poison of {context.org}"
+    context.crashes = 0
+    deployment.engine.faults.add(Fault(FaultKind.CRASH, match=context.poison, times=0))
+
+    def supervise() -> None:
+        while True:
+            if deployment.engine_server.crashed:
+                context.crashes += 1
+                eventlet.sleep(0.5)
+                deployment.engine.life = f"life-{time.monotonic()}"
+                deployment.engine_server.start()
+            eventlet.sleep(0.02)
+
+    context.to_stop.append(eventlet.spawn(supervise).kill)
+
+
+@when('the caller sends call {seq:d} "{body}" with {seconds:g} seconds')
+def send_with_timeout(context, seq, body, seconds):
+    context.reply = context.caller.call(
+        ENTRIES[0], context.program_id, seq, body, timeout_ms=int(seconds * 1000)
+    )
+
+
+@then('the caller is told that it is "{execution}" whether the call ran')
+def told_execution(context, execution):
+    assert context.reply.value.get("execution") == execution, context.reply
+
+
+@when('"{name}" is killed and started again while the call runs')
+def kill_and_start(context, name):
+    # Dispatched, but the service has not acted yet.
+    eventlet.sleep(0.5)
+    context.deployment.process_by_name[name].kill()
+    context.deployment.start(name)
+
+
+@then("the caller does not hear that the call was not run")
+def not_called_not_run(context):
+    reply = context.waiting.pop().wait()
+    assert reply.value.get("execution") != "not_run", reply
+
+
+@when("the caller sends the poisonous prompt in {count:d} programs, one after the other")
+def send_poison(context, count):
+    fields = {"kind": "model", "target": "planner", "max_tokens": 20, "repeatable": True}
+    for number in range(count):
+        entry = ENTRIES[number % 2]
+        program_id = context.caller.open(entry)
+        body = context.poison
+        reply = context.caller.call(entry, program_id, 1, body, timeout_ms=3_000, **fields)
+        context.replies.append(reply)
+
+
+@then('the last of them are refused as "{code}"')
+def last_refused(context, code):
+    codes = [reply.value.get("error") for reply in context.replies]
+    assert codes[-1] == codes[-2] == code, codes
+
+
+@then("the engine crashed {count:d} times")
+def engine_crashed(context, count):
+    assert context.crashes == count, context.crashes
+
+
+@then("another prompt of the caller is answered")
+def other_prompt_answered(context):
+    fields = {"kind": "model", "target": "planner", "max_tokens": 20, "repeatable": True}
+    body = f"innocent of {context.org}"
+    reply = context.caller.call(ENTRIES[0], context.program_id, 1, body, **fields)
+    assert reply.status == 200, reply
+
+
+@when('the server "{server}" is drained while the call runs')
+def drain_server(context, server):
+    eventlet.sleep(0.3)
+    context.to_stop.append(lambda: context.deployment.tool("server", "drain", server, "--undo"))
+    context.deployment.tool("server", "drain", server)
+    wait_until(lambda: _drained(context, server), 5)
+
+
+def _drained(context, server) -> bool:
+    listing = context.deployment.tool("server", "list")
+    servers = listing["servers"] if isinstance(listing, dict) else listing
+    return any(one["server_id"] == server and one["draining"] for one in servers)
