--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -47,8 +47,9 @@
 
     folder: Path
     service: Service
-    service_server: FakeServer
     engine: Engine
+    service_server: FakeServer
+    engine_server: FakeServer
     process_by_name: dict[str, LocalProcess] = field(default_factory=dict)
     callers_address: dict[str, str] = field(default_factory=dict)
     control_address: dict[str, str] = field(default_factory=dict)
@@ -70,7 +71,9 @@
         self.service.faults.clear()
         self.service.seconds_per_call = 0.0
         self.engine.faults.clear()
-        self.restart_service_if_crashed()
+        for server in (self.service_server, self.engine_server):
+            if server.crashed:
+                server.start()
         for name in (*self.control_address, "sidecar-1", *ENTRIES):
             self.start(name)
 
@@ -201,7 +204,7 @@
     folder = Path(tempfile.mkdtemp(prefix="tarragonhall-features-"))
     service, service_server = start_service()
     engine, engine_server = start_engine()
-    made = Deployment(folder, service, service_server, engine)
+    made = Deployment(folder, service, engine, service_server, engine_server)
     for number in range(1, members + 1):
         made.control_address[f"control-{number}"] = free_address()
         made.admin_address[f"control-{number}"] = free_address()
