--- a/libs/model/tarragonhall_model/_codec.py
+++ b/libs/model/tarragonhall_model/_codec.py
@@ -43,7 +43,18 @@
 
 def encode(value: Any) -> bytes:
     """Encode a record, or a plain value made of records, lists, maps and scalars."""
-    return cbor2.dumps(to_plain(value))
+    # Scalars, lists and maps stay in the library's own code; only records come back to Python.
+    return cbor2.dumps(value, default=_encode_record)
+
+
+def _encode_record(encoder: Any, value: Any) -> None:
+    if isinstance(value, enum.Enum):
+        encoder.encode(value.value)
+        return
+    name = type(value).__name__
+    if name not in _class_by_name:
+        raise CodecError(f"{name} is not a record")
+    encoder.encode([name, {slot: getattr(value, slot) for slot in value.__slots__}])
 
 
 def decode(data: bytes) -> Any:
