Tell a resent open its own first attempt again

Cause: since an open may record the first attempt, the answer to it holds something that the entry must act on. A resend after a lost answer was told that the attempt is running, so the entry would have waited for an end that nobody was working on, until a sidecar's tombstone. Now the first result is told as long as no other attempt was recorded. The property draws first and lost attempts too.

--- a/libs/state/tarragonhall_state/_calls.py
+++ b/libs/state/tarragonhall_state/_calls.py
@@ -27,6 +27,7 @@
 
 from tarragonhall_state._program import Attempt, AttemptState, Call, CallState, Program
 from tarragonhall_state._programs import NOT_FOUND, Programs
+from tarragonhall_state._requests import CallReference
 
 # 100,000 tokens of history are about 400 KB of text; this leaves room for bodies that are no text
 # of the model. A program without a bound would fill the memory of every control member.
@@ -174,6 +175,19 @@
             return CallRunning(call.entry_id)
         return known
 
+    def recall(self, program: Program, reference: CallReference) -> CallOutcome:
+        """Return the first result again to a resend, or what the call has become since.
+
+        The answer to an open may be lost after it recorded an attempt. Told that its own attempt is
+        running somewhere, the entry would wait for an end that nobody is working on.
+        """
+        call = program.call(reference.seq)
+        if call is None:
+            return Refusal(RefusalCode.NOT_FOUND, "no such call")
+        if call.state is CallState.OPEN and len(call.attempts) == reference.attempts:
+            return replace(_opened(program, call), started=reference.started)
+        return _status(program, call)
+
     def _open_again(
         self, program: Program, call: Call, command: OpenCall, living_entries: Container[str]
     ) -> CallOutcome:
--- a/libs/state/tarragonhall_state/_journal.py
+++ b/libs/state/tarragonhall_state/_journal.py
@@ -35,6 +35,7 @@
 from tarragonhall_state._program import CallState
 from tarragonhall_state._programs import NOT_FOUND, Programs, ProgramsSnapshot
 from tarragonhall_state._quarantine import HELD_MS, Quarantine
+from tarragonhall_state._requests import CallReference
 
 JOURNAL_SHARDS = 1
 # Ten minutes: as long as an innocent request that was in a crowd is held.
@@ -99,12 +100,12 @@
         """Return what is known of a call."""
         return self._calls.status(program_id, seq, org_id, living_entries)
 
-    def recall(self, program_id: str, seq: int) -> CallOutcome:
+    def recall(self, reference: CallReference) -> CallOutcome:
         """Return what became of a call, to one whose request opened or closed it before."""
-        program = self._programs.by_id.get(program_id)
+        program = self._programs.by_id.get(reference.program_id)
         if program is None:
             return NOT_FOUND
-        return self._calls.status(program_id, seq, program.org_id, ())
+        return self._calls.recall(program, reference)
 
     def program(self, program_id: str, org_id: str | None) -> ProgramReport | Refusal:
         """Return a program and its closed calls; operators may leave the organisation out."""
--- a/libs/state/tarragonhall_state/_machine.py
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -111,7 +111,7 @@
         result = remembered.result
         if not isinstance(result, CallReference):
             return result
-        return self._journal(result.program_id).recall(result.program_id, result.seq)
+        return self._journal(result.program_id).recall(result)
 
     @property
     def revision(self) -> int:
@@ -247,9 +247,16 @@
 
     A second copy of each answer for five minutes would double the memory of a busy member.
     """
-    if not isinstance(result, (CallOpened, CallClosed)):
-        return result
-    attempt = getattr(body, "attempt", None)
-    if attempt is not None:
-        return CallReference(attempt.program_id, attempt.seq)
-    return CallReference(body.program_id, body.spec.seq if hasattr(body, "spec") else body.seq)
+    match result:
+        case CallOpened(attempts=attempts, started=started):
+            return CallReference(program_of(body), _seq_of(body), attempts, started)
+        case CallClosed():
+            return CallReference(program_of(body), _seq_of(body))
+    return result
+
+
+def _seq_of(body: object) -> int:
+    for part in ("attempt", "spec"):
+        if hasattr(body, part):
+            return getattr(body, part).seq
+    return body.seq
--- a/libs/state/tarragonhall_state/_requests.py
+++ b/libs/state/tarragonhall_state/_requests.py
@@ -26,10 +26,15 @@
 
 @record
 class CallReference:
-    """Stands for a result that the journal can tell again: it holds whole histories."""
+    """Stands for a result that the journal can tell again: it holds whole histories.
+
+    For a `CallOpened`, `attempts` and `started` are those of the first result.
+    """
 
     program_id: str
     seq: int
+    attempts: int | None = None
+    started: bool = False
 
 
 @record
--- a/libs/state/tests/journal_properties_tests.py
+++ b/libs/state/tests/journal_properties_tests.py
@@ -161,9 +161,17 @@
         seq = program.next_seq() + choices.shift
         body = f"{program_id} {choices.body}"
         spec = CallSpec(seq, CallKind.MODEL, "planner", body, choices.repeatable, MAX_TOKENS)
-        result = self.commit(OpenCall(program_id, program.org_id, spec, choices.entry_id))
+        slot = program.slot(seq)
+        recorded = len(slot.attempts) if slot is not None else 0
+        first = attempt_of(program_id, seq, recorded + 1) if choices.used % 2 else None
+        lost = attempt_of(program_id, seq, recorded) if choices.used % 3 == 0 else None
+        result = self.commit(
+            OpenCall(program_id, program.org_id, spec, choices.entry_id, lost, first)
+        )
         if not isinstance(result, CallOpened):
             return
+        if result.started:
+            assert program.calls[seq - 1].live_attempt().attempt_id == first
         for turn in result.history:
             assert turn.prompt.startswith(program_id)
             assert turn.answer.startswith(program_id)
--- a/libs/state/tests/machine_tests.py
+++ b/libs/state/tests/machine_tests.py
@@ -103,6 +103,22 @@
     assert apply(restored(state), "call-2", body) == first
 
 
+def test_a_resend_of_an_open_that_recorded_an_attempt_gets_it_again():
+    # The answer to an open is lost with the leader, and the entry's resend reaches the next one.
+    # Told only that the attempt is running, the entry would wait for what it has to start itself.
+    state = ControlState()
+    open_program(state)
+    spec = CallSpec(1, CallKind.MODEL, "planner", "drop runs?", max_tokens=100)
+    attempt = AttemptId("prog-1", 1, 1, "engine-1", "life-1")
+    body = OpenCall("prog-1", "school", spec, "entry-1", first_attempt=attempt)
+    first = apply(state, "call-1", body)
+    assert first.started
+    assert apply(restored(state), "call-1", body) == first
+    done = Answer("three", Usage(generated=40))
+    apply(state, "close-1", CloseCall(attempt, done))
+    assert apply(state, "call-1", body) == CallClosed(done)
+
+
 def test_an_undecodable_or_unknown_command_changes_nothing():
     state = ControlState()
     before = state.snapshot()
