--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -123,7 +123,11 @@
             raise LeadUnknownError("this member does not lead")
         request_id = request_id or new_id("req", self.context.rng)
         command = Command(request_id, self.context.wall_ms(), body)
-        return self.loop.propose(encode(command), PROPOSE_SECONDS)
+        started = self.context.monotonic()
+        result = self.loop.propose(encode(command), PROPOSE_SECONDS)
+        waited_ms = (self.context.monotonic() - started) * 1000
+        self.context.metrics.timing("control.commit", waited_ms)
+        return result
 
     def confirm(self) -> bool:
         """Return whether a majority confirmed, from now on, that this member leads."""
@@ -159,6 +163,7 @@
             self._announcing.discard(node_key(node))
 
     def _remove_silent_nodes(self) -> None:
+        self.context.metrics.gauge("control.followers", len(self.followers))
         for node in self.nodes.expired(self.state.view(), self.context.monotonic()):
             log.warning("control.node_silent", node=node_key(node))
             self.context.timeline.add("node_silent", node=node_key(node))
--- /dev/null
+++ b/libs/control/tests/loop_tests.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import eventlet
+import pytest
+from tarragonhall_consensus import (
+    ConfirmRead,
+    ProposalDone,
+    ProposalLost,
+    ProposeData,
+    ReadConfirmed,
+    RoleChanged,
+    SendTo,
+)
+from tarragonhall_control import _loop
+from tarragonhall_control._loop import LeadUnknownError, LogLoop, LoopBusyError, LoopHooks
+
+
+class Replica:
+    """A log in memory that commits at once, or loses every proposal."""
+
+    def __init__(self) -> None:
+        self.batches: list[int] = []
+        self.lost: ProposalLost | None = None
+        self.silent = False
+        self.closed = False
+
+    def step(self, events, _now):
+        outputs = []
+        proposals = [event for event in events if isinstance(event, ProposeData)]
+        if proposals:
+            self.batches.append(len(proposals))
+        for event in events:
+            match event:
+                case ProposeData(token) if self.silent:
+                    pass
+                case ProposeData(token) if self.lost is not None:
+                    lost = self.lost
+                    outputs.append(ProposalLost(token, lost.leader, lost.not_logged, lost.reason))
+                case ProposeData(token, data):
+                    outputs.append(ProposalDone(token, 1, data.upper()))
+                case ConfirmRead(token):
+                    outputs.append(ReadConfirmed(token))
+        return outputs
+
+    def is_leader(self, _now):
+        return True
+
+    def close(self):
+        self.closed = True
+
+
+@pytest.fixture
+def loop():
+    hooks = LoopHooks(lambda _peer, _message: None, lambda _role: None, lambda: None)
+    made = LogLoop(Replica(), lambda: 0.0, hooks)
+    eventlet.spawn_n(made.run)
+    yield made
+    made.stop()
+    eventlet.sleep(0.1)
+    assert made.replica.closed
+
+
+def test_what_arrives_together_shares_one_step(loop):
+    # Each step costs a sync. A step for each proposal would make a hundred callers wait for a
+    # hundred syncs in a row.
+    threads = [eventlet.spawn(loop.propose, b"a", 1.0) for _ in range(100)]
+    assert [thread.wait() for thread in threads] == [b"A"] * 100
+    assert loop.replica.batches == [100]
+    assert loop.confirm(1.0)
+
+
+def test_beyond_the_bound_a_proposal_is_refused_at_once_and_not_logged(loop, monkeypatch):
+    # The log hangs. Without a bound every caller's proposal would wait in memory until its sender
+    # has long given up; "busy" is true, since the proposal never reached the log.
+    monkeypatch.setattr(_loop, "MAX_WAITING_PROPOSALS", 3)
+    loop.replica.silent = True
+    waiting = [eventlet.spawn(loop.propose, b"a", 0.3) for _ in range(3)]
+    eventlet.sleep(0.1)
+    with pytest.raises(LoopBusyError):
+        loop.propose(b"b", 0.3)
+    for thread in waiting:
+        with pytest.raises(LeadUnknownError):
+            thread.wait()
+    assert loop.waiting() == 0
+    assert loop.replica.batches == [3]
+
+
+def test_a_full_log_is_busy_and_a_lost_lead_is_unknown(loop):
+    loop.replica.lost = ProposalLost(0, "one", not_logged=True, reason="too much uncommitted")
+    with pytest.raises(LoopBusyError, match="uncommitted"):
+        loop.propose(b"a", 1.0)
+    loop.replica.lost = ProposalLost(0, "two", not_logged=False)
+    with pytest.raises(LeadUnknownError):
+        loop.propose(b"a", 1.0)
+
+
+def test_messages_and_roles_go_to_their_hooks():
+    seen = []
+    hooks = LoopHooks(lambda peer, _m: seen.append(peer), seen.append, lambda: seen.append("step"))
+    replica = Replica()
+    role = RoleChanged("leader", 1, "one")
+    replica.step = lambda _events, _now: [SendTo("two", "hello"), role]
+    made = LogLoop(replica, lambda: 0.0, hooks)
+    eventlet.spawn_n(made.run)
+    eventlet.sleep(0.1)
+    made.stop()
+    eventlet.sleep(0.1)
+    assert seen[:3] == ["two", role, "step"]
