--- a/libs/state/tarragonhall_state/_journal.py
+++ b/libs/state/tarragonhall_state/_journal.py
@@ -35,6 +35,7 @@
 from tarragonhall_state._program import CallState
 from tarragonhall_state._programs import NOT_FOUND, Programs, ProgramsSnapshot
 from tarragonhall_state._quarantine import HELD_MS, Quarantine
+from tarragonhall_state._requests import CallReference
 
 JOURNAL_SHARDS = 1
 # Ten minutes: as long as an innocent request that was in a crowd is held.
@@ -65,6 +66,11 @@
 
     def apply(self, body: object, living_entries: Container[str], now_ms: int) -> object:
         """Carry out a command of the journal; return None for any other."""
+        result = self._carry_out(body, living_entries, now_ms)
+        self._programs.mark_changed(program_of(body))
+        return result
+
+    def _carry_out(self, body: object, living_entries: Container[str], now_ms: int) -> object:
         match body:
             case OpenProgram():
                 return self._programs.open(body, now_ms)
@@ -94,12 +100,12 @@
         """Return what is known of a call."""
         return self._calls.status(program_id, seq, org_id, living_entries)
 
-    def recall(self, program_id: str, seq: int) -> CallOutcome:
+    def recall(self, reference: CallReference) -> CallOutcome:
         """Return what became of a call, to one whose request opened or closed it before."""
-        program = self._programs.by_id.get(program_id)
+        program = self._programs.by_id.get(reference.program_id)
         if program is None:
             return NOT_FOUND
-        return self._calls.status(program_id, seq, program.org_id, ())
+        return self._calls.recall(program, reference)
 
     def program(self, program_id: str, org_id: str | None) -> ProgramReport | Refusal:
         """Return a program and its closed calls; operators may leave the organisation out."""
@@ -187,3 +193,11 @@
         return self._programs.end(
             EndProgram(command.program_id, program.org_id, command.status), now_ms
         )
+
+
+def program_of(body: object) -> str:
+    """Return the program that a command names, or nothing."""
+    attempt = getattr(body, "attempt", None)
+    if attempt is not None:
+        return attempt.program_id
+    return getattr(body, "program_id", "")
