--- a/features/servers.feature
+++ b/features/servers.feature
@@ -1,4 +1,4 @@
-Feature: Callers and the backend servers that run their calls
+Feature: Servers and sidecars that die while calls run
 
   Scenario: A sidecar is killed while a billing call runs
     # The process beside the order desk dies after the desk was told to bill. Nobody can know any
