Stop what an engine still runs for no one, and repeat a lost cancel

Cause: a killed sidecar left its runs in the engine, where they filled slots that the next life counted on; and one lost cancel let a run go on to its end. Change: each round compares the engine's running attempts with those under way here; a cancel is asked for again each second. A link that has closed is no longer entered as a peer, which it was for good when a message of it was handled late.

--- a/libs/sidecar/tarragonhall_sidecar/_attempt.py
+++ b/libs/sidecar/tarragonhall_sidecar/_attempt.py
@@ -31,7 +31,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One accepted attempt, until its end is in the journal."""
+    """One accepted attempt, until its end is in the journal.
+
+    `cancel_again_at` is set once its cancel was asked for, and says when to ask the engine again.
+    """
 
     dispatch: Dispatch
     order: int
@@ -43,6 +46,7 @@
     end: AttemptEnded | None = None
     ended_at: float = 0.0
     committing: bool = False
+    cancel_again_at: float | None = None
 
     @property
     def key(self) -> str:
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -91,7 +91,7 @@
     def cancel_quietly(self, dispatch: Dispatch) -> None:
         """Ask an engine to stop a run, in the background and without caring for the answer."""
         if dispatch.spec.kind is CallKind.MODEL:
-            eventlet.spawn_n(self._cancel, dispatch.attempt.key)
+            eventlet.spawn_n(self._try_cancel, dispatch.attempt.key)
 
     def probe(self) -> Probed:
         """Tell whether the server answers at all."""
@@ -136,6 +136,17 @@
             raise BackendError(f"/v1/held: lacks {error}") from error
         return Listing(tokens_by_program, value.get("capacity"))
 
+    def running(self) -> list[str]:
+        """Return the attempts that the engine runs or has in its queue."""
+        try:
+            return list(self.ask("GET", "/v1/running")["attempts"])
+        except (KeyError, TypeError) as error:
+            raise BackendError(f"/v1/running: lacks {error}") from error
+
+    def cancel(self, key: str) -> None:
+        """Ask the engine to stop an attempt; its listing shows if it did."""
+        self.ask("POST", "/v1/cancel", {"attempt": key})
+
     def release(self, program_id: str) -> None:
         """Ask the engine to free what it holds for a program; its listing shows if it did."""
         self.ask("POST", "/v1/release", {"program": program_id})
@@ -202,9 +213,9 @@
         connection.sock.settimeout(timeout_s)
         return connection
 
-    def _cancel(self, key: str) -> None:
+    def _try_cancel(self, key: str) -> None:
         try:
-            self.ask("POST", "/v1/cancel", {"attempt": key})
+            self.cancel(key)
         except BackendError:
             return
 
--- a/libs/sidecar/tarragonhall_sidecar/_execution.py
+++ b/libs/sidecar/tarragonhall_sidecar/_execution.py
@@ -60,6 +60,8 @@
 # Ends are kept whole until the journal has them. Beyond this no more work is taken, because
 # dropping one would lose an answer that the caller has paid for.
 ENDED_BYTES = 8 * 1024 * 1024
+# An engine that works stops a run between two tokens; one that has not by now was not reached.
+CANCEL_AGAIN_SECONDS = 1.0
 # One probe that times out may be a busy server; three in a row are taken for a dead one.
 FAILED_PROBES = 3
 
@@ -115,6 +117,11 @@
         """Return how many attempts are in one of these states."""
         return sum(attempt.state in states for attempt in self._attempt_by_key.values())
 
+    def under_way(self) -> set[str]:
+        """Return the keys of the attempts that are under way here."""
+        items = self._attempt_by_key.items()
+        return {key for key, attempt in items if attempt.state is not State.ENDED}
+
     def programs(self) -> set[str]:
         """Return the programs with an attempt that is under way here."""
         under_way = (a for a in self._attempt_by_key.values() if a.state is not State.ENDED)
@@ -154,7 +161,7 @@
             outputs += self._end(known, AttemptOutcome.NOT_RUN, now, "cancelled before its start")
         # A service call may have taken effect already: it runs on and its true end is told.
         elif known.state is State.RUNNING and self._identity.kind is ServerKind.MODEL:
-            outputs.append(StopRun(known.key, abandon=False))
+            outputs.append(self._ask_to_stop(known, now))
         return outputs
 
     def _acknowledged(self, attempt_id: AttemptId) -> list[Output]:
@@ -217,6 +224,9 @@
                 outputs += self._end(attempt, AttemptOutcome.NOT_RUN, now, detail)
             if attempt.state is State.ENDED:
                 outputs += self._settle(attempt, now)
+            elif attempt.cancel_again_at is not None and now >= attempt.cancel_again_at:
+                # The cancel or its answer was lost: the engine still generates for no one.
+                outputs.append(self._ask_to_stop(attempt, now))
         return outputs
 
     # Rules shared by the above.
@@ -267,6 +277,10 @@
             outputs.append(Send(peer, attempt.end))
         return outputs
 
+    def _ask_to_stop(self, attempt: Attempt, now: float) -> StopRun:
+        attempt.cancel_again_at = now + CANCEL_AGAIN_SECONDS
+        return StopRun(attempt.key, abandon=False)
+
     def _fill_slots(self, now: float) -> list[Output]:
         outputs: list[Output] = []
         waiting = [a for a in self._attempt_by_key.values() if a.state is State.WAITING]
--- a/libs/sidecar/tarragonhall_sidecar/_reconciler.py
+++ b/libs/sidecar/tarragonhall_sidecar/_reconciler.py
@@ -1,4 +1,4 @@
-"""Keeps the engine's memory free of programs that are gone."""
+"""Keeps the engine free of runs and programs that are gone."""
 
 from __future__ import annotations
 
@@ -58,6 +58,24 @@
                 log.debug("sidecar.reconcile_failed", error=str(error))
 
     def _reconcile(self) -> None:
+        self._stop_strays()
+        self._release_gone()
+
+    def _stop_strays(self) -> None:
+        """Stop what the engine runs for no one.
+
+        A sidecar that was killed leaves its runs behind, and a cancel can be lost. No one would
+        take the answers, and the slots that they fill would be missing from those that this life
+        counts on. What is under way here is read after the listing: a run that began since is not
+        in the listing.
+        """
+        for key in self._backend.running():
+            if key in self._execution.under_way():
+                continue
+            self._context.metrics.count("sidecar.stray_run")
+            self._backend.cancel(key)
+
+    def _release_gone(self) -> None:
         listing = self._backend.listing()
         self._releases.listed(listing, self._context.monotonic())
         asked = self._releases.to_ask(self._context.monotonic())
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -54,6 +54,8 @@
 PROBE_SECONDS = 1.0
 # The runs that a crash takes with it break within this of one another; they are judged together.
 GATHER_SECONDS = 0.05
+# Stands for a link that closed while its last messages were being handled.
+NO_PEER = 0
 # How much one run counts in the running mean of the time for each token.
 PACE_WEIGHT = 0.2
 
@@ -289,7 +291,8 @@
 
     def _report_load(self) -> None:
         entries = {entry.entry_id for entry in self._follower.view.entries}
-        links = [link for link in self._context.hub.accepted if link.peer.instance in entries]
+        accepted = [link for link in self._context.hub.accepted if not link.closed]
+        links = [link for link in accepted if link.peer.instance in entries]
         peers = frozenset(self._peer_of(link) for link in links)
         report = self._load_report()
         if not self._pacer.due(report, peers, self._context.monotonic()):
@@ -312,6 +315,9 @@
         )
 
     def _peer_of(self, link: Link) -> int:
+        if link.closed:
+            # Entered now, it would stay for good: `link_down` has been called already.
+            return NO_PEER
         peer = self._peer_by_link.get(link)
         if peer is None:
             peer = next(self._peers)
--- a/libs/sidecar/tests/execution_tests.py
+++ b/libs/sidecar/tests/execution_tests.py
@@ -304,6 +304,19 @@
     assert core.count(*State) == 0
 
 
+def test_a_cancel_is_repeated_until_the_run_ends():
+    """The request that cancels a run is lost on its way to the engine. The engine would go on to
+    generate, and the budget to shrink, for a caller who has left.
+    """
+    core = make_core()
+    core.handle(Arrived(1, dispatch_of(attempt_of("p1"))), 0.0)
+    core.handle(Arrived(1, CancelAttempt(attempt_of("p1"))), 1.0)
+    assert core.handle(Tick(), 1.5) == []
+    assert core.handle(Tick(), 2.1) == [StopRun("p1/1/1", abandon=False)]
+    core.handle(Finished("p1/1/1", AttemptOutcome.CANCELLED), 2.2)
+    assert core.handle(Tick(), 3.3) == []
+
+
 def test_the_most_urgent_waiting_attempt_starts_first_and_the_line_is_bounded():
     """The server is busy and calls pile up. A long line here would be one that no entry can reorder
     or hand to another server, so it is short, and the rest is refused while it can still go on.
--- a/libs/sidecar/tests/failures_tests.py
+++ b/libs/sidecar/tests/failures_tests.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 from tarragonhall_fakes import Fault, FaultKind, answer_to
+from tarragonhall_fakes._batch import Run
 from tarragonhall_model import (
     Attach,
     AttemptAck,
@@ -206,6 +207,17 @@
     eventually(lambda: not engine_path.fake.batch.running)
 
 
+def test_runs_of_an_earlier_life_are_stopped_in_the_engine(engine_path):
+    """The sidecar is killed while the engine generates a long answer for it. No one will take that
+    answer, and until it ends the new life would count on a slot that is not free.
+    """
+    engine_path.fake.batch.submit(Run("p9/1/1", "p9", ["agenda"], ["w"] * 100_000, 1))
+    eventually(lambda: "p9/1/1" in engine_path.fake.batch.running)
+    attempt = engine_path.send("p1", "agenda")
+    assert engine_path.end_of(attempt).outcome is AttemptOutcome.ANSWERED
+    eventually(lambda: not engine_path.fake.batch.running)
+
+
 def test_memory_of_a_program_that_ended_is_released_until_it_is_gone(engine_path):
     """An engine forgets to act on a release. The memory would stay held for a program that no one
     will ever call again, until the listing is looked at once more.
