--- a/libs/consensus/tarragonhall_consensus/_segments.py
+++ b/libs/consensus/tarragonhall_consensus/_segments.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 from dataclasses import dataclass
 
 import cbor2
@@ -51,11 +52,16 @@
 
 @dataclass(slots=True)
 class Segment:
-    """A segment file and the end of the log when it was begun."""
+    """A segment file, the end of the log when it was begun, and the lowest entry in it."""
 
     path: str
     first_sequence: int
     base_index: int
+    lowest_index: int = sys.maxsize
+
+    def note(self, index: int) -> None:
+        """Note that the segment holds an entry at `index`."""
+        self.lowest_index = min(self.lowest_index, index)
 
 
 @dataclass(slots=True)
@@ -156,6 +162,7 @@
                 case [Item.ENTRY, index, term, kind, data]:
                     if not replay.log.base_index < index <= replay.log.last_index + 1:
                         raise StorageError(f"{path}: entry {index} does not follow the one before")
+                    replay.segments[-1].note(index)
                     put_entry(replay.log, index, Entry(term, EntryKind(kind), data))
                 case [Item.RESET, index, term]:
                     replay.log.reset(index, term)
--- a/libs/consensus/tarragonhall_consensus/_storage.py
+++ b/libs/consensus/tarragonhall_consensus/_storage.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import sys
 
 import cbor2
 from tarragonhall_model import StorageError, encode
@@ -105,13 +106,14 @@
 
     def append(self, entry: Entry) -> int:
         """Put an entry at the end of the log with the next sync and return its index."""
-        index = self.log.append(entry)
-        self._batch.append(entry_item(index, entry))
+        index = self.log.last_index + 1
+        self.put(index, entry)
         return index
 
     def put(self, index: int, entry: Entry) -> None:
         """Put an entry at `index` with the next sync, dropping what was there and after it."""
         put_entry(self.log, index, entry)
+        self._segments[-1].note(index)
         self._batch.append(entry_item(index, entry))
 
     def sync(self) -> None:
@@ -147,13 +149,12 @@
         """Forget entries up to `index`, and remove the segments that hold only such."""
         self._check()
         self.log.compact(min(index, self.log.last_index))
-        if len(self._segments) > 1 and self._segments[1].base_index <= index:
+        for _ in range(self._removable(index)):
             self._failed = True
-            while len(self._segments) > 1 and self._segments[1].base_index <= index:
-                self._files.remove(self._segments.pop(0).path)
-                # Removals may reach the disk in any order. A segment gone while one before it is
-                # still there would look like a lost segment at the next start.
-                self._files.sync_folder(self._folder)
+            self._files.remove(self._segments.pop(0).path)
+            # Removals may reach the disk in any order. A segment gone while one before it is
+            # still there would look like a lost segment at the next start.
+            self._files.sync_folder(self._folder)
             self._failed = False
 
     def load_snapshot(self) -> bytes:
@@ -170,6 +171,21 @@
             self._file.close()
         self._lock.close()
 
+    def _removable(self, index: int) -> int:
+        """Return how many of the first segments are not needed to read the log after `index`.
+
+        A log can be read from a segment's start only if nothing later goes back behind it. Entries
+        that a leader replaced do: the segment then begins at an end of the log that was dropped.
+        The member could not start again.
+        """
+        lowest_index = sys.maxsize
+        for number in range(len(self._segments) - 1, 0, -1):
+            segment = self._segments[number]
+            lowest_index = min(lowest_index, segment.lowest_index)
+            if segment.base_index <= index and lowest_index > segment.base_index:
+                return number
+        return 0
+
     def _check(self) -> None:
         if self._failed:
             raise StorageError(f"{self._folder}: storage has failed or was closed; restart")
--- a/libs/consensus/tests/consensus_cluster.py
+++ b/libs/consensus/tests/consensus_cluster.py
@@ -293,7 +293,8 @@
         self.run_until(self._agree)
         entries = self.node_by_id[self.leader()].machine.entries
         for data in self.acknowledged.values():
-            assert entries.count(data) == 1, f"{data!r} was acknowledged and is lost"
+            count = entries.count(data)
+            assert count == 1, f"{data!r} was acknowledged and is there {count} times"
 
     def _agree(self) -> bool:
         leader = self.leader()
--- a/libs/consensus/tests/mutation_tests.py
+++ b/libs/consensus/tests/mutation_tests.py
@@ -194,6 +194,14 @@
     patch.setattr(SegmentReader, "_check", lambda self, path, found, last: None)
 
 
+def log_cut_behind_replaced_entries(patch):
+    def removable(self, index):
+        bases = [segment.base_index for segment in self._segments]
+        return max((at for at, base in enumerate(bases) if base <= index), default=0)
+
+    patch.setattr(Storage, "_removable", removable)
+
+
 def full_disk_ignored(patch):
     sync = Storage.sync
 
@@ -263,6 +271,7 @@
         damage_cut_like_a_torn_end,
         lambda: storage.test_damage_in_the_middle_is_reported(0),
     ),
+    (log_cut_behind_replaced_entries, storage.test_replaced_entries_and_compaction),
     (full_disk_ignored, storage.test_disk_full_stops_the_member_and_loses_nothing),
 ]
 
--- a/libs/consensus/tests/storage_tests.py
+++ b/libs/consensus/tests/storage_tests.py
@@ -110,6 +110,29 @@
         opened(disk)
 
 
+def test_replaced_entries_and_compaction():
+    """A leader replaces the end of the log, back to before the newest segment, then it compacts.
+
+    If the log were cut right at that segment, the member could not read it at its next start.
+    """
+    disk = Disk(random.Random(1))
+    storage = opened(disk)
+    number = 0
+    while len(storage._segments) < 4:
+        number += 1
+        write(storage, [number])
+    base = storage._segments[-1].base_index
+    for index in range(base - 2, base + 20):
+        storage.put(index, entry(index, term=2))
+        storage.sync()
+        storage.save_snapshot(SnapshotMeta(index, 2, "g", (), 3, 0x352441C2), b"abc")
+        storage.compact(index)
+        disk.kill()
+        storage = opened(disk)
+        assert (storage.log.last_index, storage.log.last_term) == (index, 2)
+    assert len(storage._segments) < 4
+
+
 def test_a_missing_segment_is_reported():
     """Someone removes a file from the data folder."""
     disk = Disk(random.Random(1))
