--- a/libs/consensus/tarragonhall_consensus/_election.py
+++ b/libs/consensus/tarragonhall_consensus/_election.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tarragonhall_consensus._core import Core
+from tarragonhall_consensus._core import Core, Role
 from tarragonhall_consensus._messages import VoteReply, VoteRequest
 
 
@@ -88,7 +88,7 @@
     def _counts(self, peer: str, reply: VoteReply) -> bool:
         """Return whether an answer comes from a voter of the group under its known identity."""
         core = self._core
-        if core.role != "candidate":
+        if core.role is not Role.CANDIDATE:
             return False
         return core.membership.is_voter(peer, reply.envelope.from_identity)
 
--- a/libs/consensus/tarragonhall_consensus/_interface.py
+++ b/libs/consensus/tarragonhall_consensus/_interface.py
@@ -157,6 +157,7 @@
     applied_index: int
     members: list[Member]
     identity: str
+    address: str
     peer_by_id: dict[str, PeerStatus] = field(default_factory=dict)
 
 
--- a/libs/consensus/tarragonhall_consensus/_limits.py
+++ b/libs/consensus/tarragonhall_consensus/_limits.py
@@ -34,13 +34,17 @@
     # A snapshot on its way to a peer that has been silent for this long is given up, since its
     # bytes are held in memory meanwhile. Long enough for a peer to take the whole state in.
     transfer_seconds: float = 10.0
-    # A snapshot costs time in proportion to the state, so it waits until the log has grown by
-    # this much and by twice what the last snapshot took. The log is held in memory at up to twice
-    # its bytes, beside the state, and a control process is to stay within 64 MB while it is small.
+    # A snapshot costs time in proportion to the state, so the log must have grown by as much as
+    # the last snapshot took. Beyond that it is due after this much: the log is held in memory at
+    # up to twice its bytes, and a control process with a small state is to stay within 64 MB.
     snapshot_bytes: int = 4 * 1024 * 1024
-    # Replaying this many entries is a restart of well under a second.
+    # Or after this many entries: replaying them is a restart of well under a second.
     snapshot_entries: int = 20_000
+    # Members that snapshot at the same entry would all stand still at once, and no majority would
+    # be left to commit. Each puts it off by a share of its own, drawn up to this.
+    snapshot_spread: float = 0.5
     # Kept behind a snapshot, so that a member a moment behind needs no whole snapshot.
     trailing_entries: int = 1_000
+    trailing_bytes: int = 1024 * 1024
     # The last segment is written again at each start: some tens of milliseconds at this size.
     segment_bytes: int = 4 * 1024 * 1024
--- a/libs/consensus/tarragonhall_consensus/_log.py
+++ b/libs/consensus/tarragonhall_consensus/_log.py
@@ -79,6 +79,17 @@
             taken.append(entry)
         return taken
 
+    def compaction_index(self, applied: int, max_entries: int, max_bytes: int) -> int:
+        """Return up to where to compact, to keep some entries before and at `applied`."""
+        index = applied
+        size = 0
+        while index > max(self.base_index, applied - max_entries):
+            size += entry_bytes(self.entry(index))
+            if size > max_bytes:
+                break
+            index -= 1
+        return index
+
     def first_of_term(self, index: int) -> int:
         """Return the first index, at or before `index`, of the run of entries of one term."""
         term = self.term_at(index)
--- a/libs/consensus/tarragonhall_consensus/_replica.py
+++ b/libs/consensus/tarragonhall_consensus/_replica.py
@@ -5,8 +5,6 @@
 import random
 import zlib
 
-from tarragonhall_model import StorageError
-
 from tarragonhall_consensus._core import Core
 from tarragonhall_consensus._election import Election
 from tarragonhall_consensus._files import Files, disk_files
@@ -28,6 +26,7 @@
 )
 from tarragonhall_consensus._leadership import Leadership
 from tarragonhall_consensus._limits import Limits
+from tarragonhall_consensus._log import entry_bytes
 from tarragonhall_consensus._messages import (
     AppendReply,
     AppendRequest,
@@ -77,15 +76,26 @@
 class Replica:
     """One member. Not safe for threads; one loop feeds it."""
 
-    __slots__ = ("_core", "_election", "_following", "_founding", "_snapshot_wanted", "address")
+    __slots__ = (
+        "_address",
+        "_bytes_since_snapshot",
+        "_core",
+        "_election",
+        "_following",
+        "_founding",
+        "_snapshot_delay",
+        "_snapshot_wanted",
+    )
 
     def __init__(self, core: Core, bootstrap: list[Member], address: str) -> None:
         self._core = core
         self._election = Election(core)
         self._following = Following(core)
         self._founding = Founding(core, bootstrap)
+        self._address = address
         self._snapshot_wanted = False
-        self.address = address
+        self._snapshot_delay = 1 + core.limits.snapshot_spread * core.rng.random()
+        self._bytes_since_snapshot = 0
 
     def step(self, events: list[Event], now: float) -> list[Output]:
         """Handle a batch of events and return what is to be done, after one sync at most.
@@ -120,6 +130,7 @@
             applied_index=core.applied_index,
             members=list(core.membership.members),
             identity=core.identity,
+            address=self._address,
             peer_by_id=core.leadership.peer_status() if core.leadership else {},
         )
 
@@ -249,32 +260,33 @@
             if entry.kind is EntryKind.DATA:
                 result = core.machine.apply(index, entry.data)
             core.applied_index = index
+            self._bytes_since_snapshot += entry_bytes(entry)
             if core.leadership is not None:
                 core.leadership.applied(index, result)
 
     def _take_snapshot_if_due(self) -> None:
-        if not self._snapshot_wanted and not self._is_snapshot_due():
-            return
-        self._snapshot_wanted = False
         core = self._core
+        limits = core.limits
         index = core.applied_index
-        if core.storage.snapshot is not None and core.storage.snapshot.index >= index:
+        last = core.storage.snapshot
+        last_index = last.index if last else 0
+        if index == last_index or not (self._snapshot_wanted or self._is_snapshot_due(last)):
             return
         term = core.storage.log.term_at(index)
-        if term is None:
-            raise StorageError(f"entry {index} is applied but not in the log")
         data = core.machine.snapshot()
         members = core.membership.at(index)
         meta = SnapshotMeta(index, term, core.group, members, len(data), zlib.crc32(data))
         core.storage.save_snapshot(meta, data)
-        core.storage.compact(index - core.limits.trailing_entries)
+        core.storage.compact(
+            core.storage.log.compaction_index(index, limits.trailing_entries, limits.trailing_bytes)
+        )
+        self._snapshot_wanted = False
+        self._bytes_since_snapshot = 0
 
-    def _is_snapshot_due(self) -> bool:
+    def _is_snapshot_due(self, last: SnapshotMeta | None) -> bool:
         core = self._core
-        limits = core.limits
-        last = core.storage.snapshot
-        since = core.applied_index - (last.index if last else 0)
-        if since >= limits.snapshot_entries:
-            return True
-        size = core.storage.log.bytes
-        return since > 0 and size >= max(limits.snapshot_bytes, 2 * (last.size if last else 0))
+        size = self._bytes_since_snapshot / self._snapshot_delay
+        if last is not None and size < last.size:
+            return False
+        entries = (core.applied_index - (last.index if last else 0)) / self._snapshot_delay
+        return size >= core.limits.snapshot_bytes or entries >= core.limits.snapshot_entries
--- a/libs/consensus/tarragonhall_consensus/_replication.py
+++ b/libs/consensus/tarragonhall_consensus/_replication.py
@@ -7,6 +7,7 @@
 from tarragonhall_consensus._messages import (
     AppendReply,
     AppendRequest,
+    Envelope,
     OtherIdentity,
     SnapshotChunk,
     SnapshotReply,
@@ -202,7 +203,11 @@
             if silent > core.limits.transfer_seconds:
                 progress.probe_from(progress.match_index + 1)
             return
-        if self._has_entries_for(progress) or silent > core.limits.election_seconds:
+        if self._has_entries_for(progress):
+            return
+        if silent > core.limits.election_seconds:
+            # Heartbeats alone, until it answers one that left lately.
+            progress.probe_from(progress.match_index + 1)
             return
         data = core.storage.load_snapshot()
         progress.start_transfer(Transfer(core.storage.snapshot, data))
@@ -291,7 +296,7 @@
         progress.is_waiting = True
         progress.waiting_since = self._core.now
 
-    def _envelope(self, progress: Progress):
+    def _envelope(self, progress: Progress) -> Envelope:
         return self._core.envelope(progress.identity)
 
     def _round(self) -> int:
--- a/libs/consensus/tests/replica_tests.py
+++ b/libs/consensus/tests/replica_tests.py
@@ -6,7 +6,13 @@
 from consensus_cluster import Cluster
 from tarragonhall_consensus import ChangeMember, Member, Received, Tick
 from tarragonhall_consensus._leadership import Leadership
-from tarragonhall_consensus._messages import Envelope, SnapshotChunk, VoteReply, VoteRequest
+from tarragonhall_consensus._messages import (
+    AppendReply,
+    Envelope,
+    SnapshotChunk,
+    VoteReply,
+    VoteRequest,
+)
 
 
 @pytest.mark.parametrize("count", [3, 5])
@@ -461,6 +467,30 @@
     assert cluster.ended(77) == "refused"
 
 
+def test_late_answer_of_a_member_whose_entries_are_gone():
+    """A member answers an old message after a long silence; what it needs next is compacted.
+
+    The leader must look for the place where the logs meet, not send on from an entry that it no
+    longer has. It once sent a message without a term, which stopped the member that got it.
+    """
+    cluster = Cluster(3)
+    cluster.commit(b"a")
+    late = cluster.followers()[0]
+    cluster.isolate(late)
+    for number in range(60):
+        cluster.commit(b"%d" % number)
+    leader = cluster.leader()
+    core = cluster.node_by_id[leader].replica._core
+    progress = core.leadership._replication._progress_by_id[late]
+    assert progress.match_index < core.storage.log.base_index
+    identity = cluster.node_by_id[late].replica.status().identity
+    envelope = Envelope(core.group, identity, core.identity, core.term)
+    matched = progress.match_index
+    cluster.heal()
+    cluster.give(leader, Received(late, AppendReply(envelope, 0, True, matched, matched)))
+    cluster.settle()
+
+
 def test_a_snapshot_for_a_silent_member_is_not_held_in_memory():
     """A member is down for good after the log was compacted.
 
--- a/libs/consensus/tests/single_member_tests.py
+++ b/libs/consensus/tests/single_member_tests.py
@@ -84,6 +84,33 @@
     assert len(list((tmp_path / "data").glob("*.snapshot"))) == 1
 
 
+@pytest.mark.parametrize("size", [10, 5_000])
+def test_snapshots_stay_rare_whatever_the_size_of_entries(tmp_path, size):
+    """Large entries stay behind a snapshot for members that are a little late.
+
+    If those counted towards the next snapshot, every change would write the whole state; users
+    would wait for it each time.
+    """
+    limits = {"snapshot_entries": 100, "snapshot_bytes": 100_000, "snapshot_spread": 0.0}
+    machine = Journal()
+    replica = open_alone(tmp_path / "data", machine, **limits)
+    taken = []
+    machine.snapshot = lambda: taken.append(1) or bytes(1_000)
+    for token in range(300):
+        replica.step([ProposeData(token, bytes(size))] if token else [Tick()], 0.1)
+    assert len(taken) == (3 if size == 10 else 14)
+
+
+def test_a_large_state_is_not_written_more_often_than_the_log_grows_by_it(tmp_path):
+    machine = Journal()
+    replica = open_alone(tmp_path / "data", machine, snapshot_entries=10, snapshot_spread=0.0)
+    taken = []
+    machine.snapshot = lambda: taken.append(1) or bytes(20_000)
+    for token in range(400):
+        replica.step([ProposeData(token, bytes(68))] if token else [Tick()], 0.1)
+    assert len(taken) == 2
+
+
 def test_a_second_process_is_kept_out_of_the_folder(tmp_path):
     open_alone(tmp_path / "data", Journal())
     with pytest.raises(StorageError, match="another process"):
