--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -4,7 +4,7 @@
 
 import eventlet
 import structlog
-from tarragonhall_consensus import Member, RoleChanged, open_replica
+from tarragonhall_consensus import Limits, Member, RoleChanged, open_replica
 from tarragonhall_model import (
     AnnounceEntry,
     AnnounceServer,
@@ -56,7 +56,9 @@
         "state",
     )
 
-    def __init__(self, settings: ControlSettings, context: ProcessContext) -> None:
+    def __init__(
+        self, settings: ControlSettings, context: ProcessContext, limits: Limits | None = None
+    ) -> None:
         self.context = context
         self.state = ControlState()
         self.followers = Followers(self.state, context.metrics)
@@ -74,6 +76,7 @@
             self.state,
             context.rng,
             context.monotonic(),
+            limits,
         )
         hooks = LoopHooks(self._send, self._on_role, self._after_step)
         self.loop = LogLoop(replica, context.monotonic, hooks)
@@ -120,7 +123,11 @@
             raise LeadUnknownError("this member does not lead")
         request_id = request_id or new_id("req", self.context.rng)
         command = Command(request_id, self.context.wall_ms(), body)
-        return self.loop.propose(encode(command), PROPOSE_SECONDS)
+        started = self.context.monotonic()
+        result = self.loop.propose(encode(command), PROPOSE_SECONDS)
+        waited_ms = (self.context.monotonic() - started) * 1000
+        self.context.metrics.timing("control.commit", waited_ms)
+        return result
 
     def confirm(self) -> bool:
         """Return whether a majority confirmed, from now on, that this member leads."""
@@ -156,6 +163,7 @@
             self._announcing.discard(node_key(node))
 
     def _remove_silent_nodes(self) -> None:
+        self.context.metrics.gauge("control.followers", len(self.followers))
         for node in self.nodes.expired(self.state.view(), self.context.monotonic()):
             log.warning("control.node_silent", node=node_key(node))
             self.context.timeline.add("node_silent", node=node_key(node))
--- a/libs/decisions/tarragonhall_decisions/_routing.py
+++ b/libs/decisions/tarragonhall_decisions/_routing.py
@@ -135,9 +135,11 @@
                 candidates.append(state)
         if not candidates:
             return None
-        best = min(candidates, key=lambda state: (self._cost(state, need), state.record.server_id))
-        if not best.has_room() and not open_states and not need.prompt_tokens:
-            return None
+        best = min(candidates, key=lambda state: self._cost(state, need))
+        if not holders and candidates[0].weight < 1.0:
+            # A server on probation always looks dearer than the other choice; without these few
+            # calls nothing would be learnt of it any more, and its capacity would be lost.
+            best = candidates[0]
         return RouteChoice(best.record, self._cost(best, need), best in holders)
 
     def on_start(self, server_id: str, attempt_key: str, need: Need, now: float) -> None:
@@ -158,6 +160,12 @@
         if state is not None:
             state.on_end(attempt_key, units, answered, now)
 
+    def on_unused(self, server_id: str, attempt_key: str) -> None:
+        """Note that an attempt was not sent after all; nothing is learnt of the server."""
+        state = self._state_by_id.get(server_id)
+        if state is not None and state.open_by_key.pop(attempt_key, None) is not None:
+            state.changes_since_report -= 1
+
     def learn_prefill(self, recomputed_tokens: int, seconds: float) -> None:
         """Learn the time to the first token of a call that recomputed so many tokens."""
         if recomputed_tokens < MIN_LEARNT_TOKENS:
--- a/libs/entry/tarragonhall_entry/_attempt_flow.py
+++ b/libs/entry/tarragonhall_entry/_attempt_flow.py
@@ -69,8 +69,10 @@
     refusal: Refusal
 
 
-def run_attempt(call: Call, opened: CallOpened, attempt: AttemptId, server: ServerRecord) -> Steps:
-    """Make one attempt.
+def start_attempt(
+    call: Call, opened: CallOpened, attempt: AttemptId, server: ServerRecord
+) -> Steps:
+    """Record an attempt and make it.
 
     Return `Failed`, `GivenUp`, or what the journal says became of the call: `CallClosed`,
     `CallRunning`, `Refusal` or `Unavailable`.
@@ -78,11 +80,15 @@
     result = yield Commit(StartAttempt(attempt, call.org_id, call.entry_id))
     match result:
         case AttemptRecorded():
-            pass
+            return (yield from run_attempt(call, opened, attempt, server))
         case Refusal():
             return GivenUp(result)
         case _:
             return result
+
+
+def run_attempt(call: Call, opened: CallOpened, attempt: AttemptId, server: ServerRecord) -> Steps:
+    """Make an attempt that is recorded; return as `start_attempt` does."""
     # The key may have been withdrawn while the call waited or while this commit was under way.
     refusal = yield CheckKey()
     if refusal is not None:
@@ -111,11 +117,19 @@
             return (yield from _follow(call, attempt))
         case Rejected(reason=reason) if reason is not RejectReason.INCARNATION:
             return (yield from _disprove(call, attempt, reply, "the server never started it"))
-    if running.entry_id != call.entry_id and (yield EntryInView(running.entry_id)):
+    if (yield from _may_be_followed(call, running)):
         return None
     return (yield from _ask_server(call, attempt))
 
 
+def _may_be_followed(call: Call, running: CallRunning) -> Steps:
+    """Return whether the entry that holds the call may be waiting for the end of its attempt."""
+    if running.entry_id == call.entry_id or not (yield EntryInView(running.entry_id)):
+        return False
+    # Nobody can follow an attempt whose server's life is over; its entry gets time to say so.
+    return call.is_patient or (yield FindServer(running.attempt)) is not None
+
+
 def _follow(call: Call, attempt: AttemptId) -> Steps:
     """Wait for the end of an attempt that a sidecar has accepted."""
     ended = yield AwaitEnd(attempt)
--- a/libs/entry/tarragonhall_entry/_effects.py
+++ b/libs/entry/tarragonhall_entry/_effects.py
@@ -11,13 +11,18 @@
 from tarragonhall_decisions import Failure
 from tarragonhall_model import AttemptId, CallSpec, Dispatch, ServerRecord
 
+# Three seconds at the pause of `_flow`: far more than the commits that the holder needs to get on.
+HELD_WAITS = 30
+
 
 @dataclass(slots=True)
 class Call:
     """One call at this entry. `deadline` is on this process's monotonic clock, in seconds.
 
     `call_id` is this entry's own name for it: a resend with another body is another call here.
-    `unproven` is an attempt of which it is not known that it never ran, once there is one.
+    `unproven` is an attempt of which it is not known that it never ran, once there is one. `place`
+    is held for the first attempt where that was recorded together with the call. `waits` counts how
+    often it waited for the entry that holds the call.
     """
 
     call_id: str
@@ -27,7 +32,15 @@
     spec: CallSpec
     entry_id: str
     deadline: float
+    model_version: str | None = None
     unproven: AttemptId | None = None
+    place: Assigned | None = None
+    waits: int = 0
+
+    @property
+    def is_patient(self) -> bool:
+        """Return whether the entry that holds the call may have more time."""
+        return self.waits < HELD_WAITS
 
     @property
     def name(self) -> tuple[str, int]:
@@ -90,10 +103,22 @@
 
 @dataclass(slots=True, frozen=True)
 class EndPlace:
-    """Give the place on the server back. Result: None. `tokens` were generated there."""
+    """Give the place on the server back. Result: None. `tokens` were generated there; with `used`
+    unset nothing was sent there.
+    """
+
+    answered: bool = False
+    tokens: int = 0
+    used: bool = True
 
-    answered: bool
-    tokens: int
+
+@dataclass(slots=True, frozen=True)
+class TryTurn:
+    """Take a place without waiting. Result: `Assigned`, None where none is free, or a `Refusal`
+    where the queue would refuse the call.
+    """
+
+    started: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -201,6 +226,7 @@
     | CheckKey
     | WaitTurn
     | EndPlace
+    | TryTurn
     | SendDispatch
     | AwaitEnd
     | Reattach
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -4,15 +4,13 @@
 
 import random
 import time
+from dataclasses import replace
 
 import eventlet
-
-eventlet.monkey_patch()
-
-import pytest  # noqa: E402
-import urllib3  # noqa: E402
-from tarragonhall_entry import EntrySettings, start_entry  # noqa: E402
-from tarragonhall_model import (  # noqa: E402
+import pytest
+import urllib3
+from tarragonhall_entry import EntrySettings, start_entry
+from tarragonhall_model import (
     AbandonCall,
     Accepted,
     Answer,
@@ -47,7 +45,7 @@
     View,
     secret_hash,
 )
-from tarragonhall_wire import HybridClock, Metrics, Peer, ProcessContext, Timeline  # noqa: E402
+from tarragonhall_wire import HybridClock, Metrics, Peer, ProcessContext, Timeline
 
 KEY = "thk_test"
 POLICY = PolicyDelta(
@@ -122,7 +120,7 @@
 
     def follow(self, node, follower) -> None:
         self.follower = follower
-        follower.apply_view(View(1, [node()], []))
+        follower.apply_view(View(1, [node()], [], entries_version=2))
         self.confirm()
 
     def confirm(self) -> None:
@@ -133,7 +131,8 @@
     def leave(self, _node, _timeout_s) -> None:
         self.left = True
         view = self.follower.view
-        self.follower.apply_view(View(view.epoch + 1, [], view.servers))
+        left = View(view.epoch + 1, [], view.servers, entries_version=view.entries_version + 1)
+        self.follower.apply_view(left)
 
     def propose(self, body, _timeout_s, request_id=None):
         self.commits.append(body)
@@ -186,7 +185,7 @@
             EntrySettings(self.address, 10, grace_ms), self.context, self.control
         )
         # As if an earlier owner had handed the bucket over: nothing has to be waited out.
-        self.hub.deliver(None, HandOver("org", 1_000.0, 1))
+        self.hub.deliver(None, HandOver("org", 1_000.0, 2))
         self.http = urllib3.PoolManager(retries=False)
 
     def serve(self, sidecar, name: str = "desk-1", kind=ServerKind.SERVICE) -> FakeLink:
@@ -196,9 +195,8 @@
         self.hub.link_by_address[address] = link
         view = self.control.follower.view
         server = ServerRecord(name, f"life-{name}", address, "zone", kind, ["desk"], slots=2)
-        self.control.follower.apply_view(
-            View(view.epoch + 1, view.entries, [*view.servers, server])
-        )
+        servers = [*view.servers, server]
+        self.control.follower.apply_view(replace(view, epoch=view.epoch + 1, servers=servers))
         return link
 
     def end(self, link, dispatch, text: str = "done") -> None:
--- a/libs/model/tarragonhall_model/_commands.py
+++ b/libs/model/tarragonhall_model/_commands.py
@@ -49,6 +49,12 @@
 
     `lost_attempt` is the live attempt of a call that may be repeated, where the sender found that
     its end cannot be known any more; the call is then open to a further attempt.
+
+    With `take_over` the call passes to the sender although the entry that holds it lives: it may
+    have given up without being able to say so.
+
+    `first_attempt` is recorded together with a call that opens for the first time, as by
+    `StartAttempt`; the result's `started` says so. It saves a commit on the way of most calls.
     """
 
     program_id: str
@@ -56,6 +62,8 @@
     spec: CallSpec
     entry_id: str
     lost_attempt: AttemptId | None = None
+    first_attempt: AttemptId | None = None
+    take_over: bool = False
 
 
 @record
@@ -214,13 +222,15 @@
     """The call is open and no live attempt of it is known; `attempts` were recorded so far.
 
     `history` holds the earlier model calls of the program, oldest first. `prefix_server` is the
-    backend server that ran the last of them and may still hold their prefix.
+    backend server that ran the last of them and may still hold their prefix. `started` says that
+    the `first_attempt` of the command was recorded and may be dispatched.
     """
 
     attempts: int
     history: list[Turn]
     prefix_server: str | None = None
     deadline_at_ms: int = 0
+    started: bool = False
 
 
 @record
--- a/libs/state/tarragonhall_state/_calls.py
+++ b/libs/state/tarragonhall_state/_calls.py
@@ -27,6 +27,7 @@
 
 from tarragonhall_state._program import Attempt, AttemptState, Call, CallState, Program
 from tarragonhall_state._programs import NOT_FOUND, Programs
+from tarragonhall_state._requests import CallReference
 
 # 100,000 tokens of history are about 400 KB of text; this leaves room for bodies that are no text
 # of the model. A program without a bound would fill the memory of every control member.
@@ -57,7 +58,7 @@
         if existing is not None:
             if not _is_same_call(existing.spec, spec):
                 return Refusal(RefusalCode.CONFLICT, f"call {spec.seq} had another body")
-            return self._open_again(program, existing, command.entry_id, living_entries)
+            return self._open_again(program, existing, command, living_entries)
         refusal = self._refuse_open(program, spec, now_ms)
         if refusal is not None:
             return refusal
@@ -65,7 +66,12 @@
         call = self._put(program, spec, command.entry_id, now_ms)
         program.history_bytes += len(spec.body)
         self._programs.touch(program, now_ms, call.deadline_at_ms)
-        return _opened(program, call)
+        if command.first_attempt is None:
+            return _opened(program, call)
+        start = StartAttempt(command.first_attempt, command.org_id, command.entry_id)
+        recorded = self.start_attempt(start, now_ms)
+        started = isinstance(recorded, AttemptRecorded)
+        return replace(_opened(program, call), started=started)
 
     def start_attempt(
         self, command: StartAttempt, now_ms: int
@@ -123,8 +129,9 @@
             self._take_answer(program, call, attempt, command.answer)
         else:
             self._take_refusal(program, call, attempt, command.refusal)
-        if call.state is CallState.CLOSED:
-            self._release_waiting(program, call)
+        if call.state is not CallState.CLOSED:
+            return Refusal(RefusalCode.CONFLICT, "this attempt was proved not to have run")
+        self._release_waiting(program, call)
         self._programs.touch(program, now_ms)
         return CallClosed(call.answer, call.refusal)
 
@@ -168,18 +175,38 @@
             return CallRunning(call.entry_id)
         return known
 
+    def recall(self, program: Program, reference: CallReference) -> CallOutcome:
+        """Return the first result again to a resend, or what the call has become since.
+
+        The answer to an open may be lost after it recorded an attempt. Told that its own attempt is
+        running somewhere, the entry would wait for an end that nobody is working on.
+        """
+        call = program.call(reference.seq)
+        if call is None:
+            return Refusal(RefusalCode.NOT_FOUND, "no such call")
+        if call.state is CallState.OPEN and len(call.attempts) == reference.attempts:
+            return replace(_opened(program, call), started=reference.started)
+        return _status(program, call)
+
     def _open_again(
-        self, program: Program, call: Call, entry_id: str, living_entries: Container[str]
+        self, program: Program, call: Call, command: OpenCall, living_entries: Container[str]
     ) -> CallOutcome:
-        """Answer a resend. A call whose entry is gone passes to the entry that asks."""
+        """Answer a resend. A call whose entry is gone passes to the entry that asks.
+
+        So does one that may be repeated and whose attempt the asking entry found lost: its end may
+        never be known, and the call would stay open until the program expires.
+        """
         known = _status(program, call)
+        if isinstance(known, CallRunning) and _is_lost(call, command, known):
+            known = _opened(program, call)
         if not isinstance(known, CallOpened):
             return known
-        if call.entry_id != entry_id and call.entry_id in living_entries:
+        held = call.entry_id != command.entry_id and call.entry_id in living_entries
+        if held and not command.take_over:
             return CallRunning(call.entry_id)
         if not program.is_open:
             return Refusal(RefusalCode.PROGRAM_ENDED, "the program has ended")
-        call.entry_id = entry_id
+        call.entry_id = command.entry_id
         return known
 
     def _refuse_open(self, program: Program, spec: CallSpec, now_ms: int) -> Refusal | None:
@@ -319,6 +346,12 @@
     return replace(one, timeout_ms=0, stream=False) == replace(other, timeout_ms=0, stream=False)
 
 
+def _is_lost(call: Call, command: OpenCall, running: CallRunning) -> bool:
+    """Return whether the live attempt of a repeatable call is the one that was found lost."""
+    lost = command.lost_attempt
+    return call.spec.repeatable and lost is not None and lost == running.attempt
+
+
 def _is_previous_closed(program: Program, seq: int) -> bool:
     previous = program.slot(seq - 1)
     return previous is None or previous.state is CallState.CLOSED
--- a/libs/state/tarragonhall_state/_journal.py
+++ b/libs/state/tarragonhall_state/_journal.py
@@ -23,6 +23,7 @@
     ProgramStatus,
     Quarantined,
     Refusal,
+    RefusalCode,
     ReportCrash,
     StartAttempt,
     fingerprint,
@@ -33,9 +34,16 @@
 from tarragonhall_state._commands import CancelProgram
 from tarragonhall_state._program import CallState
 from tarragonhall_state._programs import NOT_FOUND, Programs, ProgramsSnapshot
-from tarragonhall_state._quarantine import Quarantine
+from tarragonhall_state._quarantine import HELD_MS, Quarantine
+from tarragonhall_state._requests import CallReference
 
 JOURNAL_SHARDS = 1
+# Ten minutes: as long as an innocent request that was in a crowd is held.
+QUARANTINED = Refusal(
+    RefusalCode.QUARANTINED,
+    "the request crashed the backend servers that ran it",
+    retry_after_ms=HELD_MS,
+)
 
 
 @record
@@ -58,11 +66,16 @@
 
     def apply(self, body: object, living_entries: Container[str], now_ms: int) -> object:
         """Carry out a command of the journal; return None for any other."""
+        result = self._carry_out(body, living_entries, now_ms)
+        self._programs.mark_changed(program_of(body))
+        return result
+
+    def _carry_out(self, body: object, living_entries: Container[str], now_ms: int) -> object:
         match body:
             case OpenProgram():
                 return self._programs.open(body, now_ms)
             case OpenCall():
-                return self._calls.open(body, living_entries, now_ms)
+                return self._open_call(body, living_entries, now_ms)
             case StartAttempt():
                 return self._calls.start_attempt(body, now_ms)
             case DisproveAttempt():
@@ -87,12 +100,12 @@
         """Return what is known of a call."""
         return self._calls.status(program_id, seq, org_id, living_entries)
 
-    def recall(self, program_id: str, seq: int) -> CallOutcome:
+    def recall(self, reference: CallReference) -> CallOutcome:
         """Return what became of a call, to one whose request opened or closed it before."""
-        program = self._programs.by_id.get(program_id)
+        program = self._programs.by_id.get(reference.program_id)
         if program is None:
             return NOT_FOUND
-        return self._calls.status(program_id, seq, program.org_id, ())
+        return self._calls.recall(program, reference)
 
     def program(self, program_id: str, org_id: str | None) -> ProgramReport | Refusal:
         """Return a program and its closed calls; operators may leave the organisation out."""
@@ -148,6 +161,20 @@
         self._programs.restore(snapshot.programs)
         self._quarantine = snapshot.quarantine
 
+    def _open_call(
+        self, command: OpenCall, living_entries: Container[str], now_ms: int
+    ) -> CallOutcome:
+        """Open a call, unless it is new and its request is quarantined."""
+        if not self._quarantine.suspect_by_fingerprint:
+            return self._calls.open(command, living_entries, now_ms)
+        spec = command.spec
+        mark = fingerprint(command.org_id, spec.target, spec.body)
+        known = self._calls.status(command.program_id, spec.seq, command.org_id, living_entries)
+        is_new = isinstance(known, Refusal)
+        if is_new and self._quarantine.status(mark, now_ms).quarantined:
+            return QUARANTINED
+        return self._calls.open(command, living_entries, now_ms)
+
     def _close(self, command: CloseCall, now_ms: int) -> object:
         result = self._calls.close(command, now_ms)
         if command.answer is None or not self._quarantine.suspect_by_fingerprint:
@@ -166,3 +193,11 @@
         return self._programs.end(
             EndProgram(command.program_id, program.org_id, command.status), now_ms
         )
+
+
+def program_of(body: object) -> str:
+    """Return the program that a command names, or nothing."""
+    attempt = getattr(body, "attempt", None)
+    if attempt is not None:
+        return attempt.program_id
+    return getattr(body, "program_id", "")
