--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 import structlog
 from tarragonhall_consensus import Limits, Member, RoleChanged, open_replica
@@ -174,7 +176,7 @@
         if due_ms is not None and due_ms <= self.context.wall_ms():
             self.commit(ExpirePrograms())
 
-    def _repeat(self, seconds: float, action) -> None:
+    def _repeat(self, seconds: float, action: Callable[[], None]) -> None:
         """Do something again and again while this member leads."""
         while not self.stopped:
             eventlet.sleep(seconds)
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 from tarragonhall_model import (
     AbandonCall,
     Busy,
@@ -117,7 +120,7 @@
     def _not_leader(self) -> NotLeader:
         return NotLeader(self._member.leader_address())
 
-    def _reader(self, read):
+    def _reader(self, read: Callable[[Any], object]) -> Callable[[Link, object], object]:
         """Return a handler that reads only after a majority confirmed the lead."""
 
         def handler(_link: Link, message: object) -> object:
--- a/libs/state/tarragonhall_state/_configuration.py
+++ b/libs/state/tarragonhall_state/_configuration.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Iterable
 from dataclasses import field
 
@@ -19,6 +18,7 @@
     mutable_record,
 )
 
+from tarragonhall_state._checks import check_grant, check_operator, check_organisation
 from tarragonhall_state._commands import (
     ChangeAccepted,
     ChangeRecord,
@@ -40,7 +40,7 @@
     ROOT_PATH,
     check_path,
 )
-from tarragonhall_state._operators import MAX_OPERATORS, Operator, OperatorRole, Operators
+from tarragonhall_state._operators import Operator, OperatorRole, Operators
 from tarragonhall_state._policy import (
     Touched,
     TouchLog,
@@ -52,11 +52,6 @@
 )
 from tarragonhall_state._tree import SettingsTree
 
-ID_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
-HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
-# 15,000 are planned; the bound keeps a runaway script from filling every control member.
-MAX_ORGANISATIONS = 30_000
-MAX_KEYS = 200_000
 FIRST_AUTHOR = "init"
 
 
@@ -187,23 +182,10 @@
     def _plan(self, change: SettingsChange) -> tuple[list[SettingChange], list[Finding]]:
         findings = []
         if isinstance(change, CreateOrganisation):
-            findings = self._check_organisation(change)
+            findings = check_organisation(self._stored, change)
         changes, found = self.tree.plan(change)
         return changes, findings + found
 
-    def _check_organisation(self, change: CreateOrganisation) -> list[Finding]:
-        findings = []
-        if ID_PATTERN.fullmatch(change.org_id) is None:
-            text = "expected 1 to 64 lower-case letters, digits, . _ and -"
-            findings.append(Finding("/org_id", text))
-        if change.org_id in self.path_by_org_id:
-            findings.append(Finding("/org_id", f"{change.org_id!r} exists already"))
-        if change.path in self.path_by_org_id.values():
-            findings.append(Finding("/path", "another organisation stands there"))
-        if len(self.path_by_org_id) >= MAX_ORGANISATIONS:
-            findings.append(Finding("", f"more than {MAX_ORGANISATIONS} organisations"))
-        return findings
-
     def _check_revision(self, change: SettingsChange) -> ChangeRefused | None:
         expected = change.expected_revision
         if expected is None or expected == self.revision:
@@ -221,7 +203,7 @@
     ) -> KeyGranted | ChangeRefused:
         key_id = key_id_of(command.key_hash)
         existing = self.keys.by_id.get(key_id)
-        findings = self._check_grant(command, existing, now_ms)
+        findings = check_grant(self._stored, command, existing, now_ms)
         if findings:
             return self._refused(RefusalCode.BAD_INPUT, "the key was not granted", findings)
         if existing is not None:
@@ -245,29 +227,6 @@
         self._touch((), keys=touched)
         return KeyGranted(self.revision, key_id)
 
-    def _check_grant(
-        self, command: GrantKey, existing: KeyRecord | None, now_ms: int
-    ) -> list[Finding]:
-        findings = []
-        if command.org_id not in self.path_by_org_id:
-            findings.append(Finding("/org_id", f"no organisation {command.org_id!r}"))
-        if HASH_PATTERN.fullmatch(command.key_hash) is None:
-            findings.append(Finding("/key_hash", "expected a SHA-256 hash of 64 hex digits"))
-        if existing is not None and existing.org_id != command.org_id:
-            findings.append(Finding("/key_hash", "this key belongs to another organisation"))
-        if existing is not None and existing.withdrawn_at_ms is not None:
-            findings.append(Finding("/key_hash", "this key was withdrawn"))
-        if existing is None and len(self.keys.by_id) >= MAX_KEYS:
-            findings.append(Finding("", f"more than {MAX_KEYS} keys"))
-        if command.expires_at_ms is not None and command.expires_at_ms <= now_ms:
-            findings.append(Finding("/expires_at_ms", "is in the past"))
-        if command.overlap_seconds < 0:
-            findings.append(Finding("/overlap_seconds", "expected 0 or more"))
-        replaced = self.keys.by_id.get(command.replaces) if command.replaces else None
-        if command.replaces and (replaced is None or replaced.org_id != command.org_id):
-            findings.append(Finding("/replaces", "no such key of this organisation"))
-        return findings
-
     def _withdraw_key(
         self, command: WithdrawKey, request_id: str, now_ms: int
     ) -> ChangeAccepted | ChangeRefused:
@@ -285,7 +244,7 @@
     def _create_operator(
         self, command: CreateOperator, request_id: str, now_ms: int
     ) -> ChangeAccepted | ChangeRefused:
-        findings = self._check_operator(command)
+        findings = check_operator(self._stored, command)
         if findings:
             return self._refused(RefusalCode.BAD_INPUT, "the operator was not made", findings)
         self._add_operator(command, now_ms)
@@ -325,20 +284,6 @@
         self._touch(())
         return ChangeAccepted(self.revision)
 
-    def _check_operator(self, command: CreateOperator) -> list[Finding]:
-        findings = check_path(command.path, "/path")
-        if ID_PATTERN.fullmatch(command.name) is None:
-            findings.append(Finding("/name", "expected 1 to 64 letters, digits, . _ and -"))
-        if command.name in self.operators.by_name:
-            findings.append(Finding("/name", f"{command.name!r} exists already"))
-        if command.role not in [role.value for role in OperatorRole]:
-            findings.append(Finding("/role", "expected reader, editor or admin"))
-        if HASH_PATTERN.fullmatch(command.token_hash) is None:
-            findings.append(Finding("/token_hash", "expected a SHA-256 hash of 64 hex digits"))
-        if len(self.operators.by_name) >= MAX_OPERATORS:
-            findings.append(Finding("", f"more than {MAX_OPERATORS} operators"))
-        return findings
-
     def _add_operator(self, command: CreateOperator, now_ms: int) -> None:
         role = OperatorRole(command.role)
         self.operators.add(
--- a/libs/state/tarragonhall_state/_keys.py
+++ b/libs/state/tarragonhall_state/_keys.py
@@ -4,8 +4,7 @@
 
 from dataclasses import field, replace
 
-from tarragonhall_model import KeyPolicy, record
-from tarragonhall_model import mutable_record as mutable
+from tarragonhall_model import KeyPolicy, mutable_record, record
 
 KEY_ID_HEX = 16
 # Ended keys are listed for a month, so that operators can see what became of one.
@@ -31,7 +30,7 @@
         return min(ends) if ends else None
 
 
-@mutable
+@mutable_record
 class Keys:
     """All keys by id."""
 
