Test three rules of the decisions that no test would have missed

With each taken out on a scratch copy all tests still passed: an earlier life of an entry must not own buckets, a slow server keeps a small share, a bystander of a suspect is not charged. Each has a test now that fails without its rule.

--- a/libs/decisions/tests/planning_tests.py
+++ b/libs/decisions/tests/planning_tests.py
@@ -71,6 +71,23 @@
     assert set(chosen) == {"a1", "a2"}
 
 
+def test_slow_server_keeps_a_small_share():
+    """A server was found slow. It must get few calls, as each is slow for its caller, but not none,
+    or nobody would find out that it has recovered while the others carry its load.
+    """
+    router = Router("zone-a", random.Random(1))
+    router.on_view([server("slow"), server("b"), server("c")])
+    now = 0.0
+    for number in range(12):
+        for name, seconds in (("slow", 5.0), ("b", 0.5), ("c", 0.5)):
+            router.on_start(name, f"{name}-{number}", Need("m", "p"), now)
+            router.on_end(name, f"{name}-{number}", 1.0, True, now + seconds)
+        now += 1.0
+        router.choose(Need("m", "p"), now)
+    chosen = Counter(router.choose(Need("m", f"p{n}"), now).server.server_id for n in range(1_000))
+    assert 0 < chosen["slow"] < 100
+
+
 def test_subsets_cover_the_servers_evenly():
     """Each of 360 entries links to a part of 3,700 servers. A server known to few entries would
     idle while the others queue.
--- a/libs/decisions/tests/quarantine_tests.py
+++ b/libs/decisions/tests/quarantine_tests.py
@@ -62,3 +62,15 @@
     quarantine = Quarantine()
     quarantine.learn("a", 2, 0.0)
     assert quarantine.refusal("a", 1.0) is not None
+
+
+def test_bystander_of_a_suspect_is_not_suspected():
+    """A suspect crashes the next server as well. What ran there for the first time only had bad
+    luck; charged with the crash, it would be refused after one more.
+    """
+    quarantine = Quarantine()
+    quarantine.learn("culprit", 1, 0.0)
+    quarantine.on_start("culprit", "s0")
+    quarantine.on_start("bystander", "s0")
+    assert quarantine.on_crash("s0", 1.0) == ["culprit"]
+    assert not quarantine.is_suspect("bystander", 1.0)
--- a/libs/decisions/tests/rate_owner_tests.py
+++ b/libs/decisions/tests/rate_owner_tests.py
@@ -94,8 +94,9 @@
     """
     owner = running_owner()
     owner.on_view(view(2, IDS, life="2"), 20.0)
-    owner.on_fresh(20.0)
+    owner.on_fresh(30.0)
     assert ask(owner, 2, 20.1) is None
+    assert ask(owner, 2, 30.0) is None
 
 
 def test_very_first_entry_needs_not_wait():
