--- a/libs/entry/tests/role_tests.py
+++ b/libs/entry/tests/role_tests.py
@@ -8,6 +8,7 @@
     Accepted,
     Chunk,
     Dispatch,
+    KeyPolicy,
     PolicyDelta,
     encode,
     secret_hash,
@@ -109,6 +110,21 @@
     assert entry.control.call_by_name == {}
 
 
+def test_a_call_asked_for_again_with_a_new_key_outlives_the_old_one(entry):
+    # Keys are rotated: the caller sends its waiting call again with the new key, and the old one is
+    # withdrawn. The call must go on, and not be refused for a key that nobody uses any more.
+    new = KeyPolicy(secret_hash("thk_new"), "org")
+    entry.control.follower.apply_policy(PolicyDelta(1, 2, keys=(new,)))
+    first = eventlet.spawn(entry.call)
+    eventlet.sleep(0.05)
+    again = eventlet.spawn(entry.call, key="thk_new")
+    eventlet.sleep(0.05)
+    entry.control.follower.apply_policy(PolicyDelta(2, 3, removed_keys=(secret_hash("thk_test"),)))
+    eventlet.sleep(0.5)
+    entry.serve(entry.answer_at_once("kept"))
+    assert [one.wait().json()["answer"]["text"] for one in (first, again)] == ["kept", "kept"]
+
+
 def test_the_key_never_reaches_a_sidecar(entry):
     link = entry.serve(entry.answer_at_once())
     entry.call()
@@ -133,6 +149,18 @@
     assert entry.control.left
 
 
+def test_a_call_that_still_waits_at_the_end_of_a_drain_is_handed_back(entry):
+    # No server takes the call and the instance has to go. Its caller is told in time to send it to
+    # another entry, and that it did not run, instead of seeing the connection break.
+    waiting = eventlet.spawn(entry.call)
+    eventlet.sleep(0.05)
+    assert entry.role.drain(1.3) is False
+    refused = waiting.wait()
+    assert (refused.status, refused.json()["error"]) == (503, "shutting_down")
+    assert refused.json()["execution"] == "not_run"
+    assert entry.control.call_by_name == {}
+
+
 def _wait_for_dispatch(link, count: int = 1) -> Dispatch:
     with eventlet.Timeout(5):
         while True:
