--- a/libs/sidecar/tests/execution_tests.py
+++ b/libs/sidecar/tests/execution_tests.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from tarragonhall_model import (
     Accepted,
+    Answer,
     Attach,
     AttemptAck,
     AttemptEnded,
@@ -317,6 +318,42 @@
     assert core.handle(Tick(), 3.3) == []
 
 
+def test_answers_that_no_one_takes_stop_new_work_before_they_fill_the_memory():
+    """Control is away and the entries are dead, so answers pile up here. Taking more calls would
+    end in the loss of the process, and with it of every answer that was paid for.
+    """
+    core = make_core()
+    for number in range(9):
+        attempt = attempt_of(f"p{number}")
+        reply = reply_in(core.handle(Arrived(1, dispatch_of(attempt)), 0.0))
+        assert reply == Accepted()
+        answer = Answer("x" * 1024 * 1024)
+        core.handle(Finished(attempt.key, AttemptOutcome.ANSWERED, answer), 0.0)
+    refused = core.handle(Arrived(1, dispatch_of(attempt_of("p9"))), 0.0)
+    assert refused == [Reply(Rejected(RejectReason.FULL))]
+    core.handle(Arrived(1, AttemptAck(attempt_of("p0"))), 0.0)
+    core.handle(Arrived(1, AttemptAck(attempt_of("p1"))), 0.0)
+    taken = core.handle(Arrived(1, dispatch_of(attempt_of("p10"))), 0.0)
+    assert reply_in(taken) == Accepted()
+
+
+def test_a_server_that_stops_answering_is_down_after_a_few_probes_but_not_crashed():
+    """A backend server is frozen: it accepts connections and answers nothing. What it runs may yet
+    end, so it is not called crashed; what waits is handed back and no more is taken.
+    """
+    core = make_core()
+    for name in ("a", "b", "c"):
+        core.handle(Arrived(1, dispatch_of(attempt_of(name))), 0.0)
+    assert core.handle(Probed(False), 1.0) == []
+    assert core.handle(Probed(False), 2.0) == []
+    handed_back = core.handle(Probed(False), 3.0)
+    assert [output.message.outcome for output in handed_back] == [AttemptOutcome.NOT_RUN]
+    refused = core.handle(Arrived(1, dispatch_of(attempt_of("d"))), 3.1)
+    assert refused == [Reply(Rejected(RejectReason.SERVER_DOWN))]
+    core.handle(Probed(True), 4.0)
+    assert core.up
+
+
 def test_the_most_urgent_waiting_attempt_starts_first_and_the_line_is_bounded():
     """The server is busy and calls pile up. A long line here would be one that no entry can reorder
     or hand to another server, so it is short, and the rest is refused while it can still go on.
