Refuse events of the wrong shape, and end every run

Cause, found by reading: an engine that sent half a character or a number as text would have stopped the run without an end, or the link with the answers of others. Change: types and Unicode are checked with the lengths; whatever else goes wrong in a run ends it as failed.

--- a/libs/sidecar/tarragonhall_sidecar/_answers.py
+++ b/libs/sidecar/tarragonhall_sidecar/_answers.py
@@ -57,13 +57,10 @@
         kind, fields = _parse(event)
         if fields.get("attempt") != self._attempt_key:
             raise AnswerError("the engine sent the answer to another attempt")
-        try:
-            if kind == "token":
-                self._take_token(fields["index"], fields["text"])
-            elif kind == "done":
-                self._take_end(fields)
-        except (KeyError, TypeError) as error:
-            raise AnswerError(f"a {kind} event lacks {error}") from error
+        if kind == "token":
+            self._take_token(_number(fields, "index"), _text(fields, "text"))
+        elif kind == "done":
+            self._take_end(fields)
 
     def _take_token(self, index: int, text: str) -> None:
         if index < self._seen:
@@ -76,17 +73,38 @@
             self._parts.append(text)
 
     def _take_end(self, fields: dict) -> None:
-        if (fields["tokens"], fields["characters"]) != (self._seen, self._length):
+        lengths = (_number(fields, "tokens"), _number(fields, "characters"))
+        if lengths != (self._seen, self._length):
             raise AnswerError("the answer's lengths do not fit its terminal event")
-        self.cancelled = fields["reason"] == "cancelled" and not self.over_limit
+        self.cancelled = _text(fields, "reason") == "cancelled" and not self.over_limit
         usage = Usage(
-            prompt=fields["prompt_tokens"],
-            cached=fields["cached_tokens"],
+            prompt=_number(fields, "prompt_tokens"),
+            cached=_number(fields, "cached_tokens"),
             generated=len(self._parts),
         )
         self.answer = Answer("".join(self._parts), usage)
 
 
+def _number(fields: dict, name: str) -> int:
+    value = fields.get(name)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise AnswerError(f"an event's {name} is not a number")
+    return value
+
+
+def _text(fields: dict, name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str):
+        raise AnswerError(f"an event's {name} is not text")
+    try:
+        # JSON can spell half a surrogate pair. No link can carry it, so it would be lost on the way
+        # with the link's other messages; it is refused here, for this attempt alone.
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise AnswerError(f"an event's {name} is not Unicode") from error
+    return value
+
+
 def _parse(event: bytes) -> tuple[str, dict]:
     kind, fields = "", None
     for line in event.decode(errors="replace").split("\n"):
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -98,7 +98,7 @@
         try:
             connection = self._connect(CONTROL_SECONDS)
         except _NotSentError as error:
-            return Probed(False, refused=isinstance(error.__cause__, _REFUSED))
+            return Probed(False, refused=isinstance(error.__cause__, ConnectionRefusedError))
         try:
             with _responding(connection, "GET", "/health") as response:
                 body = response.read(MAX_ANSWER_BYTES)
@@ -220,9 +220,6 @@
             return
 
 
-_REFUSED = ConnectionRefusedError
-
-
 class _ChunkPacer:
     """Joins parts of an answer that come in quick succession."""
 
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -28,6 +28,7 @@
     CommitEnd,
     Committed,
     DrainChanged,
+    Finished,
     Input,
     Output,
     PeerClosed,
@@ -203,6 +204,9 @@
             result = self._backend.run(
                 dispatch, seconds_left, lambda text: self._handle(Produced(key, text))
             )
+        except Exception as error:  # noqa: BLE001 - every run must end, or its slot is lost
+            log.exception("sidecar.run_failed", server=self._settings.server_id)
+            result = Finished(key, AttemptOutcome.FAILED, detail=f"{type(error).__name__}: {error}")
         finally:
             self._run_by_key.pop(key, None)
         seconds = self._context.monotonic() - started
--- a/libs/sidecar/tests/answers_tests.py
+++ b/libs/sidecar/tests/answers_tests.py
@@ -4,6 +4,7 @@
 
 import json
 
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 from tarragonhall_sidecar._answers import AnswerError, AnswerStream
@@ -69,3 +70,22 @@
     passed = read(stream, b"".join(events()), cuts)
     assert passed == stream.answer.text == "".join(WORDS[:limit])
     assert stream.answer.usage.generated == limit
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"index": "0", "text": "a"},
+        {"index": True, "text": "a"},
+        {"index": 0, "text": ["a"]},
+        {"index": 0, "text": "\ud800"},
+        {"index": 0},
+    ],
+)
+def test_an_event_of_the_wrong_shape_ends_its_attempt_and_nothing_else(fields):
+    """An engine has a bug and sends half a character, or a number as text. Passed on, it could not
+    be encoded or decoded further on, and would take down the link with the answers of others.
+    """
+    event = f"event: token\ndata: {json.dumps({'attempt': 'p/1/1'} | fields)}\n\n"
+    with pytest.raises(AnswerError):
+        AnswerStream("p/1/1", 10).feed(event.encode())
--- a/libs/sidecar/tests/failures_tests.py
+++ b/libs/sidecar/tests/failures_tests.py
@@ -19,6 +19,7 @@
     ReportCrash,
     fingerprint,
 )
+from tarragonhall_sidecar import _backend
 
 from .conftest import eventually
 
@@ -120,6 +121,22 @@
     assert ("a" in first.answer.text, "b" in second.answer.text) == (True, True)
 
 
+def test_a_run_that_fails_in_an_unforeseen_way_still_ends(service_path, monkeypatch):
+    """A fault in the sidecar's own code stops a run. Its caller must not wait for good, and the
+    slot must come free.
+    """
+
+    def fail(*_args) -> None:
+        raise LookupError("unforeseen")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(_backend, "_call_service", fail)
+        ends = [service_path.end_of(service_path.send(f"p{n}", "{}")) for n in range(3)]
+    assert [end.outcome for end in ends] == [AttemptOutcome.FAILED] * 3
+    later = service_path.end_of(service_path.send("p9", "{}"))
+    assert later.outcome is AttemptOutcome.ANSWERED
+
+
 def test_a_server_that_cannot_be_reached_has_not_run_the_call(service_path):
     """The service died a moment ago and no probe has noticed yet. Nothing was sent, so the call may
     be tried elsewhere even though it must not be repeated.
