--- a/libs/consensus/tarragonhall_consensus/_segments.py
+++ b/libs/consensus/tarragonhall_consensus/_segments.py
@@ -83,7 +83,10 @@
 
 def sequence_of(name: str) -> int:
     """Return the sequence that a segment's name tells."""
-    return int(name.removesuffix(SEGMENT_SUFFIX))
+    digits = name.removesuffix(SEGMENT_SUFFIX)
+    if not digits.isdecimal():
+        raise StorageError(f"{name}: not a file of this program; move it out of the data folder")
+    return int(digits)
 
 
 def state_item(state: HardState) -> list:
--- a/libs/consensus/tests/replica_tests.py
+++ b/libs/consensus/tests/replica_tests.py
@@ -491,6 +491,30 @@
     cluster.settle()
 
 
+@pytest.mark.parametrize("failure", ["disk full", "sync failed"])
+def test_a_leader_whose_disk_fails_stops_and_another_takes_over(failure):
+    """The leader's disk fills up, or fails a sync, while callers make changes.
+
+    It must stop with a clear error and promise nothing more; the others go on.
+    """
+    cluster = Cluster(3)
+    cluster.commit(b"a")
+    old = cluster.leader()
+    node = cluster.node_by_id[old]
+    if failure == "disk full":
+        node.disk.room = 10
+    else:
+        node.disk.fail_syncs = 1
+    token = cluster.propose(b"b", old)
+    assert node.replica is None
+    assert str(node.failure) == failure
+    cluster.await_leader(without=old)
+    cluster.commit(b"c")
+    assert cluster.ended(token) == ""
+    node.disk.room = 1 << 30
+    cluster.settle()
+
+
 def test_a_snapshot_for_a_silent_member_is_not_held_in_memory():
     """A member is down for good after the log was compacted.
 
--- a/libs/consensus/tests/storage_tests.py
+++ b/libs/consensus/tests/storage_tests.py
@@ -144,6 +144,16 @@
         opened(disk)
 
 
+def test_a_file_that_is_no_segment_is_reported():
+    """Someone keeps a copy of a segment in the data folder."""
+    disk = Disk(random.Random(1))
+    opened(disk)
+    disk.kill()
+    disk.create("data/copy of 1.segment")
+    with pytest.raises(StorageError, match="not a file of this program"):
+        opened(disk)
+
+
 @pytest.mark.parametrize("damage", ["flip", "cut", "remove"])
 def test_a_damaged_snapshot_is_reported(damage):
     """The snapshot is damaged, and the log that led to it has been compacted."""
