--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -71,9 +71,9 @@
         self.service.faults.clear()
         self.service.seconds_per_call = 0.0
         self.engine.faults.clear()
-        for server in (self.service_server, self.engine_server):
-            if server.crashed:
-                server.start()
+        self.restart_service_if_crashed()
+        if self.engine_server.crashed:
+            self.engine_server.start()
         for name in (*self.control_address, "sidecar-1", *ENTRIES):
             self.start(name)
 
