--- a/libs/consensus/tarragonhall_consensus/_membership.py
+++ b/libs/consensus/tarragonhall_consensus/_membership.py
@@ -24,10 +24,11 @@
 class Membership:
     """Member lists by the index that brought each."""
 
-    __slots__ = ("_lists", "member_by_id")
+    __slots__ = ("_lists", "_voters", "member_by_id")
 
     def __init__(self) -> None:
         self._lists: list[_InForce] = []
+        self._voters: list[Member] = []
         self.member_by_id: dict[str, Member] = {}
 
     @property
@@ -42,11 +43,11 @@
 
     def voters(self) -> list[Member]:
         """Return the members whose votes and acknowledgements count."""
-        return [member for member in self.members if member.voting]
+        return self._voters
 
     def majority(self) -> int:
         """Return how many voters make a majority."""
-        return len(self.voters()) // 2 + 1
+        return len(self._voters) // 2 + 1
 
     def is_voter(self, member_id: str, identity: str) -> bool:
         """Return whether this identity of the member votes."""
@@ -67,13 +68,13 @@
             start = snapshot.index + 1
         for index in range(start, log.last_index + 1):
             self.take(index, log.entry(index))
-        self._index_by_id()
+        self._refresh()
 
     def take(self, index: int, entry: Entry) -> None:
         """Put the list of an entry in force, where the entry holds one."""
         if entry.kind is EntryKind.MEMBERS:
             self._lists.append(_InForce(index, decode(entry.data).members))
-            self._index_by_id()
+            self._refresh()
 
     def drop_from(self, index: int) -> None:
         """Go back to the list in force before `index`."""
@@ -81,7 +82,7 @@
             return
         while self._lists and self._lists[-1].index >= index:
             self._lists.pop()
-        self._index_by_id()
+        self._refresh()
 
     def at(self, index: int) -> tuple[Member, ...]:
         """Return the list in force at an index."""
@@ -90,7 +91,8 @@
                 return in_force.members
         return ()
 
-    def _index_by_id(self) -> None:
+    def _refresh(self) -> None:
+        self._voters = [member for member in self.members if member.voting]
         self.member_by_id = {member.member_id: member for member in self.members}
 
 
