--- a/libs/control/tests/failure_tests.py
+++ b/libs/control/tests/failure_tests.py
@@ -6,7 +6,9 @@
 from tarragonhall_control._messages import LogMessage
 from tarragonhall_model import (
     Budget,
+    EntryRecord,
     Heartbeat,
+    Leaving,
     NotLeader,
     OpenProgram,
     ProgramInfo,
@@ -179,6 +181,22 @@
     group.until(lambda: [one.entry_id for one in state.view().entries] == ["entry-1"])
 
 
+def test_a_process_that_left_is_not_brought_back_by_its_last_heartbeat(start_group):
+    # A process leaves while a heartbeat of it is still on its way. Announced again, it would draw
+    # work for a timeout, and its calls would wait for nothing.
+    group = start_group("one")
+    context, _ = group.client("entry-1")
+    node = EntryRecord("entry-1", context.incarnation, context.link_address, "tx-waco")
+    link = context.hub.wait_for(group.address_by_name["one"], WAIT_SECONDS)
+    state = group.state("one")
+    link.request(Heartbeat(node, 0, 0), WAIT_SECONDS)
+    group.until(lambda: state.view().entries == [node])
+    assert isinstance(link.request(Leaving(node), WAIT_SECONDS), Proposed)
+    link.request(Heartbeat(node, 0, 0), WAIT_SECONDS)
+    eventlet.sleep(0.2)
+    assert state.view().entries == []
+
+
 def test_operators_who_race_get_one_acceptance_and_one_conflict(start_group):
     # Two operators change the same thing at the same moment, through different members. Both
     # must not believe that theirs is in force.
