--- a/features/entries.feature
+++ b/features/entries.feature
@@ -105,3 +105,12 @@
     When the caller sends a model call through "entry-1"
     And the program is cancelled through "entry-2" while the call runs
     Then the call ends within 3 seconds
+
+  Scenario: Two sub-agents loop without end and race for the last calls of their budget
+    # Both share the budget of the program that opened them and reach it through different entries
+    # at the same moment. Counted at each entry, the last calls would be spent twice.
+    Given a deployment with two entries
+    And a program of a caller whose budget is 7 calls
+    When two sub-agents of the program call without end through both entries
+    Then both are refused as "budget_exhausted" and "not_run"
+    And exactly 7 of their calls took effect
