--- a/features/entries.feature
+++ b/features/entries.feature
@@ -90,7 +90,7 @@
     # say so to the balancer; it serves again once it can confirm its settings.
     Given a deployment with two entries
     And a program of a caller
-    When the control member is frozen for 4 seconds
+    When the control member is frozen for 5 seconds
     Then a call through "entry-1" is refused as "stale" within 2 seconds
     And "entry-1" is not ready
     When the control member goes on
