Restart a sidecar gracefully under load

A scenario over real processes: what is answered took effect once, what is refused not at all, and the process ends by itself.

--- a/features/backend_servers.feature
+++ b/features/backend_servers.feature
@@ -71,3 +71,14 @@
     When the caller sends call 2 "log order 7" with 2 seconds
     Then the caller is told that it is "not_run" whether the call ran
     And "log order 7" took effect 0 time
+
+  Scenario: The sidecar is restarted gracefully under load
+    # The process beside a server is upgraded while callers are at work. What runs ends whole, what
+    # waits is handed back, and nothing runs twice.
+    Given a deployment with two entries
+    And a program of a caller
+    And the caller has been served before
+    And the order desk takes 0.2 seconds for a call
+    When 10 programs of the caller call through ready entries
+    And "sidecar-1" is asked to stop and started again meanwhile
+    Then every answered call took effect 1 time and every refused one none
--- a/features/steps/backend_servers_steps.py
+++ b/features/steps/backend_servers_steps.py
@@ -117,3 +117,26 @@
     listing = context.deployment.tool("server", "list")
     servers = listing["servers"] if isinstance(listing, dict) else listing
     return any(one["server_id"] == server and one["draining"] for one in servers)
+
+
+@when('"{name}" is asked to stop and started again meanwhile')
+def restart_gracefully(context, name):
+    process = context.deployment.process_by_name[name]
+    process.ask_to_stop()
+    wait_until(lambda: not process.running())
+    assert process.stop() == 0, "ended by force"
+    context.deployment.start(name)
+    eventlet.sleep(2.0)
+    context.going = False
+    for thread in context.waiting:
+        thread.wait()
+
+
+@then("every answered call took effect 1 time and every refused one none")
+def effects_fit_replies(context):
+    assert context.errors == [], context.errors
+    effects = context.deployment.effects(context.mark)
+    answered = [reply for reply in context.replies if reply.status == 200]
+    refused = [reply for reply in context.replies if reply.status != 200]
+    assert {reply.value["execution"] for reply in refused} <= {"not_run"}, refused
+    assert effects == len(answered) > 0, (effects, len(answered), refused[:3])
