Refuse node timeouts shorter than the heartbeats

Cause of a test that failed once in some ten runs (a drained server is marked in the view): the tests set timeouts of 0.8 s, and heartbeats come 0.8 to 1 s apart, so the healthy server left the view between two of them. The settings allowed that to operators too. Ruled out: the drain itself; the view was empty when it failed.

The least timeout is 1.5 s now, with a test; the test group uses 2 s. What the failed test asserts is unchanged.

--- a/libs/control/tarragonhall_control/_settings.py
+++ b/libs/control/tarragonhall_control/_settings.py
@@ -25,7 +25,9 @@
         "admin": Address(),
         "members": MapOf(Address()),
         # A backend server that leaves without a word must get no new work after a few seconds.
-        "server_timeout_ms": Whole(3_000, minimum=500),
-        "entry_timeout_ms": Whole(4_000, minimum=500),
+        # Heartbeats come up to a second apart: below the minimum, healthy nodes would leave the
+        # view and come back between any two of them, and running work would be taken for lost.
+        "server_timeout_ms": Whole(3_000, minimum=1_500),
+        "entry_timeout_ms": Whole(4_000, minimum=1_500),
     },
 )
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -87,8 +87,9 @@
                 "data_folder": str(self.folder / name),
                 "admin": self.admin_by_name[name],
                 "members": self.address_by_name,
-                "server_timeout_ms": 800,
-                "entry_timeout_ms": 800,
+                # Above the interval of heartbeats, which is up to a second.
+                "server_timeout_ms": 2_000,
+                "entry_timeout_ms": 2_000,
             }
         )
         assert findings == []
--- a/libs/control/tests/role_tests.py
+++ b/libs/control/tests/role_tests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from tarragonhall_control import OPTIONS
 from tarragonhall_model import Budget, OpenProgram, ProgramInfo, QueryProgram
 
 WAIT_SECONDS = 5.0
@@ -49,3 +50,11 @@
     assert follower.fencing == group.role_by_name["one"].member.loop.replica.status().term
     group.admin()("POST", "/organisations", {"org_id": "school", "path": "/school"})
     group.until(lambda: "school" in follower.organisation_by_id, 0.5)
+
+
+def test_a_timeout_shorter_than_the_heartbeats_is_refused():
+    # An operator wants dead servers out of the view at once. With half a second, every healthy one
+    # left the view between two heartbeats and came back, again and again.
+    given = {"data_folder": "d", "admin": "127.0.0.1:1", "members": {"one": "127.0.0.1:2"}}
+    _, findings = OPTIONS.load(given | {"server_timeout_ms": 500, "entry_timeout_ms": 800})
+    assert [finding.place for finding in findings] == ["/server_timeout_ms", "/entry_timeout_ms"]
