Keep known bucket owners over changes of the entries

Cause: choosing an owner among 360 entries takes 1.1 ms; all were looked up anew at each restart of an entry, 17 s of work for 15,000 organisations. Change: an owner that stays can only lose to a new entry, so only lost owners are looked up, and a restart under the same name costs nothing.

--- a/libs/decisions/tarragonhall_decisions/_rate.py
+++ b/libs/decisions/tarragonhall_decisions/_rate.py
@@ -150,6 +150,7 @@
         if not changed:
             return []
         self._entries_version = view.entries_version
+        self._keep_owners({entry.entry_id for entry in view.entries})
         self._entries = list(view.entries)
         self._is_member = any(
             (entry.entry_id, entry.incarnation) == (self.entry_id, self._incarnation)
@@ -163,7 +164,6 @@
             # Another entry may have owned the buckets meanwhile and started them afresh. Keeping
             # them would give the organisation two buckets; a caller would see twice the rate.
             self._owned_by_org.clear()
-        self._owner_by_org.clear()
         for holder in self._holder_by_org.values():
             holder.on_owner_change()
         outputs = self._hand_over(now)
@@ -358,6 +358,20 @@
             self._holder_by_org[org_id] = holder
         return holder
 
+    def _keep_owners(self, ids: set[str]) -> None:
+        """Correct the owners known so far for a change of the entries.
+
+        An owner that stays can only lose to an entry that is new. Looking all of them up again
+        takes 1.1 ms for each organisation with 360 entries: with thousands of organisations the
+        loop would stand still for seconds at each restart of an entry.
+        """
+        added = sorted(ids - {entry.entry_id for entry in self._entries})
+        for org_id, owner in list(self._owner_by_org.items()):
+            if owner not in ids:
+                del self._owner_by_org[org_id]
+            elif added:
+                self._owner_by_org[org_id] = rendezvous(org_id, [owner, *added])
+
     def _owner(self, org_id: str) -> str | None:
         if org_id not in self._owner_by_org:
             ids = [entry.entry_id for entry in self._entries]
--- a/libs/decisions/tests/rate_owner_tests.py
+++ b/libs/decisions/tests/rate_owner_tests.py
@@ -4,7 +4,7 @@
 
 import random
 
-from tarragonhall_decisions import RateLimiter, Tell
+from tarragonhall_decisions import Ask, Deadline, RateLimiter, Tell
 from tarragonhall_model import (
     EntryRecord,
     HandOver,
@@ -177,3 +177,28 @@
     owner.handle(back, 20.0)
     owner.handle(back, 20.0)
     assert ask(owner, 1, 20.0) == 6.0
+
+
+def test_owners_kept_over_changes_are_those_of_a_fresh_look():
+    """Entries come and go. Were two entries to disagree on an owner, calls would be sent in circles
+    and wait in vain.
+    """
+    rng = random.Random(4)
+    names = [f"entry-{number}" for number in range(12)]
+    organisations = [f"org-{number}" for number in range(40)]
+    kept = limiter("entry-0")
+    for epoch in range(1, 40):
+        ids = sorted(rng.sample(names, rng.randint(1, 12)))
+        kept.on_view(view(epoch, ids), float(epoch))
+        for org_id in organisations:
+            (asked,) = offer_one(kept, org_id, f"{epoch}/{org_id}", float(epoch))
+            assert asked == rendezvous(org_id, ids)
+
+
+def offer_one(entry: RateLimiter, org_id: str, call_id: str, now: float) -> list[str]:
+    """Offer a call of an organisation that the entry does not serve itself; return who is asked."""
+    entry.set_policy(OrganisationPolicy(org_id, org_id, rate=RATE), now)
+    outputs = entry.offer(org_id, call_id, Deadline(now + 1e6), True, now)
+    entry.withdraw(org_id, call_id)
+    asked = [output.entry_id for output in outputs if isinstance(output, Ask)]
+    return asked or [entry.entry_id]
