--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -12,7 +12,7 @@
     deadline_after,
     deadline_refusal,
 )
-from tarragonhall_decisions._drain import DrainPhase, EntryDrain, HandBack, hand_back
+from tarragonhall_decisions._drain import DrainPhase, EntryDrain
 from tarragonhall_decisions._fair_queue import Dropped, FairQueue, QueuedCall
 from tarragonhall_decisions._model_orders import EngineState, LoadOrder, ModelDemand, ModelOrders
 from tarragonhall_decisions._quarantine import Quarantine, charged_by_crash
@@ -43,7 +43,6 @@
     "Failure",
     "FairQueue",
     "GiveUp",
-    "HandBack",
     "HeldPrefix",
     "LinkLost",
     "LoadOrder",
@@ -70,7 +69,6 @@
     "charged_by_crash",
     "deadline_after",
     "deadline_refusal",
-    "hand_back",
     "proof_of",
     "should_move",
     "subset",
--- a/libs/decisions/tarragonhall_decisions/_drain.py
+++ b/libs/decisions/tarragonhall_decisions/_drain.py
@@ -1,12 +1,10 @@
-"""Drain: what happens to the calls at hand when a server or an entry leaves.
+"""Drain: when an entry that leaves may close its listener, and when it may exit.
 
 Load pattern: a rolling restart under full load. Without a drain each restart cuts off the calls in
-service; without the hand-back the waiting ones stand behind a process that is about to go.
+service. What a draining server does with its calls is decided in the sidecar's execution.
 
-A draining server keeps what runs and hands back what waits, at once: a waiting call has not run,
-so another server may take it, also when it must not be repeated. An entry first fails `readyz`, so
-that the balancer sends no more, keeps listening for the grace, then closes the listener and leaves
-once the last call is answered.
+An entry first fails `readyz`, so that the balancer sends no more, keeps listening for the grace,
+then closes the listener and leaves once the last call is answered.
 
 Grounds for the figures: `FORCE_AFTER_S` is the longest call timeout that callers state by default
 (60 s) and a margin; what still runs then has outlived its caller.
@@ -56,16 +54,3 @@
         elif now - self._began >= self.force_after_s:
             self.phase = DrainPhase.FORCED
         return self.phase
-
-
-@dataclass(slots=True, frozen=True)
-class HandBack:
-    """The attempts to end as `NOT_RUN`, and those that may run to their end."""
-
-    handed_back: list[str]
-    kept: list[str]
-
-
-def hand_back(waiting: list[str], running: list[str]) -> HandBack:
-    """Decide, for a draining server, which attempts (by key) go back to their entries."""
-    return HandBack(handed_back=list(waiting), kept=list(running))
--- a/libs/decisions/tests/planning_tests.py
+++ b/libs/decisions/tests/planning_tests.py
@@ -14,7 +14,6 @@
     ModelOrders,
     Need,
     Router,
-    hand_back,
     should_move,
     subset,
     to_release,
@@ -44,13 +43,6 @@
     assert drain.step(1, 66.0) is DrainPhase.FORCED
 
 
-def test_draining_server_hands_back_what_waits():
-    """A server leaves with calls waiting behind the running ones; they must not stand there."""
-    decided = hand_back(["w1", "w2"], ["r1"])
-    assert decided.handed_back == ["w1", "w2"]
-    assert decided.kept == ["r1"]
-
-
 def test_draining_unhealthy_and_unlinked_servers_get_no_work():
     """A server says that it leaves, another that its engine is down, a third falls silent. Calls
     sent there would wait in vain.
