--- a/benchmarks/state_bench.py
+++ b/benchmarks/state_bench.py
@@ -59,8 +59,11 @@
 PROGRAM_COUNTS = (1_000, 5_000, 20_000)
 CALLS_PER_PROGRAM = 5
 TEXT = "x" * 1_000
+CHANGED_BETWEEN = 1_000
 CHANGES = 60
 CHANGE_SECONDS = 0.05
+# The views of the last announcements are still on their way.
+SETTLE_SECONDS = 2.0
 IDLE_SECONDS = 10.0
 BUDGET = Budget(1_000_000, 1_000, 3_600)
 
@@ -123,34 +126,51 @@
 
 
 def bench_snapshot() -> None:
-    """Time snapshots against the number of programs, each with 5 calls of 2 KB of text."""
+    """Time snapshots against the number of programs, each count in a process of its own."""
     points = []
     for programs in PROGRAM_COUNTS:
-        base_mb = memory_mb()
-        applier = Applier()
-        for number in range(programs):
-            applier.run_program(number, CALLS_PER_PROGRAM)
-        held_mb = memory_mb() - base_mb
-        started = time.perf_counter()
-        data = applier.state.snapshot()
-        taken = time.perf_counter() - started
-        del applier
-        started = time.perf_counter()
-        ControlState().restore(data)
-        restored = time.perf_counter() - started
-        points.append((programs, taken))
-        report(
-            "snapshot",
-            programs=programs,
-            snapshot_s=round(taken, 3),
-            restore_s=round(restored, 3),
-            size_mb=round(len(data) / 1e6, 1),
-            memory_mb=round(held_mb, 1),
-        )
+        figures = in_own_process("snapshot-of", programs)
+        points.append((programs, figures["next_snapshot_s"]))
+        report("snapshot", **figures)
     slope, _ = slope_of(points)
     report("snapshot slope", ms_per_1000_programs=round(slope * 1e6, 1))
 
 
+def snapshot_of(programs: int) -> dict:
+    """Fill a state with programs of 5 calls and 10 KB of text, and take two snapshots of it."""
+    base_mb = memory_mb()
+    applier = Applier()
+    for number in range(programs):
+        applier.run_program(number, CALLS_PER_PROGRAM)
+    started = time.perf_counter()
+    applier.state.snapshot()
+    first = time.perf_counter() - started
+    for number in range(CHANGED_BETWEEN):
+        applier.run_program(programs + number, 1)
+    held_mb = memory_mb() - base_mb
+    started = time.perf_counter()
+    data = applier.state.snapshot()
+    again = time.perf_counter() - started
+    del applier
+    started = time.perf_counter()
+    ControlState().restore(data)
+    restored = time.perf_counter() - started
+    return {
+        "programs": programs,
+        "first_snapshot_s": round(first, 3),
+        "next_snapshot_s": round(again, 3),
+        "restore_s": round(restored, 3),
+        "size_mb": round(len(data) / 1e6, 1),
+        "memory_mb": round(held_mb, 1),
+    }
+
+
+def in_own_process(part: str, count: int) -> dict:
+    """Run one part in a new process, so that its memory is its own, and return its figures."""
+    command = [sys.executable, __file__, part, str(count)]
+    return json.loads(subprocess.run(command, check=True, stdout=subprocess.PIPE).stdout)
+
+
 def slope_of(points: list[tuple[float, float]]) -> tuple[float, float]:
     """Return slope and intercept of the least squares line."""
     line = statistics.linear_regression([x for x, _ in points], [y for _, y in points])
@@ -161,7 +181,7 @@
     """Time changes from their acceptance to the last follower that has them in force."""
     points = []
     for followers in FOLLOWER_COUNTS:
-        figures = distribute_to(followers)
+        figures = in_own_process("distribute-to", followers)
         points.append((followers, figures["p50_ms"]))
         report("change in force everywhere", **figures)
     slope, intercept = slope_of(points)
@@ -187,6 +207,7 @@
         try:
             wait_until(lambda: len(member.state.view().entries) == followers)
             wait_until(lambda: len(member.followers) == followers)
+            eventlet.sleep(SETTLE_SECONDS)
             idle = idle_figures(context, followers)
             accepted_at = make_changes(member)
             eventlet.sleep(1.0)
@@ -290,6 +311,10 @@
     if sys.argv[1:2] == ["followers"]:
         run_followers(sys.argv[2], int(sys.argv[3]))
         return
+    part_by_name = {"snapshot-of": snapshot_of, "distribute-to": distribute_to}
+    if sys.argv[1:] and sys.argv[1] in part_by_name:
+        print(json.dumps(part_by_name[sys.argv[1]](int(sys.argv[2]))))
+        return
     parts = {"apply": bench_apply, "snapshot": bench_snapshot, "distribute": bench_distribute}
     for name in sys.argv[1:] or parts:
         parts[name]()
--- a/libs/consensus/tarragonhall_consensus/_segments.py
+++ b/libs/consensus/tarragonhall_consensus/_segments.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 from dataclasses import dataclass
 
 import cbor2
@@ -51,11 +52,16 @@
 
 @dataclass(slots=True)
 class Segment:
-    """A segment file and the end of the log when it was begun."""
+    """A segment file, the end of the log when it was begun, and the lowest entry in it."""
 
     path: str
     first_sequence: int
     base_index: int
+    lowest_index: int = sys.maxsize
+
+    def note(self, index: int) -> None:
+        """Note that the segment holds an entry at `index`."""
+        self.lowest_index = min(self.lowest_index, index)
 
 
 @dataclass(slots=True)
@@ -77,7 +83,10 @@
 
 def sequence_of(name: str) -> int:
     """Return the sequence that a segment's name tells."""
-    return int(name.removesuffix(SEGMENT_SUFFIX))
+    digits = name.removesuffix(SEGMENT_SUFFIX)
+    if not digits.isdecimal():
+        raise StorageError(f"{name}: not a file of this program; move it out of the data folder")
+    return int(digits)
 
 
 def state_item(state: HardState) -> list:
@@ -156,6 +165,7 @@
                 case [Item.ENTRY, index, term, kind, data]:
                     if not replay.log.base_index < index <= replay.log.last_index + 1:
                         raise StorageError(f"{path}: entry {index} does not follow the one before")
+                    replay.segments[-1].note(index)
                     put_entry(replay.log, index, Entry(term, EntryKind(kind), data))
                 case [Item.RESET, index, term]:
                     replay.log.reset(index, term)
--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 import structlog
 from tarragonhall_consensus import Limits, Member, RoleChanged, open_replica
@@ -123,7 +125,11 @@
             raise LeadUnknownError("this member does not lead")
         request_id = request_id or new_id("req", self.context.rng)
         command = Command(request_id, self.context.wall_ms(), body)
-        return self.loop.propose(encode(command), PROPOSE_SECONDS)
+        started = self.context.monotonic()
+        result = self.loop.propose(encode(command), PROPOSE_SECONDS)
+        waited_ms = (self.context.monotonic() - started) * 1000
+        self.context.metrics.timing("control.commit", waited_ms)
+        return result
 
     def confirm(self) -> bool:
         """Return whether a majority confirmed, from now on, that this member leads."""
@@ -159,6 +165,7 @@
             self._announcing.discard(node_key(node))
 
     def _remove_silent_nodes(self) -> None:
+        self.context.metrics.gauge("control.followers", len(self.followers))
         for node in self.nodes.expired(self.state.view(), self.context.monotonic()):
             log.warning("control.node_silent", node=node_key(node))
             self.context.timeline.add("node_silent", node=node_key(node))
@@ -169,7 +176,7 @@
         if due_ms is not None and due_ms <= self.context.wall_ms():
             self.commit(ExpirePrograms())
 
-    def _repeat(self, seconds: float, action) -> None:
+    def _repeat(self, seconds: float, action: Callable[[], None]) -> None:
         """Do something again and again while this member leads."""
         while not self.stopped:
             eventlet.sleep(seconds)
--- a/libs/entry/tarragonhall_entry/_api.py
+++ b/libs/entry/tarragonhall_entry/_api.py
@@ -5,11 +5,14 @@
 import itertools
 from collections.abc import Iterator
 
+import eventlet
 import structlog
 from tarragonhall_model import (
     CallClosed,
+    CallKind,
     CallOpened,
     CallRunning,
+    CallSpec,
     EndProgram,
     Execution,
     OpenProgram,
@@ -35,7 +38,7 @@
 
 from tarragonhall_entry._access import Access, RefusedError
 from tarragonhall_entry._effects import Call
-from tarragonhall_entry._requests import load_call, load_open
+from tarragonhall_entry._requests import load_call, load_idempotency_key, load_open
 from tarragonhall_entry._responses import (
     closed_response,
     error_response,
@@ -49,11 +52,13 @@
 log = structlog.get_logger(__name__)
 
 CONTROL_SECONDS = 6.0
-DEFAULT_MODEL_TOKENS = 4_096
 # The final refusal of a call travels to its listeners through two commits at most.
 ANSWER_GRACE_SECONDS = 0.5
+# With the freshness lease, longer than control takes to elect a leader; a process that is cut off
+# for good still says so soon.
+FRESH_WAIT_SECONDS = 1.5
+FRESH_POLL_SECONDS = 0.05
 FETCH_RETRY_MS = 1_000
-MAX_IDEMPOTENCY_KEY = 256
 
 
 class CallersApi:
@@ -108,7 +113,7 @@
         """Open a program."""
         _, organisation = self._authenticate(request)
         body = load_open(request.json())
-        idempotency_key = request.headers.get("idempotency-key")
+        idempotency_key = load_idempotency_key(request.headers.get("idempotency-key"))
         command = OpenProgram(
             program_id=new_id("prog", self._context.rng),
             org_id=organisation.org_id,
@@ -156,7 +161,7 @@
         """Run a call, or join it, or return its recorded answer."""
         arrived = self._context.monotonic()
         key_hash, organisation = self._authenticate(request)
-        spec = load_call(request.json(), DEFAULT_MODEL_TOKENS)
+        spec = load_call(request.json(), self._follower.model_by_name)
         call = Call(
             call_id=f"{request.parts['program_id']}/{spec.seq}/{next(self._call_numbers)}",
             program_id=request.parts["program_id"],
@@ -165,6 +170,7 @@
             spec=spec,
             entry_id=self._context.instance,
             deadline=arrived + spec.timeout_ms / 1000,
+            model_version=self._model_version(spec),
         )
         running = self._runner.start(call)
         if spec.stream:
@@ -172,6 +178,10 @@
         closed = running.wait(self._left(call))
         return closed_response(call.program_id, spec.seq, closed or _still_running())
 
+    def _model_version(self, spec: CallSpec) -> str | None:
+        model = self._follower.model_by_name.get(spec.target)
+        return model.version if model is not None and spec.kind is CallKind.MODEL else None
+
     def _stream(self, running: RunningCall, call: Call) -> Iterator[bytes]:
         queue = running.listen()
         while True:
@@ -190,9 +200,22 @@
         return call.deadline + ANSWER_GRACE_SECONDS - self._context.monotonic()
 
     def _authenticate(self, request: HttpRequest):
+        self._wait_until_fresh()
         now = self._context.monotonic()
         return self._access.authenticate(request.bearer(), now, self._context.wall_ms())
 
+    def _wait_until_fresh(self) -> None:
+        """Give the settings a moment to be confirmed again.
+
+        While control elects a leader nothing can be confirmed, although nothing has changed. A call
+        refused then would have been served a second later, and its caller would come back anyway.
+        """
+        give_up = self._context.monotonic() + FRESH_WAIT_SECONDS
+        while not self._access.is_fresh(self._context.monotonic()):
+            if self._context.monotonic() >= give_up:
+                return
+            eventlet.sleep(FRESH_POLL_SECONDS)
+
     def _end(self, request: HttpRequest, status: ProgramStatus) -> HttpResponse:
         _, organisation = self._authenticate(request)
         program_id = request.parts["program_id"]
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -27,6 +27,7 @@
 
 from tarragonhall_sidecar._answers import AnswerError, AnswerStream
 from tarragonhall_sidecar._events import Broke, Finished, Probed
+from tarragonhall_sidecar._reconcile import Listing
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 CONNECT_SECONDS = 2.0
@@ -90,14 +91,14 @@
     def cancel_quietly(self, dispatch: Dispatch) -> None:
         """Ask an engine to stop a run, in the background and without caring for the answer."""
         if dispatch.spec.kind is CallKind.MODEL:
-            eventlet.spawn_n(self._cancel, dispatch.attempt.key)
+            eventlet.spawn_n(self._try_cancel, dispatch.attempt.key)
 
     def probe(self) -> Probed:
         """Tell whether the server answers at all."""
         try:
             connection = self._connect(CONTROL_SECONDS)
         except _NotSentError as error:
-            return Probed(False, refused=isinstance(error.__cause__, _REFUSED))
+            return Probed(False, refused=isinstance(error.__cause__, ConnectionRefusedError))
         try:
             with _responding(connection, "GET", "/health") as response:
                 body = response.read(MAX_ANSWER_BYTES)
@@ -126,12 +127,25 @@
         finally:
             connection.close()
 
-    def held_programs(self) -> list[str]:
-        """Return the programs that the engine holds memory for, most recently used first."""
+    def listing(self) -> Listing:
+        """Return what the engine holds memory for, most recently used first."""
+        value = self.ask("GET", "/v1/held")
         try:
-            return [item["program"] for item in self.ask("GET", "/v1/held")["programs"]]
+            tokens_by_program = {item["program"]: item["tokens"] for item in value["programs"]}
         except (KeyError, TypeError) as error:
             raise BackendError(f"/v1/held: lacks {error}") from error
+        return Listing(tokens_by_program, value.get("capacity"))
+
+    def running(self) -> list[str]:
+        """Return the attempts that the engine runs or has in its queue."""
+        try:
+            return list(self.ask("GET", "/v1/running")["attempts"])
+        except (KeyError, TypeError) as error:
+            raise BackendError(f"/v1/running: lacks {error}") from error
+
+    def cancel(self, key: str) -> None:
+        """Ask the engine to stop an attempt; its listing shows if it did."""
+        self.ask("POST", "/v1/cancel", {"attempt": key})
 
     def release(self, program_id: str) -> None:
         """Ask the engine to free what it holds for a program; its listing shows if it did."""
@@ -199,16 +213,13 @@
         connection.sock.settimeout(timeout_s)
         return connection
 
-    def _cancel(self, key: str) -> None:
+    def _try_cancel(self, key: str) -> None:
         try:
-            self.ask("POST", "/v1/cancel", {"attempt": key})
+            self.cancel(key)
         except BackendError:
             return
 
 
-_REFUSED = ConnectionRefusedError
-
-
 class _ChunkPacer:
     """Joins parts of an answer that come in quick succession."""
 
--- a/libs/sidecar/tarragonhall_sidecar/_execution.py
+++ b/libs/sidecar/tarragonhall_sidecar/_execution.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import enum
 import itertools
-from dataclasses import dataclass, field
 
 from tarragonhall_model import (
     Accepted,
@@ -26,6 +24,7 @@
     ServerKind,
 )
 
+from tarragonhall_sidecar._attempt import Attempt, Identity, State
 from tarragonhall_sidecar._events import (
     Arrived,
     Broke,
@@ -61,57 +60,12 @@
 # Ends are kept whole until the journal has them. Beyond this no more work is taken, because
 # dropping one would lose an answer that the caller has paid for.
 ENDED_BYTES = 8 * 1024 * 1024
+# An engine that works stops a run between two tokens; one that has not by now was not reached.
+CANCEL_AGAIN_SECONDS = 1.0
 # One probe that times out may be a busy server; three in a row are taken for a dead one.
 FAILED_PROBES = 3
 
 
-@dataclass(slots=True, frozen=True)
-class Identity:
-    """Which life of which backend server this is, and what it serves."""
-
-    server_id: str
-    incarnation: str
-    kind: ServerKind
-    slots: int
-
-
-class State(enum.Enum):
-    """Where an attempt stands."""
-
-    WAITING = "waiting"
-    RUNNING = "running"
-    BROKEN = "broken"
-    ENDED = "ended"
-
-
-@dataclass(slots=True)
-class Attempt:
-    """One accepted attempt, until its end is in the journal."""
-
-    dispatch: Dispatch
-    order: int
-    deadline: float
-    peers: set[PeerId]
-    state: State = State.WAITING
-    chunks: list[str] = field(default_factory=list)
-    life: str = ""
-    end: AttemptEnded | None = None
-    ended_at: float = 0.0
-    committing: bool = False
-
-    @property
-    def key(self) -> str:
-        """Return the attempt's key."""
-        return self.dispatch.attempt.key
-
-    @property
-    def end_bytes(self) -> int:
-        """Return about how much memory the kept answer takes."""
-        if self.end is None or self.end.answer is None:
-            return 0
-        return len(self.end.answer.text)
-
-
 class Execution:
     """Accepts, orders, runs and ends attempts on one backend server."""
 
@@ -163,6 +117,11 @@
         """Return how many attempts are in one of these states."""
         return sum(attempt.state in states for attempt in self._attempt_by_key.values())
 
+    def under_way(self) -> set[str]:
+        """Return the keys of the attempts that are under way here."""
+        items = self._attempt_by_key.items()
+        return {key for key, attempt in items if attempt.state is not State.ENDED}
+
     def programs(self) -> set[str]:
         """Return the programs with an attempt that is under way here."""
         under_way = (a for a in self._attempt_by_key.values() if a.state is not State.ENDED)
@@ -202,7 +161,7 @@
             outputs += self._end(known, AttemptOutcome.NOT_RUN, now, "cancelled before its start")
         # A service call may have taken effect already: it runs on and its true end is told.
         elif known.state is State.RUNNING and self._identity.kind is ServerKind.MODEL:
-            outputs.append(StopRun(known.key, abandon=False))
+            outputs.append(self._ask_to_stop(known, now))
         return outputs
 
     def _acknowledged(self, attempt_id: AttemptId) -> list[Output]:
@@ -265,6 +224,9 @@
                 outputs += self._end(attempt, AttemptOutcome.NOT_RUN, now, detail)
             if attempt.state is State.ENDED:
                 outputs += self._settle(attempt, now)
+            elif attempt.cancel_again_at is not None and now >= attempt.cancel_again_at:
+                # The cancel or its answer was lost: the engine still generates for no one.
+                outputs.append(self._ask_to_stop(attempt, now))
         return outputs
 
     # Rules shared by the above.
@@ -315,6 +277,10 @@
             outputs.append(Send(peer, attempt.end))
         return outputs
 
+    def _ask_to_stop(self, attempt: Attempt, now: float) -> StopRun:
+        attempt.cancel_again_at = now + CANCEL_AGAIN_SECONDS
+        return StopRun(attempt.key, abandon=False)
+
     def _fill_slots(self, now: float) -> list[Output]:
         outputs: list[Output] = []
         waiting = [a for a in self._attempt_by_key.values() if a.state is State.WAITING]
--- a/libs/sidecar/tests/execution_tests.py
+++ b/libs/sidecar/tests/execution_tests.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from tarragonhall_model import (
     Accepted,
+    Answer,
     Attach,
     AttemptAck,
     AttemptEnded,
@@ -20,6 +21,7 @@
     RejectReason,
     ServerKind,
 )
+from tarragonhall_sidecar._attempt import Identity, State
 from tarragonhall_sidecar._events import (
     Arrived,
     Broke,
@@ -37,7 +39,7 @@
     StopRun,
     Tick,
 )
-from tarragonhall_sidecar._execution import UNACKNOWLEDGED_SECONDS, Execution, Identity, State
+from tarragonhall_sidecar._execution import UNACKNOWLEDGED_SECONDS, Execution
 from tarragonhall_sidecar._memory import AttemptMemory
 
 SLOTS = 2
@@ -303,6 +305,55 @@
     assert core.count(*State) == 0
 
 
+def test_a_cancel_is_repeated_until_the_run_ends():
+    """The request that cancels a run is lost on its way to the engine. The engine would go on to
+    generate, and the budget to shrink, for a caller who has left.
+    """
+    core = make_core()
+    core.handle(Arrived(1, dispatch_of(attempt_of("p1"))), 0.0)
+    core.handle(Arrived(1, CancelAttempt(attempt_of("p1"))), 1.0)
+    assert core.handle(Tick(), 1.5) == []
+    assert core.handle(Tick(), 2.1) == [StopRun("p1/1/1", abandon=False)]
+    core.handle(Finished("p1/1/1", AttemptOutcome.CANCELLED), 2.2)
+    assert core.handle(Tick(), 3.3) == []
+
+
+def test_answers_that_no_one_takes_stop_new_work_before_they_fill_the_memory():
+    """Control is away and the entries are dead, so answers pile up here. Taking more calls would
+    end in the loss of the process, and with it of every answer that was paid for.
+    """
+    core = make_core()
+    for number in range(9):
+        attempt = attempt_of(f"p{number}")
+        reply = reply_in(core.handle(Arrived(1, dispatch_of(attempt)), 0.0))
+        assert reply == Accepted()
+        answer = Answer("x" * 1024 * 1024)
+        core.handle(Finished(attempt.key, AttemptOutcome.ANSWERED, answer), 0.0)
+    refused = core.handle(Arrived(1, dispatch_of(attempt_of("p9"))), 0.0)
+    assert refused == [Reply(Rejected(RejectReason.FULL))]
+    core.handle(Arrived(1, AttemptAck(attempt_of("p0"))), 0.0)
+    core.handle(Arrived(1, AttemptAck(attempt_of("p1"))), 0.0)
+    taken = core.handle(Arrived(1, dispatch_of(attempt_of("p10"))), 0.0)
+    assert reply_in(taken) == Accepted()
+
+
+def test_a_server_that_stops_answering_is_down_after_a_few_probes_but_not_crashed():
+    """A backend server is frozen: it accepts connections and answers nothing. What it runs may yet
+    end, so it is not called crashed; what waits is handed back and no more is taken.
+    """
+    core = make_core()
+    for name in ("a", "b", "c"):
+        core.handle(Arrived(1, dispatch_of(attempt_of(name))), 0.0)
+    assert core.handle(Probed(False), 1.0) == []
+    assert core.handle(Probed(False), 2.0) == []
+    handed_back = core.handle(Probed(False), 3.0)
+    assert [output.message.outcome for output in handed_back] == [AttemptOutcome.NOT_RUN]
+    refused = core.handle(Arrived(1, dispatch_of(attempt_of("d"))), 3.1)
+    assert refused == [Reply(Rejected(RejectReason.SERVER_DOWN))]
+    core.handle(Probed(True), 4.0)
+    assert core.up
+
+
 def test_the_most_urgent_waiting_attempt_starts_first_and_the_line_is_bounded():
     """The server is busy and calls pile up. A long line here would be one that no entry can reorder
     or hand to another server, so it is short, and the rest is refused while it can still go on.
--- a/libs/sidecar/tests/failures_tests.py
+++ b/libs/sidecar/tests/failures_tests.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 from tarragonhall_fakes import Fault, FaultKind, answer_to
+from tarragonhall_fakes._batch import Run
 from tarragonhall_model import (
     Attach,
     AttemptAck,
@@ -18,6 +19,7 @@
     ReportCrash,
     fingerprint,
 )
+from tarragonhall_sidecar import _backend
 
 from .conftest import eventually
 
@@ -119,6 +121,22 @@
     assert ("a" in first.answer.text, "b" in second.answer.text) == (True, True)
 
 
+def test_a_run_that_fails_in_an_unforeseen_way_still_ends(service_path, monkeypatch):
+    """A fault in the sidecar's own code stops a run. Its caller must not wait for good, and the
+    slot must come free.
+    """
+
+    def fail(*_args) -> None:
+        raise LookupError("unforeseen")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(_backend, "_call_service", fail)
+        ends = [service_path.end_of(service_path.send(f"p{n}", "{}")) for n in range(3)]
+    assert [end.outcome for end in ends] == [AttemptOutcome.FAILED] * 3
+    later = service_path.end_of(service_path.send("p9", "{}"))
+    assert later.outcome is AttemptOutcome.ANSWERED
+
+
 def test_a_server_that_cannot_be_reached_has_not_run_the_call(service_path):
     """The service died a moment ago and no probe has noticed yet. Nothing was sent, so the call may
     be tried elsewhere even though it must not be repeated.
@@ -206,6 +224,17 @@
     eventually(lambda: not engine_path.fake.batch.running)
 
 
+def test_runs_of_an_earlier_life_are_stopped_in_the_engine(engine_path):
+    """The sidecar is killed while the engine generates a long answer for it. No one will take that
+    answer, and until it ends the new life would count on a slot that is not free.
+    """
+    engine_path.fake.batch.submit(Run("p9/1/1", "p9", ["agenda"], ["w"] * 100_000, 1))
+    eventually(lambda: "p9/1/1" in engine_path.fake.batch.running)
+    attempt = engine_path.send("p1", "agenda")
+    assert engine_path.end_of(attempt).outcome is AttemptOutcome.ANSWERED
+    eventually(lambda: not engine_path.fake.batch.running)
+
+
 def test_memory_of_a_program_that_ended_is_released_until_it_is_gone(engine_path):
     """An engine forgets to act on a release. The memory would stay held for a program that no one
     will ever call again, until the listing is looked at once more.
--- a/libs/state/tests/journal_properties_tests.py
+++ b/libs/state/tests/journal_properties_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from unittest import mock
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -33,7 +34,7 @@
     Usage,
     encode,
 )
-from tarragonhall_state import JOURNAL_WINDOW_MS, ControlState
+from tarragonhall_state import JOURNAL_WINDOW_MS, ControlState, _programs
 from tarragonhall_state._program import AttemptState, CallState, Program
 
 ORGS = ("school", "winery")
@@ -85,6 +86,9 @@
 
     def __init__(self) -> None:
         super().__init__()
+        # So few that programs are encoded between snapshots here too.
+        self.bound = mock.patch.object(_programs, "MAX_UNENCODED", 1)
+        self.bound.start()
         self.steady = ControlState()
         self.restarted = ControlState()
         self.now_ms = 1_000
@@ -92,7 +96,7 @@
 
     @initialize()
     def open_first(self) -> None:
-        self.commit(OpenProgram("prog-1", "school", Budget(650, 8, 60), 20))
+        self.commit(OpenProgram("prog-1", "school", Budget(650, 8, 300), 20))
 
     def commit(self, body: object) -> object:
         request_id = f"req-{len(self.sent)}"
@@ -130,7 +134,9 @@
 
     @rule(program_id=programs, org_id=orgs, parent=st.none() | programs)
     def open_program(self, program_id, org_id, parent) -> None:
-        result = self.commit(OpenProgram(program_id, org_id, Budget(650, 8, 60), 20, parent=parent))
+        result = self.commit(
+            OpenProgram(program_id, org_id, Budget(650, 8, 300), 20, parent=parent)
+        )
         if isinstance(result, ProgramInfo):
             assert (result.org_id, result.parent) == (org_id, parent)
 
@@ -156,10 +162,26 @@
         program_id = program.program_id
         seq = program.next_seq() + choices.shift
         body = f"{program_id} {choices.body}"
-        spec = CallSpec(seq, CallKind.MODEL, "planner", body, choices.repeatable, MAX_TOKENS)
-        result = self.commit(OpenCall(program_id, program.org_id, spec, choices.entry_id))
+        spec = CallSpec(
+            seq,
+            CallKind.MODEL,
+            "planner",
+            body,
+            choices.repeatable,
+            MAX_TOKENS,
+            timeout_ms=1_000 if choices.used % 5 else 60_000,
+        )
+        slot = program.slot(seq)
+        recorded = len(slot.attempts) if slot is not None else 0
+        first = attempt_of(program_id, seq, recorded + 1) if choices.used % 2 else None
+        lost = attempt_of(program_id, seq, recorded) if choices.used % 3 == 0 else None
+        result = self.commit(
+            OpenCall(program_id, program.org_id, spec, choices.entry_id, lost, first)
+        )
         if not isinstance(result, CallOpened):
             return
+        if result.started:
+            assert program.calls[seq - 1].live_attempt().attempt_id == first
         for turn in result.history:
             assert turn.prompt.startswith(program_id)
             assert turn.answer.startswith(program_id)
@@ -221,7 +243,7 @@
         assert isinstance(self.commit(tries[pick % len(tries)]), Refusal)
         assert encode(program) == before
 
-    @rule(seconds=st.sampled_from((1, 5, 15, 30, 3_700)), chance=rarely)
+    @rule(seconds=st.sampled_from((1, 5, 15, 30, 1_000)), chance=rarely)
     def wait_and_expire(self, seconds, chance) -> None:
         if chance:
             seconds = 1
@@ -254,6 +276,13 @@
                 range(1, len(program.calls) + 1)
             )
 
+    @invariant()
+    def what_was_encoded_earlier_still_holds(self) -> None:
+        for state in (self.steady, self.restarted):
+            programs = state._journals[0]._programs
+            for program_id, data in programs._encoded_by_id.items():
+                assert data == encode(programs.by_id[program_id])
+
     @invariant()
     def no_budget_is_exceeded(self) -> None:
         reserved_by_root: dict[str, int] = {}
@@ -291,7 +320,12 @@
             other = ORGS[1 - ORGS.index(program.org_id)]
             assert isinstance(self.steady.program(program.program_id, other), Refusal)
 
+    @rule()
+    def take_a_snapshot(self) -> None:
+        self.steady.snapshot()
+
     def teardown(self) -> None:
+        self.bound.stop()
         assert self.steady.snapshot() == self.restarted.snapshot()
 
 
--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import eventlet
@@ -26,12 +28,14 @@
 )
 
 from tarragonhall_wire._context import ProcessContext
+from tarragonhall_wire._link import Link
 
 log = structlog.get_logger(__name__)
 
 HEARTBEAT_SECONDS = 1.0
 # One member that answers nothing must not use up the whole time of a request: the next is tried.
-ATTEMPT_SECONDS = 1.5
+# An election takes about this long, so a heartbeat finds the next leader before its lease ends.
+ATTEMPT_SECONDS = 1.0
 RETRY_SECONDS = 0.05
 
 
@@ -52,16 +56,32 @@
     def confirm(self, fresh: Fresh, sent_at: float) -> None: ...
 
 
+@dataclass(slots=True, frozen=True)
+class TimedReply:
+    """A reply, and when the request it answers was sent, in monotonic seconds."""
+
+    reply: object
+    sent_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class OpenMember:
+    """A control member to which a link is open."""
+
+    address: str
+    link: Link
+
+
 class ControlClient:
     """Talks to whichever control member leads."""
 
-    __slots__ = ("_context", "_leader", "_next", "_stopped", "followers")
+    __slots__ = ("_context", "_leader", "_left", "_next", "followers")
 
     def __init__(self, context: ProcessContext) -> None:
         self._context = context
         self._leader: str | None = None
         self._next = 0
-        self._stopped = False
+        self._left: set[str] = set()
         self.followers: list[FollowerApi] = []
         context.hub.handle(News, self._on_news)
 
@@ -79,15 +99,22 @@
 
     def ask(self, message: object, timeout_s: float) -> object:
         """Send a request to the leader until it is answered, or raise `UnavailableError`."""
+        return self.ask_timed(message, timeout_s).reply
+
+    def ask_timed(self, message: object, timeout_s: float) -> TimedReply:
+        """Like `ask`, with the instant at which the request that was answered had been sent."""
         deadline = self._context.monotonic() + timeout_s
         while True:
             left = deadline - self._context.monotonic()
             if left <= 0:
                 raise UnavailableError("no control member answered in time")
-            address = self._candidate()
+            member = self._choose_member()
+            if member is None:
+                eventlet.sleep(RETRY_SECONDS)
+                continue
+            sent_at = self._context.monotonic()
             try:
-                link = self._context.hub.wait_for(address, min(left, ATTEMPT_SECONDS))
-                reply = link.request(message, min(left, ATTEMPT_SECONDS))
+                reply = member.link.request(message, min(left, ATTEMPT_SECONDS))
             except LinkError:
                 self._leader = None
                 eventlet.sleep(RETRY_SECONDS)
@@ -99,34 +126,36 @@
                 case Busy(retry_after_ms=pause_ms):
                     eventlet.sleep(min(left, pause_ms / 1000))
                 case _:
-                    self._leader = address
-                    return reply
+                    self._leader = member.address
+                    return TimedReply(reply, sent_at)
 
     def follow(self, node: Callable[[], EntryRecord | ServerRecord], follower: FollowerApi) -> None:
-        """Keep a follower fresh and `node` announced, from a green thread, until `stop`."""
+        """Keep a follower fresh and `node` announced, from a green thread, until it leaves."""
         self.followers.append(follower)
         eventlet.spawn_n(self._follow_loop, node, follower)
 
     def leave(self, node: EntryRecord | ServerRecord, timeout_s: float) -> None:
-        """Leave the view; after a failure the missing heartbeats do the same, later."""
-        self._stopped = True
+        """Leave the view; after a failure the missing heartbeats do the same, later.
+
+        Only this node's heartbeats end: an entry that leaves first must not take the sidecars of
+        its process out of the view while they still work for others.
+        """
+        self._left.add(_node_id(node))
         try:
             self.ask(Leaving(node), timeout_s)
         except UnavailableError as error:
             log.warning("control.leave_failed", error=str(error))
 
     def _follow_loop(self, node: Callable, follower: FollowerApi) -> None:
-        while not self._stopped:
-            sent_at = self._context.monotonic()
+        while _node_id(node()) not in self._left:
             beat = Heartbeat(node(), follower.settings_revision, follower.view.epoch)
             try:
-                reply = self.ask(beat, ATTEMPT_SECONDS * 2)
+                timed = self.ask_timed(beat, ATTEMPT_SECONDS * 2)
             except UnavailableError:
                 self._context.metrics.count("control.heartbeat_failed")
                 continue
-            # `sent_at` precedes every resend, so the lease errs on the short side.
-            if isinstance(reply, Fresh):
-                follower.confirm(reply, sent_at)
+            if isinstance(timed.reply, Fresh):
+                follower.confirm(timed.reply, timed.sent_at)
             eventlet.sleep(HEARTBEAT_SECONDS * self._context.rng.uniform(0.8, 1.0))
 
     def _on_news(self, _link: object, news: News) -> None:
@@ -136,9 +165,25 @@
             if news.view is not None:
                 follower.apply_view(news.view)
 
-    def _candidate(self) -> str:
-        if self._leader is not None:
-            return self._leader
-        addresses = self._context.control_addresses
+    def _choose_member(self) -> OpenMember | None:
+        """Return the leader, or the next member that can be reached at all.
+
+        A member that is down must not hold a request up: while it is dialled again, the others are
+        asked. Every member is dialled, so that a link is open before it is needed.
+        """
+        members = []
+        # The leader may be a member that joined after this process read its settings.
+        known = [self._leader] if self._leader is not None else []
+        for address in dict.fromkeys(known + self._context.control_addresses):
+            with contextlib.suppress(LinkError):
+                members.append(OpenMember(address, self._context.hub.link_to(address)))
+        if not members:
+            return None
+        if members[0].address == self._leader:
+            return members[0]
         self._next += 1
-        return addresses[self._next % len(addresses)]
+        return members[self._next % len(members)]
+
+
+def _node_id(node: EntryRecord | ServerRecord) -> str:
+    return node.entry_id if isinstance(node, EntryRecord) else node.server_id
