--- a/libs/consensus/tarragonhall_consensus/_replication.py
+++ b/libs/consensus/tarragonhall_consensus/_replication.py
@@ -256,10 +256,12 @@
             return True
         if core.now - progress.sent_at >= core.limits.heartbeat_seconds:
             return True
-        # Others answer from what they have applied; without this they would learn of a commit
-        # only with the next heartbeat.
+        # Others learn of a commit with the next entries, or a moment later: a message for each
+        # commit to each member would be half of all messages under load.
         knows = progress.sent_commit >= min(core.commit_index, progress.match_index)
-        return progress.mode is Mode.REPLICATE and not knows
+        if knows or progress.mode is not Mode.REPLICATE:
+            return False
+        return core.now - progress.sent_at >= core.limits.commit_notice_seconds
 
     def _send_heartbeat(self, peer: str, progress: Progress) -> None:
         # Where the logs are known to meet, a heartbeat is never refused for entries on their way.
