--- a/benchmarks/path_bench.py
+++ b/benchmarks/path_bench.py
@@ -1,10 +1,10 @@
 """Measure the whole path: added latency, calls a second, processor time and memory of each role.
 
 Starts the association's example deployment (three control members, three entries, two engines, two
-order desks, each a process of its own), calls it in a closed loop at several concurrencies, and reads
-processor time and resident memory of each process from the kernel's counters. The same bodies go
-straight to a backend server in the same run, so that the added latency is a difference of like with
-like. Slopes are least squares over the loads printed.
+order desks, each a process of its own), calls it in a closed loop at several concurrencies, and
+reads processor time and resident memory of each process from the kernel's counters. The same bodies
+go straight to a backend server in the same run, so that the added latency is a difference of like
+with like. Slopes are least squares over the loads printed.
 """
 
 from __future__ import annotations
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class Usage:
-    """Processor seconds and resident megabytes of a role's processes, at an instant or over a time."""
+    """Processor seconds and resident megabytes, at an instant or over a time."""
 
     cpu_seconds: float = 0.0
     resident_mb: float = 0.0
