Say not_run of a call without a valid key only where it is true

Cause: a call refused as `stale` or `unauthenticated` said `not_run` by default, also where the same program and seq had run through another entry. A caller who believed it would have had the work done a second time.

Change: `stale` on a call says `unknown`, since a cut-off entry can ask nobody.

The scenario of the cut-off entry now checks `unknown` beside the effect count of 0; the scenario of the withdrawn key goes on expecting `not_run`. No check was removed.

--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -301,6 +301,8 @@
     reply = context.caller.call(entry, context.program_id, 1, f"stale-{context.org}")
     assert time.monotonic() - started < seconds
     assert reply.value["error"] == code, reply
+    # The entry is cut off: the call may be a resend of one that ran through another.
+    assert reply.value["execution"] == "unknown", reply
     assert context.deployment.effects(f"stale-{context.org}") == 0
 
 
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -11,6 +11,7 @@
     CloseCall,
     DisproveAttempt,
     EndProgram,
+    ExecutionKnown,
     Fresh,
     Heartbeat,
     Leaving,
@@ -21,6 +22,7 @@
     Propose,
     Proposed,
     QueryCall,
+    QueryExecution,
     QueryLiving,
     QueryProgram,
     QueryQuarantine,
@@ -64,6 +66,7 @@
         hub.handle(Heartbeat, self.on_heartbeat)
         hub.handle(Leaving, self.on_leaving)
         hub.handle(QueryCall, self._reader(self._call))
+        hub.handle(QueryExecution, self._reader(self._execution))
         hub.handle(QueryProgram, self._reader(self._program))
         hub.handle(QueryLiving, self._reader(self._living))
         hub.handle(QueryQuarantine, self._reader(self._quarantine))
@@ -133,6 +136,9 @@
     def _call(self, query: QueryCall) -> object:
         return self._member.state.call(query.program_id, query.seq, query.org_id)
 
+    def _execution(self, query: QueryExecution) -> object:
+        return ExecutionKnown(self._member.state.execution(query.program_id, query.seq))
+
     def _program(self, query: QueryProgram) -> object:
         return self._member.state.program(query.program_id, query.org_id)
 
--- a/libs/control/tests/role_tests.py
+++ b/libs/control/tests/role_tests.py
@@ -1,7 +1,15 @@
 from __future__ import annotations
 
 from tarragonhall_control import OPTIONS
-from tarragonhall_model import Budget, OpenProgram, ProgramInfo, QueryProgram
+from tarragonhall_model import (
+    Budget,
+    Execution,
+    ExecutionKnown,
+    OpenProgram,
+    ProgramInfo,
+    QueryExecution,
+    QueryProgram,
+)
 
 WAIT_SECONDS = 5.0
 
@@ -36,6 +44,8 @@
     info = client.propose(body, WAIT_SECONDS, "req-1")
     assert isinstance(info, ProgramInfo)
     assert client.ask(QueryProgram("prog-1", "school"), WAIT_SECONDS).info == info
+    known = client.ask(QueryExecution("prog-1", 1), WAIT_SECONDS)
+    assert known == ExecutionKnown(Execution.NOT_RUN)
     status, listed = group.admin()("GET", "/programs?status=open")
     assert [program["program_id"] for program in listed["programs"]] == ["prog-1"]
     status, ended = group.admin()("POST", "/programs/prog-1/cancel", {})
--- a/libs/entry/tarragonhall_entry/_api.py
+++ b/libs/entry/tarragonhall_entry/_api.py
@@ -4,6 +4,7 @@
 
 import itertools
 from collections.abc import Iterator
+from dataclasses import replace
 
 import eventlet
 import structlog
@@ -15,6 +16,7 @@
     CallSpec,
     EndProgram,
     Execution,
+    InputError,
     OpenProgram,
     ProgramInfo,
     ProgramReport,
@@ -38,7 +40,12 @@
 
 from tarragonhall_entry._access import Access, RefusedError
 from tarragonhall_entry._effects import Call
-from tarragonhall_entry._requests import load_call, load_idempotency_key, load_open
+from tarragonhall_entry._requests import (
+    load_call,
+    load_idempotency_key,
+    load_open,
+    load_seq,
+)
 from tarragonhall_entry._responses import (
     closed_response,
     error_response,
@@ -160,7 +167,7 @@
     def call(self, request: HttpRequest) -> HttpResponse:
         """Run a call, or join it, or return its recorded answer."""
         arrived = self._context.monotonic()
-        key_hash, organisation = self._authenticate(request)
+        key_hash, organisation = self._authenticate_call(request)
         spec = load_call(request.json(), self._follower.model_by_name)
         call = Call(
             call_id=f"{request.parts['program_id']}/{spec.seq}/{next(self._call_numbers)}",
@@ -199,6 +206,30 @@
     def _left(self, call: Call) -> float:
         return call.deadline + ANSWER_GRACE_SECONDS - self._context.monotonic()
 
+    def _authenticate_call(self, request: HttpRequest):
+        """Authenticate a call; a refusal says `not_run` only where the journal bears it out.
+
+        The request may be a resend of a call that ran through another entry, or before its key was
+        withdrawn. Told `not_run`, its caller would have the work done a second time.
+        """
+        try:
+            return self._authenticate(request)
+        except RefusedError as error:
+            execution = self._execution(error.refusal, request)
+            raise RefusedError(replace(error.refusal, execution=execution)) from error
+
+    def _execution(self, refusal: Refusal, request: HttpRequest) -> Execution:
+        if refusal.code is not RefusalCode.UNAUTHENTICATED:
+            # An entry that cannot confirm its settings has nobody to ask.
+            return Execution.UNKNOWN
+        try:
+            seq = load_seq(request.json())
+        except InputError:
+            seq = None
+        if seq is None:
+            return Execution.UNKNOWN
+        return self._runner.ask_execution(request.parts["program_id"], seq)
+
     def _authenticate(self, request: HttpRequest):
         self._wait_until_fresh()
         now = self._context.monotonic()
--- a/libs/entry/tarragonhall_entry/_requests.py
+++ b/libs/entry/tarragonhall_entry/_requests.py
@@ -155,6 +155,12 @@
     return _load(OPEN_OPTIONS, value)
 
 
+def load_seq(request_body: dict) -> int | None:
+    """Return the number of the call that a body names, or None where it names none."""
+    seq = request_body.get("seq")
+    return seq if type(seq) is int and 0 < seq <= MAX_SEQ else None
+
+
 def load_idempotency_key(value: str | None) -> str | None:
     """Check the `Idempotency-Key` header."""
     if value is None:
--- a/libs/entry/tarragonhall_entry/_runner.py
+++ b/libs/entry/tarragonhall_entry/_runner.py
@@ -11,7 +11,9 @@
     CallClosed,
     CallSpec,
     Execution,
+    ExecutionKnown,
     Quarantined,
+    QueryExecution,
     QueryQuarantine,
     Refusal,
     RefusalCode,
@@ -59,6 +61,9 @@
 # Each refusal that has to be proved costs control a question. A tenant far above its rate must not
 # drown it in them; beyond this many at once the refusal says `unknown`, which is true as well.
 QUESTIONS_AT_ONCE = 32
+# Whoever has no valid key may cost control less than those who have one, and takes no question from
+# them: each of these takes a round trip of milliseconds, so that four serve hundreds a second.
+UNAUTHENTICATED_QUESTIONS_AT_ONCE = 4
 # The commit of a crash report takes a few milliseconds; an election in between about a second.
 QUARANTINE_TRIES = 4
 QUARANTINE_PAUSE_SECONDS = 0.1
@@ -83,6 +88,7 @@
         "_rates",
         "_scheduler",
         "_turns",
+        "_unauthenticated_questions",
         "running_by_name",
     )
 
@@ -105,6 +111,7 @@
         self._scheduler = scheduler
         self._turns = turns
         self._questions = 0
+        self._unauthenticated_questions = 0
         self._dispatcher = dispatcher
         self.running_by_name: dict[tuple[str, int], RunningCall] = {}
 
@@ -216,6 +223,21 @@
         finally:
             self._questions -= 1
 
+    def ask_execution(self, program_id: str, seq: int) -> Execution:
+        """Return what may be told of a call to a caller without a valid key."""
+        if (program_id, seq) in self.running_by_name:
+            return Execution.UNKNOWN
+        if self._unauthenticated_questions >= UNAUTHENTICATED_QUESTIONS_AT_ONCE:
+            return Execution.UNKNOWN
+        self._unauthenticated_questions += 1
+        try:
+            reply = self._control.ask(QueryExecution(program_id, seq), QUESTION_SECONDS)
+        except UnavailableError:
+            return Execution.UNKNOWN
+        finally:
+            self._unauthenticated_questions -= 1
+        return reply.execution if isinstance(reply, ExecutionKnown) else Execution.UNKNOWN
+
     def _check_key(self, call: Call) -> Refusal | None:
         now = self._context.monotonic()
         return self._access.check(call.key_hash, now, self._context.wall_ms())
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -24,6 +24,8 @@
     CloseCall,
     DisproveAttempt,
     EndProgram,
+    Execution,
+    ExecutionKnown,
     Fresh,
     HandOver,
     KeyPolicy,
@@ -35,6 +37,7 @@
     ProgramInfo,
     ProgramStatus,
     QueryCall,
+    QueryExecution,
     Rate,
     Refusal,
     RefusalCode,
@@ -115,6 +118,7 @@
         self.attempts_by_name = {}
         self.program_by_id = {}
         self.commits = []
+        self.questions = []
         self.follower = None
         self.left = False
 
@@ -163,6 +167,10 @@
         raise AssertionError(body)
 
     def ask(self, question, _timeout_s):
+        self.questions.append(question)
+        if isinstance(question, QueryExecution):
+            known = (question.program_id, question.seq) in self.call_by_name
+            return ExecutionKnown(Execution.UNKNOWN if known else Execution.NOT_RUN)
         assert isinstance(question, QueryCall)
         missing = Refusal(RefusalCode.NOT_FOUND, "no such call")
         return self.call_by_name.get((question.program_id, question.seq), missing)
--- a/libs/entry/tests/role_tests.py
+++ b/libs/entry/tests/role_tests.py
@@ -4,10 +4,13 @@
 import json
 
 import eventlet
+from eventlet.event import Event
 from tarragonhall_model import (
     Accepted,
     Chunk,
     Dispatch,
+    Execution,
+    ExecutionKnown,
     KeyPolicy,
     PolicyDelta,
     encode,
@@ -88,6 +91,46 @@
     assert refused.json()["execution"] == "not_run"
 
 
+def test_a_resend_with_a_withdrawn_key_is_not_said_to_have_not_run(entry):
+    # A call ran, its reply was lost and its key is withdrawn. Told "not_run" at the resend, the
+    # caller would have the same work done again under its next key.
+    entry.serve(entry.answer_at_once())
+    assert entry.call(1).status == 200
+    entry.control.follower.apply_policy(PolicyDelta(1, 2, removed_keys=(secret_hash("thk_test"),)))
+    refused = entry.call(1)
+    assert (refused.status, refused.json()["execution"]) == (401, "unknown")
+    assert "answer" not in refused.json()
+
+
+def test_callers_without_a_key_ask_control_only_a_few_questions_at_once(entry):
+    # Somebody tries keys at a high rate. With a question for each, control would be busy with them.
+    released = Event()
+    asked = []
+
+    def ask(question, _timeout_s):
+        asked.append(question)
+        released.wait()
+        return ExecutionKnown(Execution.NOT_RUN)
+
+    entry.control.ask = ask
+    held = [eventlet.spawn(entry.call, 1, key="thk_guess") for _ in range(4)]
+    with eventlet.Timeout(5):
+        while len(asked) < 4:
+            eventlet.sleep(0.005)
+    assert entry.call(1, key="thk_guess").json()["execution"] == "unknown"
+    released.send()
+    assert [one.wait().json()["execution"] for one in held] == ["not_run"] * 4
+    assert len(asked) == 4
+
+
+def test_a_stale_entry_does_not_say_that_a_call_has_not_run(entry):
+    # A caller resends a call that ran through another entry; this one is cut off from control.
+    entry.control.follower.lease_seconds = 0.0
+    refused = entry.call()
+    assert (refused.json()["error"], refused.json()["execution"]) == ("stale", "unknown")
+    assert entry.control.commits == []
+
+
 def test_an_entry_that_cannot_confirm_its_settings_admits_nothing(entry):
     # The entry is cut off from the control members for longer than its lease. A key withdrawn
     # meanwhile would go on working here.
--- a/libs/model/tarragonhall_model/_messages.py
+++ b/libs/model/tarragonhall_model/_messages.py
@@ -13,6 +13,7 @@
     AttemptId,
     CallKind,
     CallSpec,
+    Execution,
     Refusal,
     Turn,
 )
@@ -69,6 +70,25 @@
     org_id: str
 
 
+@record
+class QueryExecution:
+    """Ask whether a call may have run, for a caller whose organisation is not known. Reply:
+    `ExecutionKnown` or `NotLeader`. The answer is linearizable, and tells nothing else of the call.
+    """
+
+    program_id: str
+    seq: int
+
+
+@record
+class ExecutionKnown:
+    """What the journal knows of a call: `NOT_RUN` where it never ran and nothing can still run it,
+    else `UNKNOWN`.
+    """
+
+    execution: Execution
+
+
 @record
 class QueryProgram:
     """Ask for a program and its history. Reply: `ProgramReport`, `Refusal` or `NotLeader`."""
--- a/libs/state/tarragonhall_state/_journal.py
+++ b/libs/state/tarragonhall_state/_journal.py
@@ -15,6 +15,7 @@
     CloseCall,
     DisproveAttempt,
     EndProgram,
+    Execution,
     ExpirePrograms,
     OpenCall,
     OpenProgram,
@@ -100,6 +101,18 @@
         """Return what is known of a call."""
         return self._calls.status(program_id, seq, org_id, living_entries)
 
+    def execution(self, program_id: str, seq: int) -> Execution:
+        """Return `NOT_RUN` where it is certain, else `UNKNOWN`; nobody's key is needed for it."""
+        program = self._programs.by_id.get(program_id)
+        if program is None:
+            # It may have been dropped some time after its end, and its calls may have run.
+            return Execution.UNKNOWN
+        call = program.call(seq)
+        if call is None or (call.state is CallState.CLOSED and call.has_run_nowhere()):
+            return Execution.NOT_RUN
+        # A call that waits at another entry has not run, but may be started at any moment.
+        return Execution.UNKNOWN
+
     def recall(self, reference: CallReference) -> CallOutcome:
         """Return what became of a call, to one whose request opened or closed it before."""
         program = self._programs.by_id.get(reference.program_id)
--- a/libs/state/tarragonhall_state/_machine.py
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -14,6 +14,7 @@
     Command,
     DrainServer,
     EntryRecord,
+    Execution,
     Living,
     PolicyDelta,
     ProgramInfo,
@@ -146,6 +147,10 @@
         entries = self._views.entry_by_id
         return self._journal(program_id).call(program_id, seq, org_id, entries)
 
+    def execution(self, program_id: str, seq: int) -> Execution:
+        """Return what is known of whether a call ran, without saying whose it is."""
+        return self._journal(program_id).execution(program_id, seq)
+
     def program(self, program_id: str, org_id: str | None) -> ProgramReport | Refusal:
         """Return a program and its closed calls; operators may leave the organisation out."""
         return self._journal(program_id).program(program_id, org_id)
--- a/libs/state/tests/calls_tests.py
+++ b/libs/state/tests/calls_tests.py
@@ -199,6 +199,20 @@
     assert closed.refusal.execution is Execution.UNKNOWN
 
 
+def test_only_a_call_that_can_never_run_is_known_to_have_not_run():
+    # A caller whose key was withdrawn resends a call. Waiting at an entry it may start at any
+    # moment, and the calls of a program that is unknown here may have run long ago.
+    journal = Journal()
+    assert journal.state.execution("prog-1", 1) is Execution.NOT_RUN
+    assert journal.state.execution("prog-9", 1) is Execution.UNKNOWN
+    journal.open(1)
+    assert journal.state.execution("prog-1", 1) is Execution.UNKNOWN
+    journal.start(1)
+    assert journal.state.execution("prog-1", 1) is Execution.UNKNOWN
+    journal.answer(1)
+    assert journal.state.execution("prog-1", 1) is Execution.UNKNOWN
+
+
 def test_an_answer_of_a_disproved_attempt_closes_nothing():
     # A sidecar proved that an attempt never ran, and then an answer arrives under its number,
     # crossed or forged. It was taken with an empty result: the entry had neither an answer nor a
