Tell a caller when the rate can be checked again

Cause: while a bucket's new owner waits out earlier ones, a call with little time was refused with `retry_after_ms` of about a token's time, 20 at least. The owner's reply names the instant at which it may grant, but the entry used it only, cut to 0.25 s, for its own next question.

Change: the holder keeps that instant and no refusal names an earlier one. It is forgotten when the owner changes.

Tests: the new test, with the call at the owner and at another entry, failed before the change and passes after it. It also checks that a call sent then is admitted. The tests of decisions and of entry pass.

--- a/libs/decisions/tarragonhall_decisions/_rate_holder.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_holder.py
@@ -85,6 +85,8 @@
     _backlog: float = 0.0
     _backlog_at: float = 0.0
     _dry: bool = False
+    # When the owner, by its last word, may grant again after waiting out earlier owners.
+    _usable_at: float = float("-inf")
 
     def offer(
         self, call_id: str, deadline: Deadline, started: bool, now: float
@@ -97,7 +99,7 @@
         wait_s = self._expected_wait_s(ahead, now)
         limit_s = min(MAX_WAIT_S, allowed_s)
         if wait_s > limit_s:
-            return RateRefused(call_id, self._refusal(wait_s - limit_s))
+            return RateRefused(call_id, self._refusal(wait_s - limit_s, now))
         call = WaitingCall(call_id, started, now + allowed_s)
         self.waiting.insert(ahead if started else len(self.waiting), call)
         return None
@@ -127,7 +129,7 @@
                 kept.append(call)
                 continue
             wait_s = self._expected_wait_s(len(kept), now)
-            refused.append(RateRefused(call.call_id, self._refusal(wait_s)))
+            refused.append(RateRefused(call.call_id, self._refusal(wait_s, now)))
         self.waiting = kept
         return refused
 
@@ -149,11 +151,13 @@
                         _HeldSlice(owner, reply.slice_id, reply.tokens, usable_until)
                     )
                 self._dry = reply.retry_after_ms > 0
+                self._usable_at = now
                 self._backlog = reply.backlog
                 self._backlog_at = now
                 self.ask_after = now + reply.retry_after_ms / 1000
             case NotOwner():
                 self._dry = False
+                self._usable_at = now + reply.retry_after_ms / 1000
                 pause_s = min(MAX_PAUSE_S, max(MIN_PAUSE_S, reply.retry_after_ms / 1000))
                 self.ask_after = now + pause_s
 
@@ -167,6 +171,7 @@
         """Ask the new owner soon; what was known of the old one's backlog is void."""
         self.asked_at = None
         self.ask_after = float("-inf")
+        self._usable_at = float("-inf")
         self._dry = False
         self._backlog = 0.0
 
@@ -208,7 +213,9 @@
         others = max(0.0, self._backlog - per_second * (now - self._backlog_at))
         return (ahead + 1 + others) / per_second
 
-    def _refusal(self, retry_after_s: float) -> Refusal:
+    def _refusal(self, retry_after_s: float, now: float) -> Refusal:
+        # A bucket's new owner grants nothing for seconds; to come back sooner would be for nothing.
+        retry_after_s = max(retry_after_s, self._usable_at - now)
         retry_after_s = max(retry_after_s, 1.0 / max(self.rate.per_second, MIN_RATE))
         if self._dry:
             code, message = RefusalCode.RATE_EXCEEDED, "the organisation is over its rate"
--- a/libs/decisions/tests/rate_owner_tests.py
+++ b/libs/decisions/tests/rate_owner_tests.py
@@ -4,7 +4,8 @@
 
 import random
 
-from tarragonhall_decisions import Ask, Deadline, RateLimiter, Tell
+import pytest
+from tarragonhall_decisions import Admitted, Ask, Deadline, RateLimiter, RateRefused, Tell
 from tarragonhall_model import (
     EntryRecord,
     HandOver,
@@ -202,3 +203,37 @@
     entry.withdraw(org_id, call_id)
     asked = [output.entry_id for output in outputs if isinstance(output, Ask)]
     return asked or [entry.entry_id]
+
+
+@pytest.mark.parametrize("asks", [OWNER, NEXT])
+def test_a_refusal_while_a_bucket_is_not_yet_usable_says_when_it_will_be(asks):
+    """All entries have just been restarted and the bucket's owner waits out earlier ones. A caller
+    with little time was told to come back after 20 ms, and came back for nothing for seconds.
+    """
+    owner, holder = limiter(OWNER), limiter(asks)
+    if asks == OWNER:
+        holder = owner
+    for one in (owner, holder):
+        one.on_view(view(5, IDS), 0.0)
+        one.on_fresh(0.0)
+    outputs = holder.offer(ORG, "call-1", Deadline(0.5), False, 0.0)
+    _answer(owner, holder, outputs, 0.0)
+    refused = [one for one in holder.tick(0.25) if isinstance(one, RateRefused)]
+    assert [one.call_id for one in refused] == ["call-1"]
+    back_at = 0.25 + refused[0].refusal.retry_after_ms / 1000
+    assert ask(owner, 5, back_at - 0.05) is None
+    owner.on_fresh(back_at)
+    holder.on_fresh(back_at)
+    outputs = holder.offer(ORG, "call-2", Deadline(back_at + 0.5), False, back_at)
+    outputs += _answer(owner, holder, outputs, back_at)
+    assert Admitted("call-2") in outputs
+
+
+def _answer(owner: RateLimiter, holder: RateLimiter, outputs: list, now: float) -> list:
+    """Let the owner answer what its peer asked."""
+    answers = []
+    for output in outputs:
+        if isinstance(output, Ask):
+            reply = owner.handle(output.message, now)
+            answers += holder.on_reply(output.entry_id, ORG, reply, output.sent_at, now)
+    return answers
