Show with real processes that a cancel stops a sub-agent's call

A new scenario cancels a root while a model call of its sub-agent runs in the engine. A step allows 3 s and 10 s.

--- a/features/entries.feature
+++ b/features/entries.feature
@@ -106,6 +106,18 @@
     And the program is cancelled through "entry-2" while the call runs
     Then the call ends within 3 seconds
 
+  Scenario: A program is cancelled while a call of its sub-agent runs
+    # The agent is given up, but its sub-agent's call ran on: it held a slot of the engine and its
+    # memory until it had written an answer that nobody wanted.
+    Given a deployment with two entries
+    And a program of a caller
+    And a sub-agent of the program
+    And the engine takes long for a call
+    When the caller sends a model call through "entry-1"
+    And the sub-agent's root is cancelled through "entry-2" while the call runs
+    Then the call ends within 3 seconds
+    And the engine runs and holds nothing of the sub-agent within 10 seconds
+
   Scenario: Two sub-agents loop without end and race for the last calls of their budget
     # Both share the budget of the program that opened them and reach it through different entries
     # at the same moment. Counted at each entry, the last calls would be spent twice.
--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -341,3 +341,26 @@
     with eventlet.Timeout(seconds):
         reply = context.waiting.pop().wait()
     assert "answer" in reply.value or reply.value["error"] in ("cancelled", "program_ended"), reply
+
+
+@given("a sub-agent of the program")
+def given_sub_agent(context):
+    context.root_id = context.program_id
+    parent = {"parent": context.root_id}
+    reply = context.caller.send(ENTRIES[0], "POST", "/v1/programs", parent)
+    context.program_id = reply.value["program_id"]
+
+
+@when('the sub-agent\'s root is cancelled through "{entry}" while the call runs')
+def cancel_root(context, entry):
+    wait_until(lambda: context.deployment.engine.batch.running)
+    reply = context.caller.send(entry, "POST", f"/v1/programs/{context.root_id}/cancel", {})
+    assert reply.value["status"] == "cancelled", reply
+
+
+@then("the engine runs and holds nothing of the sub-agent within {seconds:g} seconds")
+def engine_is_free(context, seconds):
+    batch = context.deployment.engine.batch
+    with eventlet.Timeout(seconds):
+        while batch.running or context.program_id in batch.cache.held:
+            eventlet.sleep(0.05)
