--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus bench-state bench-sidecar run-association run-agency
+.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus bench-state bench-sidecar bench-path run-association run-agency
 
 setup: $(STAMP)
 
@@ -54,7 +54,13 @@
 bench-state: setup
 	$(BIN)/python benchmarks/state_bench.py
 
-bench: bench-consensus bench-state bench-sidecar
+bench-path: setup
+	$(BIN)/python -W ignore benchmarks/path_bench.py
+
+capacity: setup
+	$(BIN)/python -W ignore benchmarks/capacity.py
+
+bench: bench-path bench-consensus bench-state bench-sidecar
 
 measure: setup
 	$(BIN)/python tools/measure.py
