Send sidecars the settings without organisations and keys

Cause: every sidecar held all organisations and keys, which it never reads. Measured: 0.74 KiB each, so 11 MB at 15,000 organisations on top of 52 MB, against a bound of 64 MB; and 4.6 MB to send each. Change: control leaves them out for processes with nothing but sidecars and marks such a delta; a follower that admits callers refuses a marked one, since an entry may share the link. Conclusion: what a sidecar holds no longer grows with the organisations.

--- a/libs/control/tarragonhall_control/_followers.py
+++ b/libs/control/tarragonhall_control/_followers.py
@@ -1,20 +1,43 @@
-"""Who follows settings and view over a link, and what each was last sent."""
+"""Who follows settings and view over a link, and what each was last sent.
+
+Entries get all settings. A process with nothing but sidecars gets them without organisations and
+keys: it admits nobody, and at 15,000 organisations they would take a fifth of its memory.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from tarragonhall_model import LinkError, News
+from tarragonhall_model import EntryRecord, LinkError, News, PolicyDelta, ServerRecord
 from tarragonhall_state import ControlState
 from tarragonhall_wire import Link, Metrics
 
 
 @dataclass(slots=True)
 class Sent:
-    """The newest revision and epoch that went to a follower."""
+    """The newest revision and epoch that went to a follower, and whether it admits callers."""
 
     revision: int
     epoch: int
+    admits: bool = False
+
+
+def policy_for(node: EntryRecord | ServerRecord, policy: PolicyDelta | None) -> PolicyDelta | None:
+    """Return the part of a policy that a node needs."""
+    if policy is None or isinstance(node, EntryRecord):
+        return policy
+    return _without_callers(policy)
+
+
+def _without_callers(policy: PolicyDelta) -> PolicyDelta:
+    return replace(
+        policy,
+        models_only=True,
+        organisations=(),
+        keys=(),
+        removed_organisations=(),
+        removed_keys=(),
+    )
 
 
 class Followers:
@@ -32,9 +55,14 @@
         self._sent_by_link: dict[Link, Sent] = {}
         self._pushed = Sent(0, 0)
 
-    def note(self, link: Link, revision: int, epoch: int) -> None:
-        """Remember what a follower has, as of its heartbeat and the reply to it."""
-        self._sent_by_link[link] = Sent(revision, epoch)
+    def note(self, link: Link, node: EntryRecord | ServerRecord, revision: int, epoch: int) -> None:
+        """Remember what a follower has, as of its heartbeat and the reply to it.
+
+        An entry and sidecars may share a process, and so a link; then news holds everything.
+        """
+        earlier = self._sent_by_link.get(link)
+        admits = isinstance(node, EntryRecord) or (earlier is not None and earlier.admits)
+        self._sent_by_link[link] = Sent(revision, epoch, admits)
 
     def forget(self, link: Link) -> None:
         """Forget a link that has closed."""
@@ -55,11 +83,11 @@
         if self._pushed == Sent(revision, epoch):
             return
         self._pushed = Sent(revision, epoch)
-        news_by_lack: dict[tuple[int, bool], News] = {}
+        news_by_lack: dict[tuple[int, bool, bool], News] = {}
         for link, sent in list(self._sent_by_link.items()):
             if sent.revision >= revision and sent.epoch >= epoch:
                 continue
-            lack = (sent.revision, sent.epoch < epoch)
+            lack = (sent.revision, sent.epoch < epoch, sent.admits)
             if lack not in news_by_lack:
                 news_by_lack[lack] = self._news(*lack)
             try:
@@ -69,11 +97,13 @@
                 self.forget(link)
                 continue
             self._metrics.count("control.news_sent")
-            self._sent_by_link[link] = Sent(revision, epoch)
+            self._sent_by_link[link] = Sent(revision, epoch, sent.admits)
 
-    def _news(self, base: int, wants_view: bool) -> News:
-        lacks_policy = base < self._state.revision
+    def _news(self, base: int, wants_view: bool, admits: bool) -> News:
+        policy = self._state.policy_since(base) if base < self._state.revision else None
+        if policy is not None and not admits:
+            policy = _without_callers(policy)
         return News(
-            policy=self._state.policy_since(base) if lacks_policy else None,
+            policy=policy,
             view=self._state.view() if wants_view else None,
         )
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -30,6 +30,7 @@
 from tarragonhall_state import CreateFirstOperator
 from tarragonhall_wire import Link
 
+from tarragonhall_control._followers import policy_for
 from tarragonhall_control._loop import BUSY_RETRY_MS, LeadUnknownError, LoopBusyError
 from tarragonhall_control._member import ControlMember
 
@@ -89,12 +90,13 @@
         state = member.state
         behind = beat.settings_revision < state.revision
         outdated = beat.view_epoch < state.epoch
-        member.followers.note(link, state.revision, state.epoch)
+        policy = state.policy_since(beat.settings_revision) if behind else None
+        member.followers.note(link, beat.node, state.revision, state.epoch)
         return Fresh(
             settings_revision=state.revision,
             view_epoch=state.epoch,
             fencing=member.loop.replica.status().term,
-            policy=state.policy_since(beat.settings_revision) if behind else None,
+            policy=policy_for(beat.node, policy),
             view=state.view() if outdated else None,
         )
 
--- /dev/null
+++ b/libs/control/tests/followers_tests.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+from tarragonhall_control._followers import Followers, policy_for
+from tarragonhall_model import (
+    EntryRecord,
+    KeyPolicy,
+    ModelPolicy,
+    OrganisationPolicy,
+    PolicyDelta,
+    ServerKind,
+    ServerRecord,
+    View,
+)
+from tarragonhall_wire import Metrics
+
+ENTRY = EntryRecord("entry-1", "life-1", "127.0.0.1:1", "zona-a")
+SERVER = ServerRecord(
+    "engine-1", "life-1", "127.0.0.1:2", "zona-a", ServerKind.MODEL, ["negotiator-8b"]
+)
+POLICY = PolicyDelta(
+    0,
+    5,
+    organisations=(OrganisationPolicy("org-1", "/org-1"),),
+    keys=(KeyPolicy("hash", "org-1"),),
+    models=(ModelPolicy("negotiator-8b", "v1"),),
+    removed_keys=("old",),
+)
+
+
+class State:
+    revision, epoch = 5, 1
+
+    def policy_since(self, _revision):
+        return POLICY
+
+    def view(self):
+        return View(1, [], [])
+
+
+class RecordingLink:
+    def __init__(self) -> None:
+        self.sent = []
+
+    def send(self, message) -> None:
+        self.sent.append(message)
+
+
+def pushed_to(*nodes) -> PolicyDelta:
+    followers, link = Followers(State(), Metrics()), RecordingLink()
+    for node in nodes:
+        followers.note(link, node, 4, 1)
+    followers.push()
+    return link.sent[0].policy
+
+
+def test_an_entry_gets_organisations_and_keys():
+    assert policy_for(ENTRY, POLICY) == POLICY
+    assert pushed_to(ENTRY) == POLICY
+
+
+def test_a_sidecar_gets_models_but_no_organisations_and_no_keys():
+    # The process beside each backend server has 64 MB. With 15,000 organisations the settings that
+    # it never reads would push it over, and key hashes would lie beside every backend server.
+    for policy in (policy_for(SERVER, POLICY), pushed_to(SERVER)):
+        assert policy.models == POLICY.models
+        assert (policy.organisations, policy.keys, policy.removed_keys) == ((), (), ())
+        assert policy.revision == POLICY.revision
+
+
+def test_a_process_with_an_entry_and_sidecars_gets_everything_in_any_order():
+    # Both share one link. Cut down for the sidecar, the news would leave the entry on old keys
+    # under a new revision, and a withdrawn key would go on working.
+    assert pushed_to(ENTRY, SERVER) == pushed_to(SERVER, ENTRY) == POLICY
--- a/libs/model/tarragonhall_model/_policy.py
+++ b/libs/model/tarragonhall_model/_policy.py
@@ -53,7 +53,8 @@
     """Changes that lead from one settings revision to another.
 
     With `full` set, the lists hold everything and replace what the receiver had; `base` is then
-    ignored. Removed entries are named by id, hash or model name.
+    ignored. Removed entries are named by id, hash or model name. With `models_only`, organisations
+    and keys were left out, for a receiver that admits nobody.
     """
 
     base: int
@@ -65,6 +66,7 @@
     removed_organisations: tuple[str, ...] = ()
     removed_keys: tuple[str, ...] = ()
     removed_models: tuple[str, ...] = ()
+    models_only: bool = False
 
 
 class ServerKind(enum.Enum):
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -79,7 +79,7 @@
         self._backend = Backend(settings.server, settings.progress_ms / 1000)
         identity = Identity(settings.server_id, self._incarnation, settings.kind, settings.slots)
         self._execution = Execution(identity, set(settings.serves), AttemptMemory())
-        self._follower = Follower()
+        self._follower = Follower(models_only=True)
         self._committer = Committer(self._incarnation, control, context.metrics)
         self._order_desk = OrderDesk(self._backend, self._follower, context, self._execution.serves)
         self._reconciler: Reconciler | None = None
--- a/libs/state/tarragonhall_state/_follower.py
+++ b/libs/state/tarragonhall_state/_follower.py
@@ -33,13 +33,17 @@
         "key_by_hash",
         "lease_seconds",
         "model_by_name",
+        "models_only",
         "organisation_by_id",
         "settings_revision",
         "view",
     )
 
-    def __init__(self, lease_seconds: float = FRESHNESS_LEASE_SECONDS) -> None:
+    def __init__(
+        self, lease_seconds: float = FRESHNESS_LEASE_SECONDS, models_only: bool = False
+    ) -> None:
         self.lease_seconds = lease_seconds
+        self.models_only = models_only
         self.organisation_by_id: dict[str, OrganisationPolicy] = {}
         self.key_by_hash: dict[str, KeyPolicy] = {}
         self.model_by_name: dict[str, ModelPolicy] = {}
@@ -54,6 +58,10 @@
             return False
         if not delta.full and delta.base != self.settings_revision:
             return False
+        if delta.models_only and not self.models_only:
+            # Sent to a sidecar in this process. Taken for whole, it would raise the revision here
+            # without the keys that were withdrawn with it.
+            return False
         if delta.full:
             self.organisation_by_id.clear()
             self.key_by_hash.clear()
--- a/libs/state/tests/follower_tests.py
+++ b/libs/state/tests/follower_tests.py
@@ -70,3 +70,13 @@
     follower.apply_policy(PolicyDelta(0, 9, full=True, organisations=(SCHOOL,)))
     assert follower.key_by_hash == {}
     assert follower.organisation_by_id == {"school": SCHOOL}
+
+
+def test_a_follower_that_admits_callers_refuses_a_delta_without_them():
+    # An entry shares its process, and so its link, with a sidecar. A new leader heard only the
+    # sidecar so far and pushes what a sidecar needs. Taken for whole, the revision would say that a
+    # withdrawn key is gone, while the key goes on working.
+    delta = PolicyDelta(0, 1, models_only=True)
+    entry, sidecar = Follower(), Follower(models_only=True)
+    assert (entry.apply_policy(delta), entry.settings_revision) == (False, 0)
+    assert (sidecar.apply_policy(delta), sidecar.settings_revision) == (True, 1)
