--- a/libs/control/tests/followers_tests.py
+++ b/libs/control/tests/followers_tests.py
@@ -11,7 +11,7 @@
     ServerRecord,
     View,
 )
-from tarragonhall_wire import Metrics
+from tarragonhall_wire import Metrics, Peer
 
 ENTRY = EntryRecord("entry-1", "life-1", "127.0.0.1:1", "zona-a")
 SERVER = ServerRecord(
@@ -40,6 +40,7 @@
 class RecordingLink:
     def __init__(self) -> None:
         self.sent = []
+        self.peer = Peer("instance-1", "life-1", "127.0.0.1:1")
 
     def send(self, message) -> None:
         self.sent.append(message)
