Show in the member list how far each member has got

The table of 'tarragonhall member list' has a column match_index that the admin API never filled, so operators could not see which member lags. GET /members now takes it from the leader's progress, and the last index of the log for the leader itself. A test with a stopped member holds it.

Also a test that a proposal on three members takes four messages until it is answered.

--- a/libs/consensus/tests/replica_tests.py
+++ b/libs/consensus/tests/replica_tests.py
@@ -8,6 +8,7 @@
 from tarragonhall_consensus._leadership import Leadership
 from tarragonhall_consensus._messages import (
     AppendReply,
+    AppendRequest,
     Envelope,
     SnapshotChunk,
     VoteReply,
@@ -24,6 +25,26 @@
     assert len(cluster.leader_by_term) == 1
 
 
+def test_a_proposal_takes_four_messages_until_it_is_answered():
+    """A further message to each member at each commit once made half of all traffic.
+
+    Members on slow links would fall behind, and users would wait longer for every change.
+    """
+    cluster = Cluster(3)
+    leader = cluster.await_leader()
+    cluster.commit(b"before")
+    cluster.run(1)
+    # Heartbeats on their way, and the answers to them, are no part of the proposal.
+    cluster.deliver()
+    cluster.sent.clear()
+    token = cluster.propose(b"one", leader)
+    cluster.deliver()
+    assert cluster.ended(token) == "done"
+    kinds = [(source == leader, type(message)) for source, _, message in cluster.sent]
+    expected = [(True, AppendRequest)] * 2 + [(False, AppendReply)] * 2
+    assert kinds == expected
+
+
 def test_one_way_cut_of_the_leader():
     """The leader is heard by all and hears nobody, for a minute.
 
--- a/libs/control/tarragonhall_control/_admin_system.py
+++ b/libs/control/tarragonhall_control/_admin_system.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import eventlet
-from tarragonhall_consensus import Member
+from tarragonhall_consensus import Member, Status
 from tarragonhall_model import (
     DrainServer,
     Finding,
@@ -115,7 +115,11 @@
         """GET /members."""
         status = self._member.loop.replica.status()
         members = [
-            as_json(member) | {"leader": member.member_id == status.leader}
+            as_json(member)
+            | {
+                "leader": member.member_id == status.leader,
+                "match_index": _match_index(status, member.member_id),
+            }
             for member in status.members
         ]
         return AdminReply({"leader": status.leader, "term": status.term, "members": members})
@@ -223,6 +227,14 @@
         return self._state.configuration.path_by_org_id.get(org_id, ROOT_PATH)
 
 
+def _match_index(status: Status, member_id: str) -> int | None:
+    """Return up to which index the member holds the leader's log; None where not known yet."""
+    if status.leader == status.member_id == member_id:
+        return status.last_index
+    peer = status.peer_by_id.get(member_id)
+    return peer.match_index if peer else None
+
+
 def _shown(event: TimelineEvent) -> dict:
     """Return an event with its stamp spread out, as the tool prints it."""
     shown = as_json(event)
--- a/libs/control/tests/admin_tests.py
+++ b/libs/control/tests/admin_tests.py
@@ -174,6 +174,28 @@
     assert sorted(one["member_id"] for one in members) == ["one", "three", "two"]
 
 
+def test_operators_see_how_far_each_member_has_got(start_group):
+    # A member falls behind, for example because its disk is slow. Were this not shown, operators
+    # would take another member out of service and be left without a majority.
+    group = start_group("one", "two", "three")
+    leader = group.leader()
+    admin = group.admin(leader)
+    admin("POST", "/organisations", {"org_id": "school", "path": "/school"})
+
+    def match_index_by_id():
+        listed = admin("GET", "/members")[1]["members"]
+        return {one["member_id"]: one["match_index"] for one in listed}
+
+    group.until(lambda: len(set(match_index_by_id().values())) == 1)
+    before = match_index_by_id()[leader]
+    assert before >= admin("GET", "/status")[1]["commit_index"] > 0
+    stopped = next(name for name in ("one", "two", "three") if name != leader)
+    group.stop(stopped)
+    assert admin("POST", "/organisations", {"org_id": "winery", "path": "/winery"})[0] == 200
+    after = match_index_by_id()
+    assert after[stopped] < after[leader]
+
+
 def test_a_member_whose_disk_fails_takes_no_further_part(start_group, monkeypatch):
     # The data folder of the leader fails. What it goes on promising would not be on any disk, so
     # it stops, and the other members go on without it.
