Take an entry whose link closed out of the view sooner

Cause: a killed entry kept its place in the view for entry_timeout_ms (4 s), although control saw its link close at once. Callers of the organisations whose tokens it gave out waited for it. Change: an entry that isn't heard again within 1.5 s of the close of the link it was last heard over is removed. Heartbeats come at least once a second and a lost link is dialled again within 0.15 s, so one that lives stays. The owner's lease is still waited out by the new owner, from the change of the view on; an entry that is removed by mistake gives up its buckets as after any missed change of the entries. Backend servers keep their timeout: entries have links of their own to them and see these close. The test with real links and the three of the watch failed before and pass now.

--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -86,7 +86,7 @@
     def start(self) -> None:
         """Begin to take part in the group."""
         self.context.hub.handle(LogMessage, self._on_log_message)
-        self.context.hub.on_down(self.followers.forget)
+        self.context.hub.on_down(self._on_link_down)
         eventlet.spawn_n(self.loop.run)
         eventlet.spawn_n(self._repeat, WATCH_SECONDS, self._remove_silent_nodes)
         eventlet.spawn_n(self._repeat, EXPIRE_SECONDS, self._expire_programs)
@@ -135,9 +135,9 @@
         """Return whether a majority confirmed, from now on, that this member leads."""
         return self.is_leader() and self.loop.confirm(CONFIRM_SECONDS)
 
-    def hear(self, node: Node) -> None:
+    def hear(self, node: Node, link: Link) -> None:
         """Take note of a heartbeat and announce the node where it is new or changed."""
-        self.nodes.heard(node, self.context.monotonic())
+        self.nodes.heard(node, self.context.monotonic(), link)
         key = node_key(node)
         if key in self._announcing:
             return
@@ -196,6 +196,10 @@
         except LinkError:
             self.context.metrics.count("control.peer_unreachable")
 
+    def _on_link_down(self, link: Link) -> None:
+        self.followers.forget(link)
+        self.nodes.link_closed(link, self.context.monotonic())
+
     def _on_log_message(self, link: Link, carried: LogMessage) -> None:
         if link.peer.instance != carried.sender:
             return
--- a/libs/control/tarragonhall_control/_nodes.py
+++ b/libs/control/tarragonhall_control/_nodes.py
@@ -8,6 +8,9 @@
 
 # Far above the interval of the checks: a gap like this means that this process itself was paused.
 PAUSE_SECONDS = 1.0
+# An entry whose link closed and that lives dials again within 0.15 s and sends a heartbeat within
+# another second. This is also the least timeout that the settings take.
+CLOSED_LINK_SECONDS = 1.5
 
 
 class NodeWatch:
@@ -15,8 +18,10 @@
 
     __slots__ = (
         "_checked_at",
+        "_closed_at_by_key",
         "_granted_at",
         "_heard_at_by_key",
+        "_link_by_key",
         "_replaced",
         "entry_timeout_s",
         "server_timeout_s",
@@ -26,6 +31,8 @@
         self.entry_timeout_s = entry_timeout_s
         self.server_timeout_s = server_timeout_s
         self._heard_at_by_key: dict[str, float] = {}
+        self._link_by_key: dict[str, object] = {}
+        self._closed_at_by_key: dict[str, float] = {}
         self._replaced: dict[str, str] = {}
         self._granted_at = 0.0
         self._checked_at = 0.0
@@ -37,12 +44,27 @@
         view within its first second, and all running work with it.
         """
         self._heard_at_by_key.clear()
+        self._closed_at_by_key.clear()
         self._granted_at = now
         self._checked_at = now
 
-    def heard(self, node: Node, now: float) -> None:
-        """Note a heartbeat."""
-        self._heard_at_by_key[node_key(node)] = now
+    def heard(self, node: Node, now: float, link: object = None) -> None:
+        """Note a heartbeat and the link that it came over."""
+        key = node_key(node)
+        self._heard_at_by_key[key] = now
+        self._link_by_key[key] = link
+        self._closed_at_by_key.pop(key, None)
+
+    def link_closed(self, link: object, now: float) -> None:
+        """Note that a link closed: whoever was last heard over it may be gone.
+
+        A killed entry's callers wait for rate tokens until it is out of the view. Its links close
+        at once, so waiting for its whole timeout would only make them wait longer.
+        """
+        for key, newest in list(self._link_by_key.items()):
+            if newest is link:
+                del self._link_by_key[key]
+                self._closed_at_by_key[key] = now
 
     def is_replaced(self, node: Node) -> bool:
         """Return whether a later life of the node was announced since.
@@ -72,13 +94,18 @@
         self._checked_at = now
         found: list[Node] = []
         for entry in view.entries:
-            if now - self._last_sign(entry) > self.entry_timeout_s:
+            silent = now - self._last_sign(entry) > self.entry_timeout_s
+            if silent or self._is_lost(entry, now):
                 found.append(entry)
         for server in view.servers:
             if now - self._last_sign(server) > self.server_timeout_s:
                 found.append(server)
         return found
 
+    def _is_lost(self, entry: EntryRecord, now: float) -> bool:
+        closed_at = self._closed_at_by_key.get(node_key(entry))
+        return closed_at is not None and now - closed_at > CLOSED_LINK_SECONDS
+
     def _last_sign(self, node: Node) -> float:
         return self._heard_at_by_key.get(node_key(node), self._granted_at)
 
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -83,7 +83,7 @@
         member = self._member
         if not member.is_leader():
             return self._not_leader()
-        member.hear(beat.node)
+        member.hear(beat.node, link)
         if not member.confirm():
             return self._not_leader()
         state = member.state
--- a/libs/control/tests/failure_tests.py
+++ b/libs/control/tests/failure_tests.py
@@ -45,6 +45,18 @@
         assert [one["org_id"] for one in shown["organisations"]] == ["school"]
 
 
+def test_an_entry_whose_links_closed_leaves_the_view_before_its_timeout(start_group):
+    # An entry is killed. Its links close at once, but it kept its place in the view for its whole
+    # timeout, and the callers of the organisations whose tokens it gave out waited that long.
+    group = start_group("one")
+    group.role_by_name["one"].member.nodes.entry_timeout_s = 60.0
+    context, _, _ = group.follower("entry-1")
+    _, kept, _ = group.follower("entry-2")
+    group.until(lambda: kept.view is not None and len(kept.view.entries) == 2)
+    context.hub.stop()
+    group.until(lambda: [entry.entry_id for entry in kept.view.entries] == ["entry-2"])
+
+
 def test_a_resend_after_the_leader_stopped_gets_the_first_result(start_group):
     # The leader commits an entry's proposal and dies before its answer is out. The entry sends the
     # proposal again to the next leader. Were it carried out again, one request of a caller would
--- a/libs/control/tests/nodes_tests.py
+++ b/libs/control/tests/nodes_tests.py
@@ -46,6 +46,40 @@
     assert watched_until(watch, 13.0) == []
 
 
+def test_an_entry_that_is_heard_on_a_new_link_stays():
+    # A switch resets a connection. The entry lives on and dials again; taken out of the view, it
+    # would give up its buckets and its organisations would wait for nothing.
+    watch = NodeWatch(4.0, 3.0)
+    watch.grant_all(0.0)
+    watch.heard(ENTRY, 1.0, "first link")
+    watch.link_closed("first link", 1.0)
+    watch.heard(ENTRY, 2.25, "second link")
+    watch.heard(SERVER, 2.25)
+    assert watched_until(watch, 5.0) == []
+    watch.link_closed("second link", 5.0)
+    assert ENTRY in watched_until(watch, 6.75)
+
+
+def test_an_earlier_link_that_closes_late_says_nothing():
+    # The end of a half-open connection is noticed long after the entry dialled again.
+    watch = NodeWatch(4.0, 3.0)
+    watch.grant_all(0.0)
+    watch.heard(ENTRY, 0.5, "first link")
+    watch.heard(ENTRY, 1.0, "second link")
+    watch.heard(SERVER, 2.0)
+    watch.link_closed("first link", 1.0)
+    assert watched_until(watch, 4.75) == []
+
+
+def test_a_new_leader_forgets_the_links_that_closed_before():
+    # A member leads again after a while. What it saw in its earlier lead says nothing about now.
+    watch = NodeWatch(4.0, 3.0)
+    watch.heard(ENTRY, 0.0, "link")
+    watch.link_closed("link", 0.0)
+    watch.grant_all(10.0)
+    assert watched_until(watch, 12.75) == []
+
+
 def test_a_late_heartbeat_of_an_earlier_life_does_not_bring_it_back():
     # The process restarted; a heartbeat of its earlier life was stuck in a queue. Announced again,
     # it would draw work to a life that is gone.
