Find the next organisation of the fair queue in logarithmic time

Cause: take went through all waiting organisations for the least start tag. Change: two heaps, one of those due at the virtual time by name, one of the others by finish; a changed charge puts in a new place and the outdated ones are dropped when they come up. Same decisions: a property compares each choice with the least tag found by going through all. Without a backlog to start from it passed with the note at the end of a call taken out, so it was given one; with it, that mutation and the one of giving a call back fail. Offering a call is still linear: the expected wait sums the weights of all that wait.

--- a/libs/decisions/tarragonhall_decisions/_fair_queue.py
+++ b/libs/decisions/tarragonhall_decisions/_fair_queue.py
@@ -43,6 +43,7 @@
     can_meet,
     deadline_refusal,
 )
+from tarragonhall_decisions._organisation_order import OrganisationOrder
 
 AGEING_TOKENS_PER_S = 240.0
 ATTAINED_CAP = 2_400.0
@@ -123,6 +124,7 @@
     _queued_cost: float = 0.0
     _by_org: dict[str, _Organisation] = field(default_factory=dict)
     _backlogged: set[str] = field(default_factory=set)
+    _organisation_order: OrganisationOrder = field(default_factory=OrganisationOrder)
     _in_service: dict[str, QueuedCall] = field(default_factory=dict)
     _latest_starts: list[tuple[float, int, QueuedCall]] = field(default_factory=list)
 
@@ -153,11 +155,12 @@
         """Remove and return the call to run next."""
         if not self._backlogged:
             return None
-        chosen = min(self._backlogged, key=lambda i: (self._start_tag(self._by_org[i]), i))
+        chosen = self._organisation_order.first(self._virtual)
         org = self._by_org[chosen]
         call = self._pop(org)
         self._virtual = self._start_tag(org)
         org.finish = self._virtual + call.cost / org.weight
+        self._note_finish(chosen)
         call.taken = now
         self._in_service[call.call_id] = call
         return call
@@ -184,6 +187,7 @@
             return
         org = self._organisation(call.org_id)
         org.finish += (actual_cost - call.cost) / org.weight
+        self._note_finish(call.org_id)
 
     def expire(self, now: float) -> list[Dropped]:
         """Refuse the waiting calls that can no longer be answered in time."""
@@ -232,6 +236,10 @@
     def _start_tag(self, org: _Organisation) -> float:
         return max(self._virtual, org.finish)
 
+    def _note_finish(self, org_id: str) -> None:
+        if org_id in self._backlogged:
+            self._organisation_order.note(org_id, self._by_org[org_id].finish)
+
     def _drop_from(self, org: _Organisation, now: float) -> Dropped:
         victim = max(org.waiting.values(), key=lambda c: (not c.started, c.rank()))
         self._forget(org, victim)
@@ -256,6 +264,7 @@
         self._queued_cost += call.cost
         self._size += 1
         self._backlogged.add(call.org_id)
+        self._note_finish(call.org_id)
 
     def _pop(self, org: _Organisation) -> QueuedCall:
         while True:
@@ -276,6 +285,7 @@
             org.queued_cost = 0.0
             org.heap.clear()
             self._backlogged.discard(call.org_id)
+            self._organisation_order.discard(call.org_id)
         if not self._size:
             self._queued_cost = 0.0
             self._latest_starts.clear()
--- a/libs/decisions/tests/fair_queue_tests.py
+++ b/libs/decisions/tests/fair_queue_tests.py
@@ -90,6 +90,70 @@
     assert max(shares) - min(shares) <= 2.1 * largest_step
 
 
+def first_by_going_through_all(queue: FairQueue) -> str | None:
+    """Return the organisation that comes next, found in the plainest way."""
+    tags = [
+        (max(queue._virtual, queue._by_org[org].finish), org)
+        for org in {item.org_id for one in queue._by_org.values() for item in one.waiting.values()}
+    ]
+    return min(tags)[1] if tags else None
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    steps=STEPS,
+    weights=st.tuples(*[st.sampled_from([0.5, 1.0, 4.0])] * 3),
+    backlog=st.sampled_from([0, 20]),
+)
+def test_next_organisation_is_that_with_the_least_start_tag(steps, weights, backlog):
+    """An order that misses a change of a charge serves an organisation beyond its share, and the
+    callers of the others wait without a reason that anyone could see.
+    """
+    queue = FairQueue()
+    for org, weight in zip("abc", weights, strict=True):
+        queue.set_weight(org, weight)
+        # Without a backlog of each the order would hardly ever matter.
+        for number in range(backlog):
+            queue.offer(call(org, f"{org}-first-{number}", 10.0 + 3 * number), 0.0)
+    taken: list[QueuedCall] = []
+    for number, (step, org, size) in enumerate(steps):
+        match step:
+            case "offer":
+                queue.offer(call(org, f"{org}{number}", size), 0.0)
+            case "take":
+                expected = first_by_going_through_all(queue)
+                item = queue.take(0.0)
+                assert (item.org_id if item else None) == expected
+                taken.extend([item] if item else [])
+            case "end" if taken:
+                queue.on_end(taken.pop(0), size)
+            case "back" if taken:
+                queue.give_back(taken.pop())
+            case "remove" if len(queue):
+                name = min(name for one in queue._by_org.values() for name in one.waiting)
+                assert queue.remove(name, name[0]).call_id == name
+    while len(queue):
+        expected = first_by_going_through_all(queue)
+        assert queue.take(0.0).org_id == expected
+
+
+def test_outdated_places_in_the_order_do_not_pile_up():
+    """One organisation waits behind while another is served for days; the memory must not grow with
+    the calls that ended meanwhile.
+    """
+    queue = FairQueue()
+    queue.set_weight("slow", 1e-6)
+    queue.offer(call("slow", "slow-0"), 0.0)
+    queue.offer(call("slow", "slow-1"), 0.0)
+    queue.on_end(queue.take(0.0), 1e9)
+    for number in range(2_000):
+        queue.offer(call("busy", f"a{number}"), 0.0)
+        queue.give_back(queue.take(0.0))
+        queue.on_end(queue.take(0.0), 10.0 + number % 3)
+    order = queue._organisation_order
+    assert len(order._later) + len(order._due) <= 100
+
+
 def test_long_program_is_not_starved_by_new_ones():
     """A program has used thousands of tokens, and new programs arrive without end. Its next call
     must come up after a bounded time.
