Announce what engines have loaded, and tell the leader the demand

Cause: the leader could not decide on orders to engines. It knew neither which version an engine has loaded nor how long calls wait.

Change: ServerRecord.loaded is the engine's own word, read before each order and with each probe. Heartbeat.load carries the oldest wait of each model from entries and the busy share from sidecars. The order desk takes the model out of service, waits until its calls ended, gives the order and serves what the engine then has; an order that is already in effect, by the engine's word, is not given again. The first word of the engine replaces the settings' list after a restart. The fakes of control in the tests of entry and sidecar take the new argument of follow.

Result: the tests of model, wire, entry, sidecar and fakes pass.

--- a/libs/entry/tarragonhall_entry/_role.py
+++ b/libs/entry/tarragonhall_entry/_role.py
@@ -6,7 +6,7 @@
 import structlog
 from eventlet.greenthread import GreenThread
 from tarragonhall_decisions import DrainPhase, EntryDrain
-from tarragonhall_model import EntryRecord, Refusal, RefusalCode, View
+from tarragonhall_model import EntryRecord, NodeLoad, Refusal, RefusalCode, View
 from tarragonhall_wire import ControlClient, HttpServer, ProcessContext, Role
 
 from tarragonhall_entry._access import Access
@@ -43,6 +43,7 @@
         "_http",
         "_rates",
         "_runner",
+        "_scheduler",
         "_settings",
         "_turns",
     )
@@ -61,6 +62,7 @@
             context.rng,
             settings.queue_per_organisation,
         )
+        self._scheduler = scheduler
         self._follower = EntryFollower(context, self._rates, scheduler)
         access = Access(self._follower)
         self._turns = Turns(context, scheduler, access, self._follower)
@@ -84,7 +86,7 @@
 
     def start(self) -> None:
         """Follow the settings and serve callers."""
-        self._control.follow(self._announcement, self._follower)
+        self._control.follow(self._announcement, self._follower, self._load)
         self._http.start()
         log.info("entry.started", listen=self._settings.listen)
 
@@ -132,6 +134,9 @@
         open_server = stopping is None or not stopping.dead
         return len(self._runner.running_by_name) + open_server
 
+    def _load(self) -> NodeLoad:
+        return NodeLoad(self._scheduler.waits(self._now()))
+
     def _leave(self) -> None:
         """Leave the view and hand the rate buckets to their owners in the view without us."""
         self._control.leave(self._announcement(), LEAVE_SECONDS)
--- a/libs/entry/tarragonhall_entry/_scheduler.py
+++ b/libs/entry/tarragonhall_entry/_scheduler.py
@@ -122,6 +122,15 @@
         """Return the calls that wait."""
         return list(self._waiting_by_id.values())
 
+    def waits(self, now: float) -> dict[str, float]:
+        """Return for how many seconds the oldest waiting call of each model has waited."""
+        longest: dict[str, float] = {}
+        for waiting in self._waiting_by_id.values():
+            spec = waiting.call.spec
+            if spec.kind is CallKind.MODEL:
+                longest[spec.target] = max(longest.get(spec.target, 0.0), now - waiting.since)
+        return longest
+
     def retry_budget(self, target: str) -> RetryBudget:
         """Return the retry budget of a target."""
         return self._budget_by_target.setdefault(target, RetryBudget())
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -118,7 +118,7 @@
         self.follower = None
         self.left = False
 
-    def follow(self, node, follower) -> None:
+    def follow(self, node, follower, load) -> None:
         self.follower = follower
         follower.apply_view(View(1, [node()], [], entries_version=2))
         self.confirm()
--- a/libs/fakes/tarragonhall_fakes/_engine.py
+++ b/libs/fakes/tarragonhall_fakes/_engine.py
@@ -176,12 +176,20 @@
         if self.options.fencing_enforced and order["fencing"] < self._highest_fencing:
             exchange.reply({"error": "old fencing number"}, status=409)
             return
+        fault = self.faults.take(exchange.request_seen.body.decode())
+        if fault is not None and fault.kind is FaultKind.LATE:
+            # It acts on the order only after whoever gave it has stopped to wait.
+            eventlet.sleep(fault.seconds)
         self._highest_fencing = max(self._highest_fencing, order["fencing"])
         self.orders.append(order)
         if order["action"] == "role":
             self.role = order["model"]
+        elif order["action"] == "unload":
+            self.loaded.pop(order["model"], None)
         else:
             self.loaded[order["model"]] = order["version"]
+        if fault is not None and fault.kind is FaultKind.HANG:
+            exchange.hang()
         exchange.reply({"done": True})
 
     def _health(self, exchange: Exchange) -> None:
--- a/libs/model/tarragonhall_model/_messages.py
+++ b/libs/model/tarragonhall_model/_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import field
 
 from tarragonhall_model._calls import (
     Answer,
@@ -126,6 +127,18 @@
     crashes: int
 
 
+@record
+class NodeLoad:
+    """What the leader needs to decide which engine loads which model.
+
+    An entry gives how long the oldest waiting call of each target has waited, in seconds; a sidecar
+    gives the share of its server's slots in use.
+    """
+
+    waiting_s_by_target: dict[str, float] = field(default_factory=dict)
+    busy_share: float = 0.0
+
+
 @record
 class Heartbeat:
     """Sent to the leader about once a second by every entry and sidecar. Reply: `Fresh`,
@@ -137,6 +150,7 @@
     node: EntryRecord | ServerRecord
     settings_revision: int
     view_epoch: int
+    load: NodeLoad = NodeLoad()
 
 
 @record
--- a/libs/model/tarragonhall_model/_policy.py
+++ b/libs/model/tarragonhall_model/_policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import field
 
 from tarragonhall_model._calls import Budget
 from tarragonhall_model._codec import record
@@ -76,7 +77,10 @@
 
 @record
 class ServerRecord:
-    """A backend server as its sidecar announced it. `serves` names models or services."""
+    """A backend server as its sidecar announced it. `serves` names models or services.
+
+    `loaded` maps what the engine itself says it has loaded to the version; services leave it empty.
+    """
 
     server_id: str
     incarnation: str
@@ -86,6 +90,7 @@
     serves: list[str]
     slots: int = 8
     draining: bool = False
+    loaded: dict[str, str] = field(default_factory=dict)
 
 
 @record
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -151,6 +151,13 @@
         """Ask the engine to free what it holds for a program; its listing shows if it did."""
         self.ask("POST", "/v1/release", {"program": program_id})
 
+    def loaded(self) -> dict[str, str]:
+        """Return the version of each model that the engine says it has loaded."""
+        found = self.ask("GET", "/health").get("loaded", {})
+        if not isinstance(found, dict):
+            raise BackendError("/health: loaded is no object")
+        return {str(model): str(version) for model, version in found.items()}
+
     def order(self, order: EngineOrder) -> None:
         """Give the engine an order and wait until it has carried it out."""
         fields = {
--- a/libs/sidecar/tarragonhall_sidecar/_execution.py
+++ b/libs/sidecar/tarragonhall_sidecar/_execution.py
@@ -245,6 +245,13 @@
                 return RejectReason.INCARNATION
         return None
 
+    def in_use(self, target: str) -> bool:
+        """Return whether an accepted attempt of a target has not ended yet."""
+        return any(
+            attempt.dispatch.spec.target == target and attempt.state is not State.ENDED
+            for attempt in self._attempt_by_key.values()
+        )
+
     def _present_refusal(self, dispatch: Dispatch) -> RejectReason | None:
         if self.draining:
             return RejectReason.DRAINING
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -13,6 +13,7 @@
     EngineOrder,
     LinkError,
     LoadReport,
+    NodeLoad,
     OrderDone,
     ServerKind,
     ServerRecord,
@@ -81,7 +82,7 @@
         self._execution = Execution(identity, set(settings.serves), AttemptMemory())
         self._follower = Follower()
         self._committer = Committer(self._incarnation, control, context.metrics)
-        self._order_desk = OrderDesk(self._backend, self._follower, context, self._execution.serves)
+        self._order_desk = OrderDesk(self._backend, self._follower, context, self._execution)
         self._reconciler: Reconciler | None = None
         if settings.kind is ServerKind.MODEL:
             self._reconciler = Reconciler(self._backend, control, context, self._execution)
@@ -102,7 +103,8 @@
             eventlet.spawn_n(loop)
         if self._reconciler is not None:
             eventlet.spawn_n(self._reconciler.run)
-        self._control.follow(self.record, self._follower)
+        self._read_loaded()
+        self._control.follow(self.record, self._follower, self.load)
 
     def record(self) -> ServerRecord:
         """Return what this sidecar announces of its server."""
@@ -115,8 +117,14 @@
             serves=sorted(self._execution.serves),
             slots=self._settings.slots,
             draining=self._leaving,
+            loaded=dict(self._order_desk.loaded),
         )
 
+    def load(self) -> NodeLoad:
+        """Return how busy the server is."""
+        running = self._execution.count(State.RUNNING, State.BROKEN, State.WAITING)
+        return NodeLoad(busy_share=running / self._settings.slots)
+
     def ready(self) -> bool:
         """Return whether the server answers and this sidecar is known to control."""
         return self._execution.up and self._follower.is_fresh(self._context.monotonic())
@@ -278,6 +286,11 @@
         while not self._stopped:
             self._probe()
             eventlet.sleep(PROBE_SECONDS)
+            self._read_loaded()
+
+    def _read_loaded(self) -> None:
+        if self._settings.kind is ServerKind.MODEL:
+            self._order_desk.read_loaded()
 
     def _probe(self) -> None:
         was_up = self._execution.up
--- a/libs/sidecar/tests/conftest.py
+++ b/libs/sidecar/tests/conftest.py
@@ -67,7 +67,7 @@
     def ask(self, query, timeout_s):
         return Living([name for name in query.program_ids if name in self.living])
 
-    def follow(self, node, follower):
+    def follow(self, node, follower, load):
         self.node, self.follower = node, follower
         entry = EntryRecord("entry", "1", "", "tx-austin")
         follower.apply_view(View(1, [entry], []))
--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -17,6 +17,7 @@
     Leaving,
     LinkError,
     News,
+    NodeLoad,
     NotLeader,
     PolicyDelta,
     Propose,
@@ -129,10 +130,15 @@
                     self._leader = member.address
                     return TimedReply(reply, sent_at)
 
-    def follow(self, node: Callable[[], EntryRecord | ServerRecord], follower: FollowerApi) -> None:
+    def follow(
+        self,
+        node: Callable[[], EntryRecord | ServerRecord],
+        follower: FollowerApi,
+        load: Callable[[], NodeLoad] = NodeLoad,
+    ) -> None:
         """Keep a follower fresh and `node` announced, from a green thread, until it leaves."""
         self.followers.append(follower)
-        eventlet.spawn_n(self._follow_loop, node, follower)
+        eventlet.spawn_n(self._follow_loop, node, follower, load)
 
     def leave(self, node: EntryRecord | ServerRecord, timeout_s: float) -> None:
         """Leave the view; after a failure the missing heartbeats do the same, later.
@@ -146,9 +152,9 @@
         except UnavailableError as error:
             log.warning("control.leave_failed", error=str(error))
 
-    def _follow_loop(self, node: Callable, follower: FollowerApi) -> None:
+    def _follow_loop(self, node: Callable, follower: FollowerApi, load: Callable) -> None:
         while _node_id(node()) not in self._left:
-            beat = Heartbeat(node(), follower.settings_revision, follower.view.epoch)
+            beat = Heartbeat(node(), follower.settings_revision, follower.view.epoch, load())
             try:
                 timed = self.ask_timed(beat, ATTEMPT_SECONDS * 2)
             except UnavailableError:
