Decide on orders to engines and send them

Cause: sidecars carried out orders, but nothing gave any.

Change: the leader compares the versions in force and the demand with what the engines say they have loaded, and gives one order at a time to each server, with its confirmed term as fencing number. An order is resent under the same id until its outcome is known, which goes to metrics, time line and log. A version goes from server to server and is held where the ready ones would fall below min_replicas.

--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -27,6 +27,7 @@
 from tarragonhall_control._loop import LeadUnknownError, LogLoop, LoopBusyError, LoopHooks
 from tarragonhall_control._messages import LogMessage
 from tarragonhall_control._nodes import Node, NodeWatch, node_key
+from tarragonhall_control._order_sender import OrderSender
 from tarragonhall_control._settings import ControlSettings
 
 log = structlog.get_logger(__name__)
@@ -39,6 +40,8 @@
 WATCH_SECONDS = 0.25
 # Programs expire to the second; each round that finds something costs one commit.
 EXPIRE_SECONDS = 1.0
+# Loading weights takes tens of seconds; half a second until the next order is little beside it.
+ORDER_SECONDS = 0.5
 LEADER = "leader"
 
 
@@ -55,6 +58,7 @@
         "followers",
         "loop",
         "nodes",
+        "orders",
         "state",
     )
 
@@ -65,6 +69,7 @@
         self.state = ControlState()
         self.followers = Followers(self.state, context.metrics)
         self.nodes = NodeWatch(settings.entry_timeout_ms / 1000, settings.server_timeout_ms / 1000)
+        self.orders = OrderSender(self)
         self._settings = settings
         self._address_by_peer: dict[str, str] = {}
         self._announcing: set[str] = set()
@@ -90,6 +95,7 @@
         eventlet.spawn_n(self.loop.run)
         eventlet.spawn_n(self._repeat, WATCH_SECONDS, self._remove_silent_nodes)
         eventlet.spawn_n(self._repeat, EXPIRE_SECONDS, self._expire_programs)
+        eventlet.spawn_n(self._repeat, ORDER_SECONDS, self.orders.step)
 
     def stop(self) -> None:
         """Take no further part."""
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -84,6 +84,7 @@
         if not member.is_leader():
             return self._not_leader()
         member.hear(beat.node)
+        member.orders.note(beat.node, beat.load)
         if not member.confirm():
             return self._not_leader()
         state = member.state
