--- a/libs/fakes/tarragonhall_fakes/_engine.py
+++ b/libs/fakes/tarragonhall_fakes/_engine.py
@@ -173,13 +173,13 @@
 
     def _order(self, exchange: Exchange) -> None:
         order = exchange.request_seen.json()
-        if self.options.fencing_enforced and order["fencing"] < self._highest_fencing:
-            exchange.reply({"error": "old fencing number"}, status=409)
-            return
         fault = self.faults.take(exchange.request_seen.body.decode())
         if fault is not None and fault.kind is FaultKind.LATE:
             # It acts on the order only after whoever gave it has stopped to wait.
             eventlet.sleep(fault.seconds)
+        if self.options.fencing_enforced and order["fencing"] < self._highest_fencing:
+            exchange.reply({"error": "old fencing number"}, status=409)
+            return
         self._highest_fencing = max(self._highest_fencing, order["fencing"])
         self.orders.append(order)
         if order["action"] == "role":
--- a/libs/fakes/tarragonhall_fakes/_faults.py
+++ b/libs/fakes/tarragonhall_fakes/_faults.py
@@ -43,6 +43,10 @@
         """Forget all faults."""
         self._pending.clear()
 
+    def pending(self) -> int:
+        """Return how many faults have not befallen a request yet."""
+        return len(self._pending)
+
     def take(self, body: str) -> Fault | None:
         """Return the fault that befalls a request with this body."""
         for fault in self._pending:
