--- a/libs/model/tarragonhall_model/_policy.py
+++ b/libs/model/tarragonhall_model/_policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import field
 
 from tarragonhall_model._calls import Budget
 from tarragonhall_model._codec import record
@@ -53,7 +54,8 @@
     """Changes that lead from one settings revision to another.
 
     With `full` set, the lists hold everything and replace what the receiver had; `base` is then
-    ignored. Removed entries are named by id, hash or model name.
+    ignored. Removed entries are named by id, hash or model name. With `models_only`, organisations
+    and keys were left out, for a receiver that admits nobody.
     """
 
     base: int
@@ -65,6 +67,7 @@
     removed_organisations: tuple[str, ...] = ()
     removed_keys: tuple[str, ...] = ()
     removed_models: tuple[str, ...] = ()
+    models_only: bool = False
 
 
 class ServerKind(enum.Enum):
@@ -76,7 +79,10 @@
 
 @record
 class ServerRecord:
-    """A backend server as its sidecar announced it. `serves` names models or services."""
+    """A backend server as its sidecar announced it. `serves` names models or services.
+
+    `loaded` maps what the engine itself says it has loaded to the version; services leave it empty.
+    """
 
     server_id: str
     incarnation: str
@@ -86,6 +92,7 @@
     serves: list[str]
     slots: int = 8
     draining: bool = False
+    loaded: dict[str, str] = field(default_factory=dict)
 
 
 @record
