--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -11,6 +11,7 @@
     CloseCall,
     DisproveAttempt,
     EndProgram,
+    ExecutionKnown,
     Fresh,
     Heartbeat,
     Leaving,
@@ -21,6 +22,7 @@
     Propose,
     Proposed,
     QueryCall,
+    QueryExecution,
     QueryLiving,
     QueryProgram,
     QueryQuarantine,
@@ -30,6 +32,7 @@
 from tarragonhall_state import CreateFirstOperator
 from tarragonhall_wire import Link
 
+from tarragonhall_control._followers import policy_for
 from tarragonhall_control._loop import BUSY_RETRY_MS, LeadUnknownError, LoopBusyError
 from tarragonhall_control._member import ControlMember
 
@@ -64,6 +67,7 @@
         hub.handle(Heartbeat, self.on_heartbeat)
         hub.handle(Leaving, self.on_leaving)
         hub.handle(QueryCall, self._reader(self._call))
+        hub.handle(QueryExecution, self._reader(self._execution))
         hub.handle(QueryProgram, self._reader(self._program))
         hub.handle(QueryLiving, self._reader(self._living))
         hub.handle(QueryQuarantine, self._reader(self._quarantine))
@@ -83,18 +87,20 @@
         member = self._member
         if not member.is_leader():
             return self._not_leader()
-        member.hear(beat.node)
+        member.hear(beat.node, link)
+        member.orders.note(beat.node, beat.load)
         if not member.confirm():
             return self._not_leader()
         state = member.state
         behind = beat.settings_revision < state.revision
         outdated = beat.view_epoch < state.epoch
-        member.followers.note(link, state.revision, state.epoch)
+        policy = state.policy_since(beat.settings_revision) if behind else None
+        member.followers.note(link, beat.node, state.revision, state.epoch)
         return Fresh(
             settings_revision=state.revision,
             view_epoch=state.epoch,
             fencing=member.loop.replica.status().term,
-            policy=state.policy_since(beat.settings_revision) if behind else None,
+            policy=policy_for(beat.node, policy),
             view=state.view() if outdated else None,
         )
 
@@ -133,6 +139,9 @@
     def _call(self, query: QueryCall) -> object:
         return self._member.state.call(query.program_id, query.seq, query.org_id)
 
+    def _execution(self, query: QueryExecution) -> object:
+        return ExecutionKnown(self._member.state.execution(query.program_id, query.seq))
+
     def _program(self, query: QueryProgram) -> object:
         return self._member.state.program(query.program_id, query.org_id)
 
--- a/libs/model/tarragonhall_model/_messages.py
+++ b/libs/model/tarragonhall_model/_messages.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import field
 
 from tarragonhall_model._calls import (
     Answer,
     AttemptId,
     CallKind,
     CallSpec,
+    Execution,
     Refusal,
     Turn,
 )
@@ -69,6 +71,25 @@
     org_id: str
 
 
+@record
+class QueryExecution:
+    """Ask whether a call may have run, for a caller whose organisation is not known. Reply:
+    `ExecutionKnown` or `NotLeader`. The answer is linearizable, and tells nothing else of the call.
+    """
+
+    program_id: str
+    seq: int
+
+
+@record
+class ExecutionKnown:
+    """What the journal knows of a call: `NOT_RUN` where it never ran and nothing can still run it,
+    else `UNKNOWN`.
+    """
+
+    execution: Execution
+
+
 @record
 class QueryProgram:
     """Ask for a program and its history. Reply: `ProgramReport`, `Refusal` or `NotLeader`."""
@@ -126,6 +147,18 @@
     crashes: int
 
 
+@record
+class NodeLoad:
+    """What the leader needs to decide which engine loads which model.
+
+    An entry gives how long the oldest waiting call of each target has waited, in seconds; a sidecar
+    gives the share of its server's slots in use.
+    """
+
+    waiting_s_by_target: dict[str, float] = field(default_factory=dict)
+    busy_share: float = 0.0
+
+
 @record
 class Heartbeat:
     """Sent to the leader about once a second by every entry and sidecar. Reply: `Fresh`,
@@ -137,6 +170,7 @@
     node: EntryRecord | ServerRecord
     settings_revision: int
     view_epoch: int
+    load: NodeLoad = NodeLoad()
 
 
 @record
@@ -281,9 +315,10 @@
 
 @record
 class ReleaseProgram:
-    """The program has ended; free what the engine holds for it."""
+    """The program has ended; free what the engine holds for it, and stop these attempts of it."""
 
     program_id: str
+    stop: tuple[AttemptId, ...] = ()
 
 
 @record
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -9,10 +9,12 @@
 import eventlet
 import structlog
 from tarragonhall_model import (
+    AttemptId,
     AttemptOutcome,
     EngineOrder,
     LinkError,
     LoadReport,
+    NodeLoad,
     OrderDone,
     ServerKind,
     ServerRecord,
@@ -34,6 +36,7 @@
     PeerClosed,
     ProbeNow,
     Produced,
+    ProgramGone,
     Reply,
     Send,
     ServerCrashed,
@@ -79,9 +82,9 @@
         self._backend = Backend(settings.server, settings.progress_ms / 1000)
         identity = Identity(settings.server_id, self._incarnation, settings.kind, settings.slots)
         self._execution = Execution(identity, set(settings.serves), AttemptMemory())
-        self._follower = Follower()
+        self._follower = Follower(models_only=True)
         self._committer = Committer(self._incarnation, control, context.metrics)
-        self._order_desk = OrderDesk(self._backend, self._follower, context, self._execution.serves)
+        self._order_desk = OrderDesk(self._backend, self._follower, context, self._execution)
         self._reconciler: Reconciler | None = None
         if settings.kind is ServerKind.MODEL:
             self._reconciler = Reconciler(self._backend, control, context, self._execution)
@@ -102,7 +105,8 @@
             eventlet.spawn_n(loop)
         if self._reconciler is not None:
             eventlet.spawn_n(self._reconciler.run)
-        self._control.follow(self.record, self._follower)
+        self._read_loaded()
+        self._control.follow(self.record, self._follower, self.load)
 
     def record(self) -> ServerRecord:
         """Return what this sidecar announces of its server."""
@@ -115,8 +119,14 @@
             serves=sorted(self._execution.serves),
             slots=self._settings.slots,
             draining=self._leaving,
+            loaded=dict(self._order_desk.loaded),
         )
 
+    def load(self) -> NodeLoad:
+        """Return how busy the server is."""
+        running = self._execution.count(State.RUNNING, State.BROKEN, State.WAITING)
+        return NodeLoad(busy_share=running / self._settings.slots)
+
     def ready(self) -> bool:
         """Return whether the server answers and this sidecar is known to control."""
         return self._execution.up and self._follower.is_fresh(self._context.monotonic())
@@ -136,6 +146,10 @@
             del self._link_by_peer[peer]
             self._handle(PeerClosed(peer))
 
+    def stop_attempt(self, attempt: AttemptId) -> None:
+        """Stop an attempt whose program was cancelled or has expired."""
+        self._handle(ProgramGone(attempt))
+
     def program_ended(self, program_id: str) -> None:
         """Release what the engine holds for a program, now and until its listing shows it gone."""
         if self._reconciler is not None:
@@ -278,6 +292,11 @@
         while not self._stopped:
             self._probe()
             eventlet.sleep(PROBE_SECONDS)
+            self._read_loaded()
+
+    def _read_loaded(self) -> None:
+        if self._settings.kind is ServerKind.MODEL:
+            self._order_desk.read_loaded()
 
     def _probe(self) -> None:
         was_up = self._execution.up
--- a/libs/state/tarragonhall_state/_journal.py
+++ b/libs/state/tarragonhall_state/_journal.py
@@ -11,10 +11,12 @@
 
 from tarragonhall_model import (
     AbandonCall,
+    AttemptId,
     CallSummary,
     CloseCall,
     DisproveAttempt,
     EndProgram,
+    Execution,
     ExpirePrograms,
     OpenCall,
     OpenProgram,
@@ -100,6 +102,30 @@
         """Return what is known of a call."""
         return self._calls.status(program_id, seq, org_id, living_entries)
 
+    def execution(self, program_id: str, seq: int) -> Execution:
+        """Return `NOT_RUN` where it is certain, else `UNKNOWN`; nobody's key is needed for it."""
+        program = self._programs.by_id.get(program_id)
+        if program is None:
+            # It may have been dropped some time after its end, and its calls may have run.
+            return Execution.UNKNOWN
+        call = program.call(seq)
+        if call is None or (call.state is CallState.CLOSED and call.has_run_nowhere()):
+            return Execution.NOT_RUN
+        # A call that waits at another entry has not run, but may be started at any moment.
+        return Execution.UNKNOWN
+
+    def attempts_under(self, program_id: str) -> list[AttemptId]:
+        """Return the newest attempt of each call of a program and of all its sub-agents."""
+        found = []
+        pending = [program_id]
+        while pending:
+            program = self._programs.by_id.get(pending.pop())
+            if program is None:
+                continue
+            pending.extend(program.children)
+            found.extend(call.attempts[-1].attempt_id for call in program.calls if call.attempts)
+        return found
+
     def recall(self, reference: CallReference) -> CallOutcome:
         """Return what became of a call, to one whose request opened or closed it before."""
         program = self._programs.by_id.get(reference.program_id)
