Test that entries send nothing to a sidecar whose link closed

The entry did so already: the router takes a server out when its link closes and back at its next load report.

--- a/libs/entry/tests/role_tests.py
+++ b/libs/entry/tests/role_tests.py
@@ -9,6 +9,7 @@
     Chunk,
     Dispatch,
     KeyPolicy,
+    LoadReport,
     PolicyDelta,
     encode,
     secret_hash,
@@ -176,3 +177,27 @@
         kind, data = block.split("\n")
         events.append((kind.removeprefix("event: "), json.loads(data.removeprefix("data: "))))
     return events
+
+
+def test_a_sidecar_whose_link_closed_gets_no_work_until_it_reports_again(entry):
+    """A sidecar's process dies and stays in the view until its timeout. A call that is sent to it
+    meanwhile fails first and is tried again. Once it reports it must be used like any other.
+    """
+    gone = entry.serve(entry.answer_at_once(), "desk-1")
+    kept = entry.serve(entry.answer_at_once(), "desk-2")
+    entry.hub.cut(gone.peer.address)
+    # Dialled again, but nothing is known of the new process yet.
+    entry.hub.link_by_address[gone.peer.address] = gone
+    for seq in range(1, 5):
+        assert entry.call(seq).status == 200
+    assert dispatches(gone) == 0
+    assert dispatches(kept) == 4
+    entry.hub.cut(kept.peer.address)
+    entry.hub.deliver(gone, LoadReport("desk-1", "life-desk-1", 0, 0, 2))
+    assert entry.call(5).status == 200
+    assert dispatches(gone) == 1
+
+
+def dispatches(link) -> int:
+    """Return how many calls were sent over a link."""
+    return sum(isinstance(message, Dispatch) for message in link.sent)
