--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -9,6 +9,7 @@
 import eventlet
 import structlog
 from tarragonhall_model import (
+    AttemptId,
     AttemptOutcome,
     EngineOrder,
     LinkError,
@@ -35,6 +36,7 @@
     PeerClosed,
     ProbeNow,
     Produced,
+    ProgramGone,
     Reply,
     Send,
     ServerCrashed,
@@ -80,7 +82,7 @@
         self._backend = Backend(settings.server, settings.progress_ms / 1000)
         identity = Identity(settings.server_id, self._incarnation, settings.kind, settings.slots)
         self._execution = Execution(identity, set(settings.serves), AttemptMemory())
-        self._follower = Follower()
+        self._follower = Follower(models_only=True)
         self._committer = Committer(self._incarnation, control, context.metrics)
         self._order_desk = OrderDesk(self._backend, self._follower, context, self._execution)
         self._reconciler: Reconciler | None = None
@@ -144,6 +146,10 @@
             del self._link_by_peer[peer]
             self._handle(PeerClosed(peer))
 
+    def stop_attempt(self, attempt: AttemptId) -> None:
+        """Stop an attempt whose program was cancelled or has expired."""
+        self._handle(ProgramGone(attempt))
+
     def program_ended(self, program_id: str) -> None:
         """Release what the engine holds for a program, now and until its listing shows it gone."""
         if self._reconciler is not None:
