Split the command lines of the tool by what they are about

Change: one module for settings, keys and the like, one for programs, servers and members; the options and the session stand apart. Conclusion: each module has one job.

--- a/libs/cli/tarragonhall_cli/__main__.py
+++ b/libs/cli/tarragonhall_cli/__main__.py
@@ -8,11 +8,10 @@
 import click
 from tarragonhall_model import TarragonhallError
 
-from tarragonhall_cli import _cluster, _programs, _settings
-from tarragonhall_cli._client import AdminClient
+from tarragonhall_cli import _cluster, _programs, _settings_commands, _system_commands
 from tarragonhall_cli._output import Output
-from tarragonhall_cli._profiles import DEFAULT_FILE, choose_profile
-from tarragonhall_cli._values import parse_assignments
+from tarragonhall_cli._profiles import DEFAULT_FILE
+from tarragonhall_cli._session import Session
 
 VERSION = "0.1.0"
 PROGRAM = "tarragonhall"
@@ -22,32 +21,9 @@
 PROFILE_HELP = "Profile to use."
 PROFILES_HELP = "Profiles file."
 JSON_HELP = "Print JSON instead of a table."
-EXPECT_HELP = "Revision that must still be in force; another one makes the change a conflict."
-DRY_RUN_HELP = "Check the change and show its effect without making it."
-HOURS_HELP = "Hours until the key expires; without it the key does not expire."
-REPLACES_HELP = "Id of the key that the new one replaces."
-OVERLAP_HELP = "Seconds for which the replaced key goes on working."
 SINCE_HELP = "Only events of the last so many seconds."
 
 
-class Session:
-    """The client and the output of one run; the profile is read when it is first needed."""
-
-    __slots__ = ("_client", "_options", "out")
-
-    def __init__(self, options: dict, out: Output) -> None:
-        self._options = options
-        self._client: AdminClient | None = None
-        self.out = out
-
-    @property
-    def client(self) -> AdminClient:
-        """Return the client of the chosen profile."""
-        if self._client is None:
-            self._client = AdminClient(choose_profile(**self._options))
-        return self._client
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(VERSION)
 @click.option("--admin", multiple=True, envvar="TARRAGONHALL_ADMIN", help=ADMIN_HELP)
@@ -110,341 +86,19 @@
     click.echo(maker(cli, {}, PROGRAM, "_TARRAGONHALL_COMPLETE").source())
 
 
-@cli.group()
-def org() -> None:
-    """Organisations."""
-
-
-@org.command("create")
-@click.argument("org_id")
-@click.argument("path")
-@click.argument("settings", nargs=-1)
-@click.pass_obj
-def org_create(session: Session, org_id: str, path: str, settings: tuple[str, ...]) -> None:
-    """Create an organisation at PATH, with settings given as NAME=VALUE."""
-    values = parse_assignments(settings)
-    _settings.create_organisation(session.client, session.out, org_id, path, values)
-
-
-@org.command("list")
-@click.pass_obj
-def org_list(session: Session) -> None:
-    """List the organisations."""
-    _settings.list_organisations(session.client, session.out)
-
-
-@cli.group()
-def key() -> None:
-    """Callers' keys."""
-
-
-@key.command("grant")
-@click.argument("org_id")
-@click.option("--hours", type=float, help=HOURS_HELP)
-@click.option("--replaces", help=REPLACES_HELP)
-@click.option("--overlap", type=int, default=3_600, show_default=True, help=OVERLAP_HELP)
-@click.pass_obj
-def key_grant(
-    session: Session, org_id: str, hours: float | None, replaces: str | None, overlap: int
-) -> None:
-    """Grant a key to an organisation; it is shown this once."""
-    _settings.grant_key(session.client, session.out, org_id, hours, replaces, overlap)
-    _settings.show_token_note()
-
-
-@key.command("list")
-@click.option("--org", "org_id", help="Only keys of this organisation.")
-@click.pass_obj
-def key_list(session: Session, org_id: str | None) -> None:
-    """List keys by id."""
-    _settings.list_keys(session.client, session.out, org_id)
-
-
-@key.command("withdraw")
-@click.argument("key_id")
-@click.pass_obj
-def key_withdraw(session: Session, key_id: str) -> None:
-    """Withdraw a key; it stops working within seconds."""
-    _settings.withdraw_key(session.client, session.out, key_id)
-
-
-@cli.group()
-def settings() -> None:
-    """The settings tree."""
-
-
-@settings.command("get")
-@click.argument("path", default="/")
-@click.pass_obj
-def settings_get(session: Session, path: str) -> None:
-    """Show what is in force at PATH and where it comes from."""
-    _settings.get_settings(session.client, session.out, path)
-
-
-@settings.command("set")
-@click.argument("path")
-@click.argument("values", nargs=-1)
-@click.option("--unset", multiple=True, help="Take the setting away here, so that it is inherited.")
-@click.option("--expect", type=int, help=EXPECT_HELP)
-@click.option("--dry-run", is_flag=True, help=DRY_RUN_HELP)
-@click.pass_obj
-def settings_set(
-    session: Session,
-    path: str,
-    values: tuple[str, ...],
-    unset: tuple[str, ...],
-    expect: int | None,
-    dry_run: bool,
-) -> None:
-    """Change settings at PATH, given as NAME=VALUE."""
-    changes = parse_assignments(values)
-    _settings.set_settings(session.client, session.out, path, changes, list(unset), expect, dry_run)
-
-
-@settings.command("explain")
-@click.argument("path")
-@click.argument("name")
-@click.pass_obj
-def settings_explain(session: Session, path: str, name: str) -> None:
-    """Show every level that has a say in setting NAME at PATH."""
-    _settings.explain_setting(session.client, session.out, path, name)
-
-
-@settings.command("history")
-@click.argument("path", default="/")
-@click.pass_obj
-def settings_history(session: Session, path: str) -> None:
-    """List the changes at and below PATH."""
-    _settings.settings_history(session.client, session.out, path)
-
-
-@settings.command("diff")
-@click.argument("path")
-@click.argument("from_revision", type=int)
-@click.argument("to_revision", type=int, required=False)
-@click.pass_obj
-def settings_diff(session: Session, path: str, from_revision: int, to_revision: int | None) -> None:
-    """Show what differs between two revisions."""
-    _settings.settings_diff(session.client, session.out, path, from_revision, to_revision)
-
-
-@settings.command("rollback")
-@click.argument("path")
-@click.argument("to_revision", type=int)
-@click.option("--expect", type=int, help=EXPECT_HELP)
-@click.pass_obj
-def settings_rollback(session: Session, path: str, to_revision: int, expect: int | None) -> None:
-    """Bring the subtree at PATH back to a revision, as a new change."""
-    _settings.rollback(session.client, session.out, path, to_revision, expect)
-
-
-@settings.command("export")
-@click.argument("path", default="/")
-@click.option("--file", type=click.Path(path_type=Path), help="Write to a file.")
-@click.pass_obj
-def settings_export(session: Session, path: str, file: Path | None) -> None:
-    """Write the subtree at PATH as JSON."""
-    _settings.export_settings(session.client, path, file)
-
-
-@settings.command("import")
-@click.argument("path")
-@click.argument("file", type=click.Path(path_type=Path))
-@click.option("--expect", type=int, help=EXPECT_HELP)
-@click.pass_obj
-def settings_import(session: Session, path: str, file: Path, expect: int | None) -> None:
-    """Replace the subtree at PATH by the one in FILE."""
-    _settings.import_settings(session.client, session.out, path, file, expect)
-
-
-@cli.group()
-def rate() -> None:
-    """Rates and bursts."""
-
-
-@rate.command("set")
-@click.argument("path")
-@click.argument("per_second", type=float)
-@click.argument("burst", type=float)
-@click.option("--expect", type=int, help=EXPECT_HELP)
-@click.pass_obj
-def rate_set(
-    session: Session, path: str, per_second: float, burst: float, expect: int | None
-) -> None:
-    """Set the calls a second and the burst at PATH."""
-    values = {"rate.per_second": per_second, "rate.burst": burst}
-    _settings.set_settings(session.client, session.out, path, values, [], expect, False)
-
-
-@cli.group()
-def budget() -> None:
-    """Budgets of programs."""
-
-
-@budget.command("set")
-@click.argument("path")
-@click.option("--tokens", type=int, help="Generated tokens of a program and its sub-agents.")
-@click.option("--calls", type=int, help="Calls of a program and its sub-agents.")
-@click.option("--seconds", type=int, help="Wall time since the program was opened.")
-@click.option("--expect", type=int, help=EXPECT_HELP)
-@click.pass_obj
-def budget_set(
-    session: Session,
-    path: str,
-    tokens: int | None,
-    calls: int | None,
-    seconds: int | None,
-    expect: int | None,
-) -> None:
-    """Set what a program opened from now on may use at PATH."""
-    given = {"budget.tokens": tokens, "budget.calls": calls, "budget.seconds": seconds}
-    values = {name: value for name, value in given.items() if value is not None}
-    if not values:
-        raise click.UsageError("give at least one of --tokens, --calls and --seconds")
-    _settings.set_settings(session.client, session.out, path, values, [], expect, False)
-
-
-@cli.group()
-def model() -> None:
-    """Models and their versions."""
-
-
-@model.command("set")
-@click.argument("name")
-@click.argument("version")
-@click.option("--min-replicas", type=int, default=1, show_default=True, help="Replicas to keep.")
-@click.option("--max-tokens", type=int, default=4_096, show_default=True, help="Limit of one call.")
-@click.pass_obj
-def model_set(
-    session: Session, name: str, version: str, min_replicas: int, max_tokens: int
-) -> None:
-    """Put VERSION of model NAME in force."""
-    _settings.set_model(session.client, session.out, name, version, min_replicas, max_tokens)
-
-
-@model.command("list")
-@click.pass_obj
-def model_list(session: Session) -> None:
-    """List the models."""
-    _settings.list_models(session.client, session.out)
-
-
-@cli.group()
-def operator() -> None:
-    """Operators and their tokens."""
-
-
-@operator.command("create")
-@click.argument("name")
-@click.argument("path")
-@click.option(
-    "--role",
-    type=click.Choice(["reader", "editor", "admin"]),
-    default="editor",
-    show_default=True,
-    help="What the operator may do in the subtree.",
-)
-@click.pass_obj
-def operator_create(session: Session, name: str, path: str, role: str) -> None:
-    """Create an operator for the subtree at PATH; the token is shown this once."""
-    _settings.create_operator(session.client, session.out, name, path, role)
-    _settings.show_token_note()
-
-
-@operator.command("list")
-@click.pass_obj
-def operator_list(session: Session) -> None:
-    """List the operators."""
-    _settings.list_operators(session.client, session.out)
-
-
-@cli.group()
-def program() -> None:
-    """Programs."""
-
-
-@program.command("list")
-@click.option("--org", "org_id", help="Only programs of this organisation.")
-@click.option("--status", type=click.Choice(["open", "finished", "cancelled", "expired"]))
-@click.pass_obj
-def program_list(session: Session, org_id: str | None, status: str | None) -> None:
-    """List programs."""
-    _programs.list_programs(session.client, session.out, org_id, status)
-
-
-@program.command("show")
-@click.argument("program_id")
-@click.pass_obj
-def program_show(session: Session, program_id: str) -> None:
-    """Show one program."""
-    _programs.show_program(session.client, session.out, program_id)
-
-
-@program.command("cancel")
-@click.argument("program_id")
-@click.pass_obj
-def program_cancel(session: Session, program_id: str) -> None:
-    """Cancel a program and its sub-agents."""
-    _programs.cancel_program(session.client, session.out, program_id)
-
-
-@cli.group()
-def server() -> None:
-    """Backend servers."""
-
-
-@server.command("list")
-@click.pass_obj
-def server_list(session: Session) -> None:
-    """List the backend servers."""
-    _cluster.list_servers(session.client, session.out)
-
-
-@server.command("drain")
-@click.argument("server_id")
-@click.option("--undo", is_flag=True, help="End the drain.")
-@click.pass_obj
-def server_drain(session: Session, server_id: str, undo: bool) -> None:
-    """Give a backend server no new work."""
-    _cluster.drain_server(session.client, session.out, server_id, not undo)
-
-
-@cli.group()
-def member() -> None:
-    """Control members."""
-
-
-@member.command("list")
-@click.pass_obj
-def member_list(session: Session) -> None:
-    """List the control members."""
-    _cluster.list_members(session.client, session.out)
-
-
-@member.command("add")
-@click.argument("member_id")
-@click.argument("address")
-@click.pass_obj
-def member_add(session: Session, member_id: str, address: str) -> None:
-    """Add a control member by its instance name and link address."""
-    _cluster.add_member(session.client, session.out, member_id, address)
-
-
-@member.command("remove")
-@click.argument("member_id")
-@click.pass_obj
-def member_remove(session: Session, member_id: str) -> None:
-    """Remove a control member."""
-    _cluster.remove_member(session.client, session.out, member_id)
-
-
-@member.command("replace")
-@click.argument("member_id")
-@click.option("--address", help="New link address, where it changed.")
-@click.pass_obj
-def member_replace(session: Session, member_id: str, address: str | None) -> None:
-    """Take a member whose data folder was lost back in, under its new identity."""
-    _cluster.replace_member(session.client, session.out, member_id, address)
+for group in (
+    _settings_commands.org,
+    _settings_commands.key,
+    _settings_commands.settings,
+    _settings_commands.rate,
+    _settings_commands.budget,
+    _settings_commands.model,
+    _settings_commands.operator,
+    _system_commands.program,
+    _system_commands.server,
+    _system_commands.member,
+):
+    cli.add_command(group)
 
 
 def main() -> None:
