Read and write links without the library's threads

Cause: a call through the whole path cost 11.5 ms of processor time over all roles, and a profile put a third of an entry's into handing messages between the threads and locks of the WebSocket library's blocking connections, which under eventlet are switches of green threads. Ruled out in trials before: the selector of the library, the codec, sending from the caller's thread. Change: our own input and output around the library's protocol logic; the writer sends everything that is queued in one write. A test reached for the listener through a private name; the hub tells its port. Conclusion: the links were the largest part of a call's cost, and the first to lower.

--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -8,21 +8,17 @@
 import eventlet
 import structlog
 from tarragonhall_model import LinkClosedError, LinkError, QueryTimeline
-from websockets.exceptions import WebSocketException
-from websockets.sync.client import connect
-from websockets.sync.server import serve
 
 from tarragonhall_wire._handshake import HandshakeError, Peer, answer_greeting, greet
 from tarragonhall_wire._link import Link
 from tarragonhall_wire._timeline import Timeline
+from tarragonhall_wire._websocket import WebSocket, accept, connect
 
 log = structlog.get_logger(__name__)
 
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+BACKLOG = 1_024
+# For the connection, the opening of the WebSocket and the mutual proof together.
 OPEN_TIMEOUT_SECONDS = 2.0
-HANDSHAKE_TIMEOUT_SECONDS = 2.0
-# The peer of a silent link never answers the closing frame; its socket must not wait for it long.
-CLOSE_TIMEOUT_SECONDS = 0.5
 # Out of file descriptors, for example: the loop goes on once some are free again.
 ACCEPT_PAUSE_SECONDS = 0.1
 RECONNECT_MIN_SECONDS = 0.1
@@ -40,11 +36,10 @@
         "_acceptor",
         "_dialled_by_address",
         "_handler_by_class",
-        "_listeners",
+        "_listener",
         "_on_down",
         "_rng",
         "_secret",
-        "_server",
         "_stopped",
         "_wanted",
         "accepted",
@@ -62,7 +57,7 @@
         self._on_down: list[Callable[[Link], None]] = []
         self._dialled_by_address: dict[str, Link] = {}
         self._wanted: set[str] = set()
-        self._server = None
+        self._listener = None
         self._acceptor = None
         self._stopped = False
         self.handle(QueryTimeline, lambda _link, query: timeline.find(query))
@@ -83,19 +78,14 @@
 
     def listen(self, address: str) -> None:
         """Accept links on `host:port`."""
-        host, port = split_address(address)
-        self._server = serve(
-            self._accept,
-            host,
-            port,
-            compression=None,
-            ping_interval=None,
-            max_size=MAX_MESSAGE_BYTES,
-            open_timeout=OPEN_TIMEOUT_SECONDS,
-            close_timeout=CLOSE_TIMEOUT_SECONDS,
-        )
+        self._listener = eventlet.listen(split_address(address), backlog=BACKLOG)
         self._acceptor = eventlet.spawn(self._accept_loop)
 
+    @property
+    def port(self) -> int:
+        """Return the port listened on, for an address whose port was 0."""
+        return self._listener.getsockname()[1]
+
     def link_to(self, address: str) -> Link:
         """Return the open link to an address, or raise `LinkClosedError` while there is none."""
         if address not in self._wanted:
@@ -136,7 +126,7 @@
         if self._acceptor is not None:
             # Ended before its socket is closed: the loop must not find a closed socket to wait on.
             self._acceptor.kill()
-            self._server.socket.close()
+            self._listener.close()
         for link in self.links():
             link.close()
 
@@ -147,24 +137,27 @@
         return handler(link, message)
 
     def _accept_loop(self) -> None:
-        # The server's own loop selects on its socket and fails loudly when that is closed.
         while True:
             try:
-                connection, address = self._server.socket.accept()
+                connection, _address = self._listener.accept()
             except OSError as error:
                 log.warning("link.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_PAUSE_SECONDS)
                 continue
-            eventlet.spawn_n(self._server.handler, connection, address)
+            eventlet.spawn_n(self._accept, connection)
 
-    def _accept(self, socket) -> None:
+    def _accept(self, connection) -> None:
+        opened = None
         try:
-            with eventlet.Timeout(HANDSHAKE_TIMEOUT_SECONDS, HandshakeError("too slow")):
-                peer = answer_greeting(socket.send, socket.recv, self._secret, self.me)
-        except (HandshakeError, WebSocketException, OSError, EOFError) as error:
+            with eventlet.Timeout(OPEN_TIMEOUT_SECONDS, HandshakeError("too slow")):
+                opened = accept(connection)
+                peer = answer_greeting(opened.send, opened.recv, self._secret, self.me)
+        except (LinkError, OSError, EOFError) as error:
             log.warning("link.refused", error=str(error))
+            if opened is not None:
+                opened.close()
             return
-        link = Link(socket, peer, self._dispatch, self.timeline.clock)
+        link = Link(opened, peer, self._dispatch, self.timeline.clock)
         self.accepted.append(link)
         self._run(link)
         self.accepted.remove(link)
@@ -189,29 +182,27 @@
 
     def _dial_and_run(self, address: str) -> bool:
         """Open a link and read it until it closes; return whether it opened."""
-        opened = False
+        link = self._dial(address)
+        if link is None:
+            return False
+        self._dialled_by_address[address] = link
+        self._run(link)
+        if self._dialled_by_address.get(address) is link:
+            del self._dialled_by_address[address]
+        return True
+
+    def _dial(self, address: str) -> Link | None:
+        opened: WebSocket | None = None
         try:
-            with connect(
-                f"ws://{address}/",
-                compression=None,
-                ping_interval=None,
-                proxy=None,
-                max_size=MAX_MESSAGE_BYTES,
-                open_timeout=OPEN_TIMEOUT_SECONDS,
-                close_timeout=CLOSE_TIMEOUT_SECONDS,
-            ) as socket:
-                with eventlet.Timeout(HANDSHAKE_TIMEOUT_SECONDS, HandshakeError("too slow")):
-                    peer = greet(socket.send, socket.recv, self._secret, self.me)
-                link = Link(socket, peer, self._dispatch, self.timeline.clock)
-                self._dialled_by_address[address] = link
-                opened = True
-                self._run(link)
-        except (HandshakeError, WebSocketException, OSError, EOFError) as error:
+            with eventlet.Timeout(OPEN_TIMEOUT_SECONDS, HandshakeError("too slow")):
+                opened = connect(split_address(address))
+                peer = greet(opened.send, opened.recv, self._secret, self.me)
+        except (LinkError, OSError, EOFError) as error:
             log.debug("link.dial_failed", address=address, error=str(error))
-        finally:
-            if opened and self._dialled_by_address.get(address) is link:
-                del self._dialled_by_address[address]
-        return opened
+            if opened is not None:
+                opened.close()
+            return None
+        return Link(opened, peer, self._dispatch, self.timeline.clock)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -14,13 +14,13 @@
 from tarragonhall_model import (
     CodecError,
     LinkClosedError,
+    LinkError,
     LinkOverloadedError,
     RequestTimeoutError,
     TarragonhallError,
     from_plain,
     to_plain,
 )
-from websockets.exceptions import ConnectionClosed
 
 from tarragonhall_wire._handshake import Peer
 from tarragonhall_wire._timeline import HybridClock
@@ -51,6 +51,7 @@
         "_pending",
         "_socket",
         "_wake",
+        "_writer_waits",
         "closed",
         "peer",
         "received_bytes",
@@ -65,6 +66,7 @@
         self._pending: dict[int, Event] = {}
         self._outbox: collections.deque[bytes] = collections.deque()
         self._wake = eventlet.semaphore.Semaphore(0)
+        self._writer_waits = False
         self._last_heard = time.monotonic()
         self.peer = peer
         self.closed = False
@@ -93,12 +95,12 @@
         if self.closed:
             return
         self.closed = True
-        self._wake.release()
+        self._wake_writer()
         for waiter in list(self._pending.values()):
             if not waiter.ready():
                 waiter.send_exception(LinkClosedError(f"link to {self.peer.instance} closed"))
         self._pending.clear()
-        eventlet.spawn_n(self._close_socket)
+        eventlet.spawn_n(self._socket.close)
 
     def run(self) -> None:
         """Read until the link closes. Call once, in a green thread of its own."""
@@ -106,9 +108,9 @@
         eventlet.spawn_n(self._heartbeat_loop)
         try:
             self._read_loop()
-        except (ConnectionClosed, OSError, EOFError):
+        except LinkClosedError:
             log.debug("link.ended", peer=self.peer.instance)
-        except CodecError as error:
+        except (CodecError, LinkError) as error:
             log.warning("link.undecodable", peer=self.peer.instance, error=str(error))
         finally:
             self.close()
@@ -120,20 +122,28 @@
             raise LinkOverloadedError(f"send queue to {self.peer.instance} is full")
         stamp = self._clock.now()
         self._outbox.append(cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter, plain]))
-        self._wake.release()
+        self._wake_writer()
 
     def _write_loop(self) -> None:
         while not self.closed:
-            self._wake.acquire()
             if not self._outbox:
+                self._writer_waits = True
+                self._wake.acquire()
                 continue
-            data = self._outbox.popleft()
+            # Everything queued goes in one write: under load most of the cost is the write itself.
+            messages = list(self._outbox)
+            self._outbox.clear()
             try:
-                self._socket.send(data)
-            except (ConnectionClosed, OSError, EOFError):
+                self._socket.send(*messages)
+            except LinkClosedError:
                 self.close()
                 return
-            self.sent_bytes += len(data)
+            self.sent_bytes += sum(len(data) for data in messages)
+
+    def _wake_writer(self) -> None:
+        if self._writer_waits:
+            self._writer_waits = False
+            self._wake.release()
 
     def _heartbeat_loop(self) -> None:
         while not self.closed:
@@ -204,9 +214,3 @@
             self._put(FAILURE, correlation, text)
         except (LinkClosedError, LinkOverloadedError):
             return
-
-    def _close_socket(self) -> None:
-        try:
-            self._socket.close()
-        except (ConnectionClosed, OSError, EOFError):
-            return
--- a/libs/wire/tests/control_client_tests.py
+++ b/libs/wire/tests/control_client_tests.py
@@ -39,7 +39,7 @@
     )
     context.hub.handle(Heartbeat, on_heartbeat)
     context.hub.handle(Leaving, lambda _link, _message: Proposed(None))
-    port = context.hub._server.socket.getsockname()[1]
+    port = context.hub.port
     context.control_addresses.append(f"127.0.0.1:{port}")
     client = ControlClient(context)
     client.follow(lambda: ENTRY, Silent())
