Refuse to share a listening address, and give out free addresses from one place

Cause: eventlet listens with the option that lets a second process listen on the same port. Two daemons started on one settings file would both run, and the kernel would spread callers and peers over them. Change: both listeners refuse it. Eight copies of the search for a free address became one, which picks ports that outgoing connections do not take. Conclusion: a second process ends with a clear error.

--- a/benchmarks/sidecar_bench.py
+++ b/benchmarks/sidecar_bench.py
@@ -23,7 +23,7 @@
 
 import click  # noqa: E402
 from tarragonhall_control import ControlSettings, start_control  # noqa: E402
-from tarragonhall_fakes import LocalProcess, script  # noqa: E402
+from tarragonhall_fakes import LocalProcess, free_address, script  # noqa: E402
 from tarragonhall_model import (  # noqa: E402
     AttemptAck,
     AttemptEnded,
@@ -159,14 +159,6 @@
         return path
 
 
-def free_address() -> str:
-    """Return a loopback address that was free a moment ago."""
-    listener = eventlet.listen(("127.0.0.1", 0))
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    listener.close()
-    return address
-
-
 def measure(bench: Bench, clients: int, seconds: float) -> str:
     """Run a load for a while and return its row."""
     running = [eventlet.spawn(bench.client, f"{clients}-{index}") for index in range(clients)]
--- a/benchmarks/state_bench.py
+++ b/benchmarks/state_bench.py
@@ -31,6 +31,7 @@
 import structlog  # noqa: E402
 from eventlet import tpool  # noqa: E402
 from tarragonhall_control import OPTIONS, start_control  # noqa: E402
+from tarragonhall_fakes import free_address  # noqa: E402
 from tarragonhall_model import (  # noqa: E402
     Answer,
     AttemptId,
@@ -290,14 +291,6 @@
     print(json.dumps(last_at), flush=True)
 
 
-def free_address() -> str:
-    """Return a loopback address that was free a moment ago."""
-    listener = eventlet.listen(("127.0.0.1", 0), reuse_port=False)
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    listener.close()
-    return address
-
-
 def wait_until(condition) -> None:
     """Wait for a condition."""
     with eventlet.Timeout(30):
--- a/features/steps/deployment.py
+++ b/features/steps/deployment.py
@@ -9,7 +9,6 @@
 
 import json
 import shutil
-import socket
 import tempfile
 import uuid
 from dataclasses import dataclass, field
@@ -22,6 +21,7 @@
     FakeServer,
     LocalProcess,
     Service,
+    free_address,
     run_script,
     script,
     start_engine,
@@ -34,13 +34,6 @@
 WAIT_SECONDS = 20.0
 
 
-def free_address() -> str:
-    """Return a loopback address that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @dataclass(slots=True)
 class Deployment:
     """The processes, the fakes behind them, and what callers need."""
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -1,19 +1,11 @@
 from __future__ import annotations
 
-import eventlet
 from behave import given, then, when
+from tarragonhall_fakes import free_address
 from tarragonhall_model import LinkClosedError
 from tarragonhall_wire import make_context, make_metrics
 
 
-def free_address() -> str:
-    """Return a loopback address that was free a moment ago."""
-    listener = eventlet.listen(("127.0.0.1", 0))
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    listener.close()
-    return address
-
-
 @given('a process "{name}" with the secret "{secret}"')
 def start_process(context, name, secret):
     process = make_context(
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import json
-import random
 
 import eventlet
 
@@ -15,6 +14,7 @@
 import urllib3  # noqa: E402
 from tarragonhall_consensus import Limits  # noqa: E402
 from tarragonhall_control import OPTIONS, initialise, start_control  # noqa: E402
+from tarragonhall_fakes import free_address  # noqa: E402
 from tarragonhall_model import EntryRecord  # noqa: E402
 from tarragonhall_state import FRESHNESS_LEASE_SECONDS, Follower  # noqa: E402
 from tarragonhall_wire import ControlClient, make_context, make_metrics  # noqa: E402
@@ -24,21 +24,6 @@
 QUICK = Limits(election_seconds=0.4, lease_seconds=0.35, heartbeat_seconds=0.08, retry_seconds=0.1)
 
 
-def free_address() -> str:
-    """Return a loopback address that was free a moment ago.
-
-    Its port lies below those that the kernel gives to outgoing connections: one of these could take
-    the address before it is listened on.
-    """
-    while True:
-        port = random.SystemRandom().randrange(10_000, 32_000)
-        try:
-            eventlet.listen(("127.0.0.1", port), reuse_port=False).close()
-        except OSError:
-            continue
-        return f"127.0.0.1:{port}"
-
-
 def until(condition, seconds: float = WAIT_SECONDS) -> None:
     """Wait for a condition."""
     with eventlet.Timeout(seconds):
--- a/libs/fakes/tarragonhall_fakes/__init__.py
+++ b/libs/fakes/tarragonhall_fakes/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tarragonhall_fakes._addresses import free_address
 from tarragonhall_fakes._batch import EngineOptions, answer_to
 from tarragonhall_fakes._engine import Engine, start_engine
 from tarragonhall_fakes._faults import Fault, FaultKind
@@ -38,6 +39,7 @@
     "Workload",
     "answer_to",
     "clear_faults",
+    "free_address",
     "make_workload",
     "post_fault",
     "run_load",
--- a/libs/fakes/tarragonhall_fakes/_relay.py
+++ b/libs/fakes/tarragonhall_fakes/_relay.py
@@ -21,7 +21,7 @@
 
     def __init__(self, target: str) -> None:
         self.target = target
-        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self._listener = eventlet.listen(("127.0.0.1", 0), reuse_port=False)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._connections: list[_Connection] = []
         self._swallow_new = False
--- a/libs/fakes/tarragonhall_fakes/_server.py
+++ b/libs/fakes/tarragonhall_fakes/_server.py
@@ -54,7 +54,7 @@
     def start(self) -> None:
         """Listen on `address`; port 0 takes a free one, which `address` then names."""
         host, _, port = self.address.rpartition(":")
-        self._listener = eventlet.listen((host, int(port)), backlog=BACKLOG)
+        self._listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
         self.address = f"{host}:{self._listener.getsockname()[1]}"
         self.crashed = False
         eventlet.spawn_n(self._accept_loop, self._listener)
--- a/libs/sidecar/tests/conftest.py
+++ b/libs/sidecar/tests/conftest.py
@@ -10,7 +10,7 @@
 import time  # noqa: E402
 
 import pytest  # noqa: E402
-from tarragonhall_fakes import start_engine, start_service  # noqa: E402
+from tarragonhall_fakes import free_address, start_engine, start_service  # noqa: E402
 from tarragonhall_model import (  # noqa: E402
     AttemptEnded,
     AttemptId,
@@ -32,14 +32,6 @@
 WAIT_SECONDS = 5.0
 
 
-def free_address() -> str:
-    """Return a loopback address that was free a moment ago."""
-    listener = eventlet.listen(("127.0.0.1", 0))
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    listener.close()
-    return address
-
-
 def eventually(check):
     """Wait until `check` returns something true, and return that."""
     limit = time.monotonic() + WAIT_SECONDS
--- a/libs/wire/tarragonhall_wire/_http.py
+++ b/libs/wire/tarragonhall_wire/_http.py
@@ -98,7 +98,7 @@
         self._routes: list[Route] = []
         self._on_error = on_error
         self._listener = _StoppableListener(
-            eventlet.listen(split_address(address), backlog=BACKLOG)
+            eventlet.listen(split_address(address), backlog=BACKLOG, reuse_port=False)
         )
         self._finished = eventlet.event.Event()
         self.draining = False
--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -78,7 +78,7 @@
 
     def listen(self, address: str) -> None:
         """Accept links on `host:port`."""
-        self._listener = eventlet.listen(split_address(address), backlog=BACKLOG)
+        self._listener = eventlet.listen(split_address(address), backlog=BACKLOG, reuse_port=False)
         self._acceptor = eventlet.spawn(self._accept_loop)
 
     @property
--- a/libs/wire/tests/http_tests.py
+++ b/libs/wire/tests/http_tests.py
@@ -7,6 +7,7 @@
 import pytest
 import urllib3
 from eventlet.green import socket
+from tarragonhall_fakes import free_address
 from tarragonhall_model import InputError
 from tarragonhall_wire import HttpResponse, HttpServer, sse_event
 
@@ -152,3 +153,14 @@
     server.route("GET", "/broken", broken)
     response = urllib3.request("GET", f"http://127.0.0.1:{server.port}/broken", retries=False)
     assert (response.status, json.loads(response.data)) == (500, {"message": "no"})
+
+
+def test_a_second_server_on_the_same_address_is_refused():
+    # Two daemons are started on one settings file. If both listened, callers would reach either,
+    # and a drain of one would look as if nothing had happened.
+    address = free_address()
+    first = HttpServer(address, on_error)
+    with pytest.raises(OSError, match="in use"):
+        HttpServer(address, on_error)
+    first.start()
+    first.stop(1)
--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -4,7 +4,7 @@
 
 import eventlet
 import pytest
-from tarragonhall_fakes import Relay
+from tarragonhall_fakes import Relay, free_address
 from tarragonhall_model import (
     Chunk,
     LinkClosedError,
@@ -17,13 +17,6 @@
 from tarragonhall_wire._link import SEND_QUEUE_MESSAGES, SILENCE_SECONDS
 
 
-def free_address() -> str:
-    listener = eventlet.listen(("127.0.0.1", 0))
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    listener.close()
-    return address
-
-
 @pytest.fixture
 def start():
     started = []
@@ -153,3 +146,11 @@
         for index in range(SEND_QUEUE_MESSAGES * 2):
             link.send(Chunk("prog-1/1/1", index, "x"))
     relay.stop()
+
+
+def test_a_second_process_on_the_same_address_is_refused(start):
+    # An operator starts the same settings file twice. Were both to listen, the kernel would spread
+    # connections over them, and peers would talk to two processes under one name.
+    one = start("one")
+    with pytest.raises(OSError, match="in use"):
+        make_context("two", "zone", one.link_address, [], b"secret", make_metrics(None, 0, "two"))
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -13,7 +13,6 @@
 
 import json  # noqa: E402
 import shutil  # noqa: E402
-import socket  # noqa: E402
 import sys  # noqa: E402
 from dataclasses import dataclass, field  # noqa: E402
 from pathlib import Path  # noqa: E402
@@ -26,6 +25,7 @@
     LocalProcess,
     TimedAction,
     clear_faults,
+    free_address,
     make_workload,
     post_fault,
     run_load,
@@ -64,9 +64,7 @@
     def port(self, name: str) -> str:
         """Return a free loopback address under a name."""
         if name not in self.ports:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                self.ports[name] = f"127.0.0.1:{probe.getsockname()[1]}"
+            self.ports[name] = free_address()
         return self.ports[name]
 
     def start(self, name: str) -> LocalProcess:
