Let the tool draw operators' tokens, remove operators and wait for member changes

Cause: reading the tool: a lost answer to operator create lost the token for good; operators could not be removed; a member change takes up to 60 s, but the tool gave up after 10 s and said that nobody answers. Conclusion: no answer that is lost costs an operator more than a resend.

--- a/libs/cli/tarragonhall_cli/__main__.py
+++ b/libs/cli/tarragonhall_cli/__main__.py
@@ -72,7 +72,7 @@
 @click.argument("file", type=click.Path(path_type=Path))
 @click.pass_obj
 def snapshot(session: Session, file: Path) -> None:
-    """Save the whole durable state to a file."""
+    """Save all configuration in force to a file."""
     _cluster.save_snapshot(session.client, file)
 
 
--- a/libs/cli/tarragonhall_cli/_client.py
+++ b/libs/cli/tarragonhall_cli/_client.py
@@ -36,8 +36,7 @@
     __slots__ = ("_give_up_seconds", "_http", "_profile")
 
     def __init__(self, profile: Profile, give_up_seconds: float = GIVE_UP_SECONDS) -> None:
-        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=READ_SECONDS)
-        self._http = urllib3.PoolManager(timeout=timeout, retries=False)
+        self._http = urllib3.PoolManager(retries=False)
         self._profile = profile
         self._give_up_seconds = give_up_seconds
 
@@ -47,30 +46,37 @@
         suffix = f"?{urlencode(given)}" if given else ""
         return self._until_answered("GET", f"/admin/v1/{path}{suffix}", None)
 
-    def post(self, path: str, body: dict) -> dict:
-        """Change something; every resend carries the same request id, so it takes effect once."""
+    def post(self, path: str, body: dict, read_seconds: float = READ_SECONDS) -> dict:
+        """Change something; every resend carries the same request id, so it takes effect once.
+
+        `read_seconds` is how long one member may take to answer.
+        """
         with_id = {"request_id": f"cli-{uuid.uuid4().hex}"} | body
-        return self._until_answered("POST", f"/admin/v1/{path}", with_id)
+        return self._until_answered("POST", f"/admin/v1/{path}", with_id, read_seconds)
 
-    def delete(self, path: str) -> dict:
+    def delete(self, path: str, read_seconds: float = READ_SECONDS) -> dict:
         """Take something away; doing it twice changes no more than doing it once."""
         body = {"request_id": f"cli-{uuid.uuid4().hex}"}
-        return self._until_answered("DELETE", f"/admin/v1/{path}", body)
+        return self._until_answered("DELETE", f"/admin/v1/{path}", body, read_seconds)
 
-    def _until_answered(self, method: str, path: str, body: dict | None) -> dict:
+    def _until_answered(
+        self, method: str, path: str, body: dict | None, read_seconds: float = READ_SECONDS
+    ) -> dict:
         deadline = time.monotonic() + self._give_up_seconds
         last: ToolError = UnreachableError("no admin address is set")
         while True:
             for address in self._profile.admin:
                 try:
-                    return self._once(method, address, path, body)
+                    return self._once(method, address, path, body, read_seconds)
                 except (UnreachableError, ServiceUnavailableError) as error:
                     last = error
             if time.monotonic() >= deadline:
                 raise last
             time.sleep(PAUSE_SECONDS)
 
-    def _once(self, method: str, address: str, path: str, body: dict | None) -> dict:
+    def _once(
+        self, method: str, address: str, path: str, body: dict | None, read_seconds: float
+    ) -> dict:
         headers = {"Authorization": f"Bearer {self._profile.token}"}
         data = None
         if body is not None:
@@ -78,7 +84,11 @@
             data = json.dumps(body).encode()
         try:
             response = self._http.request(
-                method, f"http://{address}{path}", body=data, headers=headers
+                method,
+                f"http://{address}{path}",
+                body=data,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=read_seconds),
             )
         except HTTPError as error:
             raise UnreachableError(f"{address} does not answer: {error}") from error
--- a/libs/cli/tarragonhall_cli/_cluster.py
+++ b/libs/cli/tarragonhall_cli/_cluster.py
@@ -8,6 +8,10 @@
 from tarragonhall_cli._files import write_json
 from tarragonhall_cli._output import Output
 
+# A member change is answered once the member votes, for which it may first take in a snapshot; the
+# control member waits for up to 60 s.
+CHANGE_SECONDS = 65.0
+
 
 def show_status(client: AdminClient, out: Output) -> None:
     """Show the control member that answers, and what it leads."""
@@ -35,20 +39,20 @@
 
 def add_member(client: AdminClient, out: Output, member_id: str, address: str) -> None:
     """Add a control member; it votes once it has caught up."""
-    out.fields(client.post("members", {"member_id": member_id, "address": address}))
+    out.fields(client.post("members", {"member_id": member_id, "address": address}, CHANGE_SECONDS))
 
 
 def remove_member(client: AdminClient, out: Output, member_id: str) -> None:
     """Remove a control member."""
-    out.fields(client.delete(f"members/{path_part(member_id)}"))
+    out.fields(client.delete(f"members/{path_part(member_id)}", CHANGE_SECONDS))
 
 
 def replace_member(client: AdminClient, out: Output, member_id: str, address: str | None) -> None:
     """Take a member whose data folder was lost back in, under its new identity."""
     body = {} if address is None else {"address": address}
-    out.fields(client.post(f"members/{path_part(member_id)}/replace", body))
+    out.fields(client.post(f"members/{path_part(member_id)}/replace", body, CHANGE_SECONDS))
 
 
 def save_snapshot(client: AdminClient, file: Path) -> None:
-    """Write the whole state to a file, for safekeeping off the instance."""
+    """Write all configuration in force to a file, for safekeeping off the instance."""
     write_json(file, client.get("snapshot"))
--- a/libs/cli/tarragonhall_cli/_settings.py
+++ b/libs/cli/tarragonhall_cli/_settings.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import click
-from tarragonhall_model import KEY_PREFIX, Finding, new_secret, secret_hash
+from tarragonhall_model import KEY_PREFIX, TOKEN_PREFIX, Finding, new_secret, secret_hash
 
 from tarragonhall_cli._client import AdminClient, path_part
 from tarragonhall_cli._errors import RefusedInputError
@@ -164,8 +164,16 @@
 
 
 def create_operator(client: AdminClient, out: Output, name: str, path: str, role: str) -> None:
-    """Create an operator who may act on one subtree; the token is shown this once."""
-    out.fields(client.post("operators", {"name": name, "path": path, "role": role}))
+    """Create an operator who may act on one subtree. As with keys, only a hash is sent."""
+    token = new_secret(TOKEN_PREFIX)
+    body = {"name": name, "path": path, "role": role, "token_hash": secret_hash(token)}
+    answer = client.post("operators", body)
+    out.fields({"token": token} | {name: v for name, v in answer.items() if name != "token"})
+
+
+def remove_operator(client: AdminClient, out: Output, name: str) -> None:
+    """Remove an operator; the token stops working."""
+    out.fields(client.delete(f"operators/{path_part(name)}"))
 
 
 def list_operators(client: AdminClient, out: Output) -> None:
--- a/libs/cli/tarragonhall_cli/_settings_commands.py
+++ b/libs/cli/tarragonhall_cli/_settings_commands.py
@@ -263,3 +263,11 @@
 def operator_list(session: Session) -> None:
     """List the operators."""
     _settings.list_operators(session.client, session.out)
+
+
+@operator.command("remove")
+@click.argument("name")
+@click.pass_obj
+def operator_remove(session: Session, name: str) -> None:
+    """Remove an operator; the token stops working."""
+    _settings.remove_operator(session.client, session.out, name)
--- a/libs/cli/tests/tool_tests.py
+++ b/libs/cli/tests/tool_tests.py
@@ -115,13 +115,26 @@
     assert "did you mean 'weight'?" in str(caught.value)
 
 
-def test_a_granted_key_is_shown_but_never_sent(admin):
-    server = admin((200, {"key_id": "k1"}))
-    result = run(server, "--json", "key", "grant", "org-1")
-    shown = json.loads(result.stdout)
+@pytest.mark.parametrize(
+    ("command", "shown_as", "sent_as"),
+    [
+        (("key", "grant", "org-1"), "key", "key_hash"),
+        (("operator", "create", "ana", "/lunch"), "token", "token_hash"),
+    ],
+)
+def test_a_new_secret_is_shown_but_never_sent(admin, command, shown_as, sent_as):
+    server = admin((200, {"name": "x"}))
+    result = run(server, "--json", *command)
+    shown = json.loads(result.stdout)[shown_as]
     sent = server.received[0][2]
-    assert sent["key_hash"] == secret_hash(shown["key"])
-    assert shown["key"] not in json.dumps(sent)
+    assert sent[sent_as] == secret_hash(shown)
+    assert shown not in json.dumps(sent)
+
+
+def test_an_operator_is_removed_by_name(admin):
+    server = admin((200, {}))
+    assert run(server, "operator", "remove", "ana maria").exit_code == 0
+    assert server.received[0][:2] == ("DELETE", "/admin/v1/operators/ana%20maria")
 
 
 def test_a_change_without_an_expected_revision_takes_the_one_in_force(admin):
@@ -156,3 +169,15 @@
         main()
     assert caught.value.code == 2
     assert "no profile 'default'" in capsys.readouterr().err
+
+
+def test_a_member_change_is_waited_for_longer_than_a_setting(admin, monkeypatch):
+    # A new member takes in a snapshot before it votes, which takes longer than any setting. A tool
+    # that gives up first tells the operator that nobody answers, while the change goes on.
+    server = admin((200, {"members": []}), (200, {}))
+    patience = []
+    once = AdminClient._once
+    monkeypatch.setattr(AdminClient, "_once", lambda *a: (patience.append(a[-1]), once(*a))[1])
+    run(server, "member", "add", "control-4", "127.0.0.1:7400")
+    run(server, "model", "set", "planner-8b", "v2")
+    assert patience[0] > 60 > patience[1]
