--- a/features/environment.py
+++ b/features/environment.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import logging
+
 import eventlet
 
 eventlet.monkey_patch()
 
+from tarragonhall_wire import set_up_logs  # noqa: E402
+
+# The processes write their own logs; here only what a scenario prints is of interest.
+set_up_logs("features", "error")
+logging.getLogger("websockets").setLevel(logging.ERROR)
+
 
 def before_scenario(context, _scenario):
     """Give each scenario its own list of things to stop."""
