Part the tests of membership from those of the log

Change: tests of members that join, leave or are replaced stand in a file of their own, unchanged; the mutations name them there. Conclusion: each file has one matter.

--- a/libs/consensus/tests/consensus_cluster.py
+++ b/libs/consensus/tests/consensus_cluster.py
@@ -20,6 +20,7 @@
     Tick,
     open_replica,
 )
+from tarragonhall_consensus._messages import SnapshotChunk
 from tarragonhall_model import StorageError, decode, encode
 
 STEP_SECONDS = 0.05
@@ -358,3 +359,8 @@
         for index in range(max(log.base_index, core.commit_index - 3) + 1, core.commit_index + 1):
             known = self.committed.setdefault(index, log.entry(index))
             assert known == log.entry(index), f"the committed entry {index} was replaced"
+
+
+def carries_entries(message):
+    """Return whether a message brings a peer entries."""
+    return bool(getattr(message, "entries", ())) or isinstance(message, SnapshotChunk)
--- a/libs/consensus/tests/mutation_tests.py
+++ b/libs/consensus/tests/mutation_tests.py
@@ -36,6 +36,7 @@
     return Path(__file__).parent / f"{name}.py"
 
 
+membership = load("membership_tests")
 replica = load("replica_tests")
 storage = load("storage_tests")
 
@@ -237,23 +238,23 @@
     (commit_by_counting, replica.test_entry_of_an_earlier_term_is_not_committed_by_counting),
     (
         old_identity_after_a_wipe,
-        replica.test_wiped_folder_does_not_vote_under_its_old_identity,
+        membership.test_wiped_folder_does_not_vote_under_its_old_identity,
     ),
-    (wiped_founder_founds_again, replica.test_wiped_founder_founds_no_second_group),
+    (wiped_founder_founds_again, membership.test_wiped_founder_founds_no_second_group),
     (
         vote_before_catching_up,
-        lambda: replica.test_a_learner_does_not_vote_before_it_has_caught_up("dead"),
+        lambda: membership.test_a_learner_does_not_vote_before_it_has_caught_up("dead"),
     ),
     (
         promotion_not_awaited,
-        lambda: replica.test_a_learner_does_not_vote_before_it_has_caught_up("too thin"),
+        lambda: membership.test_a_learner_does_not_vote_before_it_has_caught_up("too thin"),
     ),
     (
         change_before_the_first_commit,
-        replica.test_no_member_change_before_the_first_commit_of_a_term,
+        membership.test_no_member_change_before_the_first_commit_of_a_term,
     ),
     (entries_taken_without_comparing_terms, replica.test_logs_that_have_parted_are_made_one),
-    (old_identity_counts_for_commits, replica.test_wiped_member_does_not_count_for_commits),
+    (old_identity_counts_for_commits, membership.test_wiped_member_does_not_count_for_commits),
     (
         heartbeat_answers_taken_for_progress,
         replica.test_lost_entries_are_sent_again_while_heartbeats_are_answered,
