Never let the reader of a link wait for its writer

Cause: reading the new links: after each read the reader flushed what the protocol had to say, and waited for the lock that the writer holds while the peer takes nothing. With both ends writing more than the buffers hold, neither read any more, and the link was closed as silent after 3.5 s. Change: the reader writes nothing; answers of the protocol go out with the next message.

--- a/libs/wire/tarragonhall_wire/_websocket.py
+++ b/libs/wire/tarragonhall_wire/_websocket.py
@@ -102,13 +102,10 @@
             raise LinkClosedError(str(error) or "the socket was closed") from error
         if not data:
             raise LinkClosedError("the peer closed the connection")
+        # What the protocol wants to answer goes out with the next message. Waiting here for the
+        # thread that writes would block both ends for good, once both write more than fits.
         self._protocol.receive_data(data)
-        events = self._protocol.events_received()
-        try:
-            self._flush()
-        except (OSError, EOFError) as error:
-            raise LinkClosedError(str(error)) from error
-        return events
+        return self._protocol.events_received()
 
     def _take(self, event: object) -> None:
         match event.opcode:
--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -154,3 +154,29 @@
     one = start("one")
     with pytest.raises(OSError, match="in use"):
         make_context("two", "zone", one.link_address, [], b"secret", make_metrics(None, 0, "two"))
+
+
+def test_two_peers_that_both_send_more_than_the_buffers_hold_do_not_block_each_other(start):
+    # Two control members send each other snapshots. Each one's writer waits until the other reads;
+    # if a reader waited for its own writer, neither would read, and the link would be taken for
+    # silent under load.
+    one, two = start("one"), start("two")
+    got = {"one": 0, "two": 0}
+
+    def counter(name: str):
+        def count(_link, _chunk) -> None:
+            got[name] += 1
+
+        return count
+
+    for process in (one, two):
+        process.hub.handle(Chunk, counter(process.instance))
+    link = one.hub.wait_for(two.link_address, 2)
+    back = two.hub.accepted[0]
+    text = "x" * 200_000
+    with eventlet.Timeout(SILENCE_SECONDS * 2):
+        for index in range(100):
+            link.send(Chunk("prog-1/1/1", index, text))
+            back.send(Chunk("prog-1/1/1", index, text))
+        while got != {"one": 100, "two": 100}:
+            eventlet.sleep(0.01)
