--- a/benchmarks/path_bench.py
+++ b/benchmarks/path_bench.py
@@ -84,7 +84,6 @@
     processes: list[LocalProcess]
     settings: list[dict]
     key: str = ""
-    token: str = ""
 
     def pids(self, role: str) -> list[int]:
         """Return the processes of a role; the settings file's name begins with it."""
@@ -125,7 +124,6 @@
     rate = ["rate.per_second=100000", "rate.burst=100000", "budget.calls=100000"]
     run_script("tarragonhall", *tool, "org", "create", ORG, "/bench", *rate)
     run_script("tarragonhall", *tool, "model", "set", "planner-8b", "v1")
-    system.token = token
     system.key = json.loads(run_script("tarragonhall", *tool, "key", "grant", ORG))["key"]
     eventlet.sleep(SETTLE_SECONDS)
     return system
--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -9,7 +9,6 @@
     RunTimes,
     bounded_retry_ms,
     can_meet,
-    deadline_after,
     deadline_refusal,
 )
 from tarragonhall_decisions._drain import DrainPhase, EntryDrain
@@ -67,7 +66,6 @@
     "bounded_retry_ms",
     "can_meet",
     "charged_by_crash",
-    "deadline_after",
     "deadline_refusal",
     "proof_of",
     "should_move",
--- a/libs/decisions/tarragonhall_decisions/_deadlines.py
+++ b/libs/decisions/tarragonhall_decisions/_deadlines.py
@@ -42,11 +42,6 @@
         return self.dispatch_ms(now) == 0
 
 
-def deadline_after(timeout_ms: int, now: float) -> Deadline:
-    """Return the deadline of a call that arrived now."""
-    return Deadline(now + timeout_ms / 1000)
-
-
 def can_meet(deadline: Deadline, wait_s: float, run_s: float, now: float) -> bool:
     """Return whether a call that waits and then runs for so long is answered in time."""
     return now + wait_s + run_s + REPLY_MARGIN_MS / 1000 <= deadline.at
--- a/libs/decisions/tarragonhall_decisions/_routing.py
+++ b/libs/decisions/tarragonhall_decisions/_routing.py
@@ -11,10 +11,11 @@
 
 The weights compare expected seconds until the answer: wait + recomputing + run time + way.
 
-Grounds for the figures: `PREFILL_S_PER_TOKEN` is a starting value (10,000 tokens a second), learnt
-from the calls that end. `ZONE_WAY_S` is the brief's half millisecond each way, doubled, since the
-dispatch and the answer both cross. `AFFINITY_OVERDRAFT`: a program may queue behind the window of
-the server that holds its prefix for one window more, where that is cheaper than recomputing.
+Grounds for the figures: `PREFILL_S_PER_TOKEN` is assumed (10,000 tokens a second) and the same for
+all servers; nothing learns it yet. `ZONE_WAY_S` is the brief's half millisecond each way, doubled,
+since the dispatch and the answer both cross. `AFFINITY_OVERDRAFT`: a program may queue behind the
+window of the server that holds its prefix for one window more, where that is cheaper than
+recomputing.
 `SUBSET_SIZE`: with 100 servers an entry of the letter's size (360 before 3,700) has each server
 linked from about ten entries, and two random choices among 100 are as good as among all.
 """
@@ -31,11 +32,6 @@
 from tarragonhall_decisions._server_state import ServerState
 
 PREFILL_S_PER_TOKEN = 1e-4
-PREFILL_GAIN = 0.1
-MIN_PREFILL_S = 1e-6
-MAX_PREFILL_S = 1e-3
-# Below this many recomputed tokens the prefill time drowns in noise; nothing is learnt from it.
-MIN_LEARNT_TOKENS = 200
 ZONE_WAY_S = 0.002
 NEW_PROGRAM_SHARE = 0.9
 AFFINITY_OVERDRAFT = 2.0
@@ -78,7 +74,6 @@
         self._state_by_id: dict[str, ServerState] = {}
         self._ids_by_target: dict[str, list[str]] = {}
         self._server_by_program: OrderedDict[str, str] = OrderedDict()
-        self._prefill_s = PREFILL_S_PER_TOKEN
         self._adapted_at: dict[str, float] = {}
         self._usual_unit_s: dict[str, float] = {}
 
@@ -166,13 +161,6 @@
         if state is not None and state.open_by_key.pop(attempt_key, None) is not None:
             state.changes_since_report -= 1
 
-    def learn_prefill(self, recomputed_tokens: int, seconds: float) -> None:
-        """Learn the time to the first token of a call that recomputed so many tokens."""
-        if recomputed_tokens < MIN_LEARNT_TOKENS:
-            return
-        sample = min(MAX_PREFILL_S, max(MIN_PREFILL_S, seconds / recomputed_tokens))
-        self._prefill_s += PREFILL_GAIN * (sample - self._prefill_s)
-
     def forget_program(self, program_id: str) -> str | None:
         """Forget where a program that ended ran; return the server where it ran last."""
         return self._server_by_program.pop(program_id, None)
@@ -201,7 +189,7 @@
     def _cost(self, state: ServerState, need: Need) -> float:
         unit_s = state.unit_s or self._usual_unit_s.get(need.target, 0.0)
         run_s = unit_s * need.units
-        recompute_s = 0.0 if self._holds(state, need) else need.prompt_tokens * self._prefill_s
+        recompute_s = 0.0 if self._holds(state, need) else need.prompt_tokens * PREFILL_S_PER_TOKEN
         way_s = 0.0 if state.record.availability_zone == self._zone else ZONE_WAY_S
         return state.wait_s(run_s) + recompute_s + run_s + way_s
 
--- a/libs/model/tarragonhall_model/_errors.py
+++ b/libs/model/tarragonhall_model/_errors.py
@@ -39,11 +39,3 @@
 
 class StorageError(TarragonhallError):
     """The data folder cannot be used: disk full, failed sync, corruption or a second process."""
-
-
-class NotLeaderError(TarragonhallError):
-    """The control member asked is not the leader; `leader` names it where known."""
-
-    def __init__(self, leader: str | None) -> None:
-        super().__init__(f"not the leader; leader is {leader or 'unknown'}")
-        self.leader = leader
