--- a/libs/control/tarragonhall_control/_followers.py
+++ b/libs/control/tarragonhall_control/_followers.py
@@ -24,25 +24,41 @@
     the reply brings the rest.
     """
 
-    __slots__ = ("_metrics", "_pushed", "_sent_by_link", "_state")
+    __slots__ = ("_link_by_address", "_metrics", "_pushed", "_sent_by_link", "_state")
 
     def __init__(self, state: ControlState, metrics: Metrics) -> None:
         self._state = state
         self._metrics = metrics
         self._sent_by_link: dict[Link, Sent] = {}
+        self._link_by_address: dict[str, Link] = {}
         self._pushed = Sent(0, 0)
 
     def note(self, link: Link, revision: int, epoch: int) -> None:
         """Remember what a follower has, as of its heartbeat and the reply to it."""
         self._sent_by_link[link] = Sent(revision, epoch)
+        self._link_by_address[link.peer.address] = link
 
     def forget(self, link: Link) -> None:
         """Forget a link that has closed."""
         self._sent_by_link.pop(link, None)
+        if self._link_by_address.get(link.peer.address) is link:
+            del self._link_by_address[link.peer.address]
 
     def clear(self) -> None:
         """Forget all: this member does not lead any more."""
         self._sent_by_link.clear()
+        self._link_by_address.clear()
+
+    def send(self, address: str, message: object) -> None:
+        """Send a one-way message to the follower at an address, where it has a link to here."""
+        link = self._link_by_address.get(address)
+        if link is None:
+            self._metrics.count("control.send_failed")
+            return
+        try:
+            link.send(message)
+        except LinkError:
+            self._metrics.count("control.send_failed")
 
     def __len__(self) -> int:
         return len(self._sent_by_link)
--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -23,6 +23,7 @@
 from tarragonhall_state import ControlState
 from tarragonhall_wire import Link, ProcessContext
 
+from tarragonhall_control._ended import stop_ended
 from tarragonhall_control._followers import Followers
 from tarragonhall_control._loop import LeadUnknownError, LogLoop, LoopBusyError, LoopHooks
 from tarragonhall_control._messages import LogMessage
@@ -129,6 +130,7 @@
         result = self.loop.propose(encode(command), PROPOSE_SECONDS)
         waited_ms = (self.context.monotonic() - started) * 1000
         self.context.metrics.timing("control.commit", waited_ms)
+        stop_ended(self.state, self.followers, body, result)
         return result
 
     def confirm(self) -> bool:
--- a/libs/control/tests/role_tests.py
+++ b/libs/control/tests/role_tests.py
@@ -1,15 +1,27 @@
 from __future__ import annotations
 
+import pytest
 from tarragonhall_control import OPTIONS
 from tarragonhall_model import (
+    AttemptId,
     Budget,
+    CallKind,
+    CallSpec,
+    EndProgram,
     Execution,
     ExecutionKnown,
+    OpenCall,
     OpenProgram,
     ProgramInfo,
+    ProgramStatus,
     QueryExecution,
     QueryProgram,
+    ReleaseProgram,
+    ServerKind,
+    ServerRecord,
+    StartAttempt,
 )
+from tarragonhall_state import Follower
 
 WAIT_SECONDS = 5.0
 
@@ -52,6 +64,37 @@
     assert (status, ended["status"]) == (200, "cancelled")
 
 
+@pytest.mark.parametrize("how", ["entry", "operator", "expiry"])
+def test_a_program_that_is_given_up_stops_the_calls_of_its_sub_agents(start_group, how):
+    # A caller cancels its agent, an operator does, or the agent is left alone for too long. Its
+    # sub-agent's call would run on in a slot, and keep its memory, for nobody.
+    group = start_group("one")
+    context, client = group.client("desk-1")
+    heard = []
+    context.hub.handle(ReleaseProgram, lambda _link, message: heard.append(message))
+    node = ServerRecord(
+        "desk-1", context.incarnation, context.link_address, "z", ServerKind.MODEL, ["planner"]
+    )
+    client.follow(lambda: node, Follower())
+    group.until(lambda: group.state("one").server("desk-1") is not None)
+    budget = Budget(seconds=2 if how == "expiry" else 60)
+    client.propose(OpenProgram("root", "school", budget, 60), WAIT_SECONDS, "r1")
+    child = OpenProgram("child", "school", budget, 60, parent="root")
+    client.propose(child, WAIT_SECONDS, "r2")
+    spec = CallSpec(1, CallKind.MODEL, "planner", "b", max_tokens=10)
+    client.propose(OpenCall("child", "school", spec, "entry-1"), WAIT_SECONDS, "r3")
+    attempt = AttemptId("child", 1, 1, "desk-1", context.incarnation)
+    client.propose(StartAttempt(attempt, "school", "entry-1"), WAIT_SECONDS, "r4")
+    match how:
+        case "entry":
+            end = EndProgram("root", "school", ProgramStatus.CANCELLED)
+            client.propose(end, WAIT_SECONDS, "r5")
+        case "operator":
+            group.admin()("POST", "/programs/root/cancel", {})
+    group.until(lambda: heard)
+    assert heard[0] == ReleaseProgram("child", (attempt,))
+
+
 def test_a_follower_is_announced_and_gets_news(start_group):
     group = start_group("one")
     context, follower, node = group.follower("entry-1")
--- a/libs/sidecar/tarragonhall_sidecar/_events.py
+++ b/libs/sidecar/tarragonhall_sidecar/_events.py
@@ -9,6 +9,7 @@
     Attach,
     AttemptAck,
     AttemptEnded,
+    AttemptId,
     AttemptOutcome,
     CancelAttempt,
     Dispatch,
@@ -26,6 +27,13 @@
     message: Dispatch | Attach | CancelAttempt | AttemptAck
 
 
+@dataclass(slots=True, frozen=True)
+class ProgramGone:
+    """The program of an attempt was cancelled or has expired."""
+
+    attempt: AttemptId
+
+
 @dataclass(slots=True, frozen=True)
 class PeerClosed:
     """A link closed; what is due to it waits for another to attach."""
@@ -91,7 +99,16 @@
 
 
 Input = (
-    Arrived | PeerClosed | Produced | Finished | Broke | Probed | DrainChanged | Committed | Tick
+    Arrived
+    | ProgramGone
+    | PeerClosed
+    | Produced
+    | Finished
+    | Broke
+    | Probed
+    | DrainChanged
+    | Committed
+    | Tick
 )
 
 
--- a/libs/sidecar/tarragonhall_sidecar/_execution.py
+++ b/libs/sidecar/tarragonhall_sidecar/_execution.py
@@ -39,6 +39,7 @@
     Probed,
     ProbeNow,
     Produced,
+    ProgramGone,
     Reply,
     Send,
     ServerCrashed,
@@ -94,6 +95,8 @@
                 return self._cancelled(peer, attempt, now)
             case Arrived(_, AttemptAck(attempt)):
                 return self._acknowledged(attempt)
+            case ProgramGone(attempt):
+                return self._program_gone(attempt, now)
             case PeerClosed(peer):
                 return self._peer_closed(peer)
             case Produced(key, text):
@@ -156,13 +159,26 @@
         known = self._attempt_by_key.get(attempt_id.key)
         if known is None or not self._is_mine(attempt_id):
             return [Reply(Rejected(self._bury(attempt_id)))]
-        outputs: list[Output] = [Reply(Accepted()), *self._join(peer, known)]
+        return [Reply(Accepted()), *self._join(peer, known), *self._cancel(known, now)]
+
+    def _program_gone(self, attempt_id: AttemptId, now: float) -> list[Output]:
+        """Stop an attempt that nobody wants any more; its end goes to whoever waits for it."""
+        if not self._is_mine(attempt_id):
+            return []
+        known = self._attempt_by_key.get(attempt_id.key)
+        if known is None:
+            # Its dispatch may still be under way; it would run for nobody.
+            self._bury(attempt_id)
+            return []
+        return self._cancel(known, now)
+
+    def _cancel(self, known: Attempt, now: float) -> list[Output]:
         if known.state is State.WAITING:
-            outputs += self._end(known, AttemptOutcome.NOT_RUN, now, "cancelled before its start")
+            return self._end(known, AttemptOutcome.NOT_RUN, now, "cancelled before its start")
         # A service call may have taken effect already: it runs on and its true end is told.
-        elif known.state is State.RUNNING and self._identity.kind is ServerKind.MODEL:
-            outputs.append(self._ask_to_stop(known, now))
-        return outputs
+        if known.state is State.RUNNING and self._identity.kind is ServerKind.MODEL:
+            return [self._ask_to_stop(known, now)]
+        return []
 
     def _acknowledged(self, attempt_id: AttemptId) -> list[Output]:
         if self._is_mine(attempt_id):
--- a/libs/sidecar/tarragonhall_sidecar/_role.py
+++ b/libs/sidecar/tarragonhall_sidecar/_role.py
@@ -64,7 +64,11 @@
             sidecar.one_way(link, message)
 
     def on_release(self, _link: Link, message: ReleaseProgram) -> None:
-        """Release a program on every engine of this process."""
+        """Stop attempts of a program that has ended, and release it on every engine here."""
+        for attempt in message.stop:
+            owner = self._sidecar_by_server.get(attempt.server_id)
+            if owner is not None:
+                owner.stop_attempt(attempt)
         for sidecar in self._sidecar_by_server.values():
             sidecar.program_ended(message.program_id)
 
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -9,6 +9,7 @@
 import eventlet
 import structlog
 from tarragonhall_model import (
+    AttemptId,
     AttemptOutcome,
     EngineOrder,
     LinkError,
@@ -34,6 +35,7 @@
     PeerClosed,
     ProbeNow,
     Produced,
+    ProgramGone,
     Reply,
     Send,
     ServerCrashed,
@@ -136,6 +138,10 @@
             del self._link_by_peer[peer]
             self._handle(PeerClosed(peer))
 
+    def stop_attempt(self, attempt: AttemptId) -> None:
+        """Stop an attempt whose program was cancelled or has expired."""
+        self._handle(ProgramGone(attempt))
+
     def program_ended(self, program_id: str) -> None:
         """Release what the engine holds for a program, now and until its listing shows it gone."""
         if self._reconciler is not None:
--- a/libs/sidecar/tests/execution_tests.py
+++ b/libs/sidecar/tests/execution_tests.py
@@ -32,6 +32,7 @@
     PeerClosed,
     Probed,
     Produced,
+    ProgramGone,
     Reply,
     Send,
     ServerCrashed,
@@ -337,6 +338,21 @@
     assert reply_in(taken) == Accepted()
 
 
+def test_the_attempts_of_a_program_that_is_gone_are_stopped():
+    """A program is cancelled while a call of its sub-agent runs, another waits and a third is still
+    on its way here. They would fill slots for nobody, and their program's memory would stay.
+    """
+    core = make_core()
+    for name in ("a", "b", "c"):
+        core.handle(Arrived(1, dispatch_of(attempt_of(name))), 0.0)
+    assert core.handle(ProgramGone(attempt_of("a")), 1.0) == [StopRun("a/1/1", abandon=False)]
+    handed_back = core.handle(ProgramGone(attempt_of("c")), 1.0)
+    assert [output.message.outcome for output in handed_back] == [AttemptOutcome.NOT_RUN]
+    assert core.handle(ProgramGone(attempt_of("late")), 1.0) == []
+    late = core.handle(Arrived(1, dispatch_of(attempt_of("late"))), 1.1)
+    assert late == [Reply(Rejected(RejectReason.TOMBSTONE))]
+
+
 def test_a_server_that_stops_answering_is_down_after_a_few_probes_but_not_crashed():
     """A backend server is frozen: it accepts connections and answers nothing. What it runs may yet
     end, so it is not called crashed; what waits is handed back and no more is taken.
--- a/libs/state/tarragonhall_state/_journal.py
+++ b/libs/state/tarragonhall_state/_journal.py
@@ -11,6 +11,7 @@
 
 from tarragonhall_model import (
     AbandonCall,
+    AttemptId,
     CallSummary,
     CloseCall,
     DisproveAttempt,
@@ -113,6 +114,18 @@
         # A call that waits at another entry has not run, but may be started at any moment.
         return Execution.UNKNOWN
 
+    def attempts_under(self, program_id: str) -> list[AttemptId]:
+        """Return the newest attempt of each call of a program and of all its sub-agents."""
+        found = []
+        pending = [program_id]
+        while pending:
+            program = self._programs.by_id.get(pending.pop())
+            if program is None:
+                continue
+            pending.extend(program.children)
+            found.extend(call.attempts[-1].attempt_id for call in program.calls if call.attempts)
+        return found
+
     def recall(self, reference: CallReference) -> CallOutcome:
         """Return what became of a call, to one whose request opened or closed it before."""
         program = self._programs.by_id.get(reference.program_id)
--- a/libs/state/tarragonhall_state/_machine.py
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -7,6 +7,7 @@
 from tarragonhall_model import (
     AnnounceEntry,
     AnnounceServer,
+    AttemptId,
     CallClosed,
     CallOpened,
     CallRunning,
@@ -132,6 +133,10 @@
         """Return the entries and backend servers of this epoch."""
         return self._views.view()
 
+    def server(self, server_id: str) -> ServerRecord | None:
+        """Return the life of a backend server that is in the view."""
+        return self._views.server_by_id.get(server_id)
+
     def announced(self, node: EntryRecord | ServerRecord) -> EntryRecord | ServerRecord | None:
         """Return what the view holds under the id of a node, without the operators' drain."""
         match node:
@@ -147,6 +152,10 @@
         entries = self._views.entry_by_id
         return self._journal(program_id).call(program_id, seq, org_id, entries)
 
+    def attempts_under(self, program_id: str) -> list[AttemptId]:
+        """Return the newest attempt of each call of a program and of all its sub-agents."""
+        return self._journal(program_id).attempts_under(program_id)
+
     def execution(self, program_id: str, seq: int) -> Execution:
         """Return what is known of whether a call ran, without saying whose it is."""
         return self._journal(program_id).execution(program_id, seq)
