Serve sooner after every process was killed

The logs show half a second of a core for reading modules, and members that stood for election 0.45 to 0.9 s after they had read theirs.

--- a/libs/consensus/tarragonhall_consensus/_core.py
+++ b/libs/consensus/tarragonhall_consensus/_core.py
@@ -28,6 +28,13 @@
     LEADER = "leader"
 
 
+# A member that was started stands within this share of an election timeout after it may: members
+# that were killed together are started some tenths of a second apart by themselves.
+_FIRST_SPREAD = 0.3
+# Pre-votes are asked for again after this share of an election timeout, up to twice as long.
+_PRE_VOTE_SHARE = 0.25
+
+
 class Core:
     """The state of one member that every part reads, and the few ways in which it changes."""
 
@@ -51,7 +58,13 @@
     )
 
     def __init__(
-        self, storage: Storage, machine: Machine, rng: random.Random, limits: Limits, now: float
+        self,
+        storage: Storage,
+        machine: Machine,
+        rng: random.Random,
+        limits: Limits,
+        now: float,
+        started_at: float,
     ) -> None:
         self.storage = storage
         self.machine = machine
@@ -69,10 +82,12 @@
         self._standing = False
         self._reported: RoleChanged | None = None
         # This member may have promised the leader its silence right before it was restarted. The
-        # leader still counts on that for its lease, so a restart counts as having heard it.
-        self.heard_at = now if storage.state.group else NEVER
-        self.election_at = now
-        self.put_off_election()
+        # leader still counts on that for its lease, so the start of this process counts as having
+        # heard it: whatever an earlier one promised, it promised before.
+        self.heard_at = started_at if storage.state.group else NEVER
+        # All members may have been restarted. Whoever asks first may go on at once: the others
+        # refuse as long as they may have promised their silence, and are asked again.
+        self.election_at = started_at + limits.election_seconds * (1 + _FIRST_SPREAD * rng.random())
 
     @property
     def term(self) -> int:
@@ -183,6 +198,16 @@
         """Wait a random time, from one to two election timeouts, before standing again."""
         self.election_at = self.now + self.limits.election_seconds * (1 + self.rng.random())
 
+    def ask_again_soon(self) -> None:
+        """Wait a random time, up to half an election timeout, before asking for pre-votes again.
+
+        Asking changes nothing at the others. They refuse as long as a leader may have a lease,
+        mostly for some tens of milliseconds after this member began to ask; waiting a whole
+        election timeout for that would double the time without a leader.
+        """
+        wait = _PRE_VOTE_SHARE * (1 + self.rng.random())
+        self.election_at = self.now + self.limits.election_seconds * wait
+
     def put(self, index: int, entry: Entry) -> None:
         """Put an entry of the leader in the log, dropping what was there and after it."""
         self.membership.drop_from(index)
--- a/libs/consensus/tarragonhall_consensus/_election.py
+++ b/libs/consensus/tarragonhall_consensus/_election.py
@@ -51,7 +51,10 @@
     def _begin(self, pre: bool) -> bool:
         core = self._core
         core.stand()
-        core.put_off_election()
+        if pre:
+            core.ask_again_soon()
+        else:
+            core.put_off_election()
         self._pre = pre
         if not pre:
             core.save_vote(core.term + 1, core.identity)
--- a/libs/consensus/tarragonhall_consensus/_replica.py
+++ b/libs/consensus/tarragonhall_consensus/_replica.py
@@ -56,12 +56,15 @@
     now: float,
     limits: Limits | None = None,
     files: Files | None = None,
+    started_at: float | None = None,
 ) -> Replica:
     """Open the data folder and return the member in the state it had reached.
 
     `bootstrap` lists the founding members, this one included, with empty identities; it is used
     only where the folder is new. An empty list makes a member that waits to be added to a group.
-    `rng` must differ at every start: the identity of a new folder comes from it.
+    `started_at` is when this process began, by the clock of `now`; no earlier process used the
+    folder after it. Left out, it is `now`. `rng` must differ at every start: the identity of a new
+    folder comes from it.
     Raises `StorageError` where the folder cannot be used.
     """
     limits = limits or Limits()
@@ -69,7 +72,7 @@
     if storage.snapshot is not None:
         machine.restore(storage.snapshot_data)
         storage.snapshot_data = b""
-    core = Core(storage, machine, rng, limits, now)
+    core = Core(storage, machine, rng, limits, now, now if started_at is None else started_at)
     return Replica(core, bootstrap, address)
 
 
--- a/libs/consensus/tests/consensus_cluster.py
+++ b/libs/consensus/tests/consensus_cluster.py
@@ -98,8 +98,8 @@
         self.start(member_id)
         return node
 
-    def start(self, member_id: str) -> None:
-        """Start or restart a member on its disk."""
+    def start(self, member_id: str, loading_s: float = 0.0) -> None:
+        """Start or restart a member on its disk; its process began `loading_s` ago."""
         node = self.node_by_id[member_id]
         node.machine = Journal()
         node.failure = None
@@ -107,7 +107,7 @@
         try:
             node.replica = open_replica(
                 "data", member_id, node.member.address, node.founders, node.machine, rng,
-                self.now, self.limits, node.disk,
+                self.now, self.limits, node.disk, self.now - loading_s,
             )  # fmt: skip
         except PowerCut:
             node.disk.cut_power()
--- a/libs/group/tarragonhall_group/_member.py
+++ b/libs/group/tarragonhall_group/_member.py
@@ -63,6 +63,7 @@
             context.rng,
             context.monotonic(),
             limits,
+            started_at=context.started_at,
         )
         hooks_of_loop = LoopHooks(self._send, self._on_role, self._hooks.after_step)
         self.loop = LogLoop(replica, context.monotonic, hooks_of_loop)
--- a/libs/relay/tarragonhall_relay/__init__.py
+++ b/libs/relay/tarragonhall_relay/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from eventlet.greenio import GreenSocket
 from tarragonhall_wire import ControlClient, ProcessContext
 
 from tarragonhall_relay._dialect import (
@@ -26,9 +27,13 @@
 
 
 def start_relay(
-    settings: RelaySettings, context: ProcessContext, control: ControlClient, dialect: Dialect
+    settings: RelaySettings,
+    context: ProcessContext,
+    control: ControlClient,
+    dialect: Dialect,
+    listener: GreenSocket | None = None,
 ) -> RelayRole:
-    """Serve clients until drained."""
-    role = RelayRole(settings, context, control, dialect)
+    """Serve clients until drained, on a socket that listens already where there is one."""
+    role = RelayRole(settings, context, control, dialect, listener)
     role.start()
     return role
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import structlog
+from eventlet.greenio import GreenSocket
 from tarragonhall_decisions import LEASE_S, BackendChooser, CrashSuspects, RateSlack
 from tarragonhall_model import ClientLimits, EntryRecord
 from tarragonhall_rates import Rates
@@ -71,6 +72,7 @@
         context: ProcessContext,
         control: ControlClient,
         dialect: Dialect,
+        listener: GreenSocket | None = None,
     ) -> None:
         self._settings = settings
         self._context = context
@@ -95,7 +97,7 @@
         # Whoever is connected; each has a green thread of its own.
         self._clients: set[ClientConnection] = set()
         self._stopped = False
-        self._listener = eventlet.listen(
+        self._listener = listener or eventlet.listen(
             split_address(settings.listen), backlog=BACKLOG, reuse_port=False
         )
         self._accepting = None
--- a/libs/wire/tarragonhall_wire/_context.py
+++ b/libs/wire/tarragonhall_wire/_context.py
@@ -20,7 +20,8 @@
     """The links, metrics, time line and clocks of one process.
 
     `seed_addresses` are the link addresses of control members from the settings,
-    `control_addresses` those known now.
+    `control_addresses` those known now. `started_at` is when this process began, by `monotonic`:
+    whoever listened at `link_address` before had ended by then.
     """
 
     instance: str
@@ -35,6 +36,7 @@
     seed_addresses: list[str] = field(default_factory=list)
     monotonic: Callable[[], float] = time.monotonic
     wall_ms: Callable[[], int] = lambda: int(time.time() * 1000)
+    started_at: float = field(default_factory=time.monotonic)
 
 
 class Role(Protocol):
@@ -57,8 +59,12 @@
     control_addresses: list[str],
     secret: bytes,
     metrics: Metrics,
+    started_at: float | None = None,
 ) -> ProcessContext:
-    """Return the context of a new life of this process, with its listener open."""
+    """Return the context of a new life of this process, with its listener open.
+
+    `started_at` is when the process began; left out, it is now.
+    """
     incarnation = secrets.token_hex(8)
     rng = random.Random(secrets.randbits(64))
     timeline = Timeline(HybridClock(instance))
@@ -75,4 +81,5 @@
         timeline=timeline,
         rng=rng,
         seed_addresses=list(control_addresses),
+        started_at=time.monotonic() if started_at is None else started_at,
     )
