Let a restarted entry own its rates at once

Cause: a killed entry is back at its address within 0.9 to 1.4 s, yet its organisations waited a lease and a slice (1.4 s) more, since nobody knew that its earlier life had ended; where it was taken out first, the next owner waited as long. Two entries that came back together lost the hand-overs. Change: the view counts changes of ownership apart and names the version whose earlier owners have stopped, by the word of an entry that waited them out or by successors at the same addresses; a new life then waits for the slices of the earlier one alone. A killed entry keeps its place for the time of a start, one that was silent for lease and slice is taken out as stopped. A hand-over counts also where entries were added since.

--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -31,6 +31,7 @@
     RemoveServer,
     RemoveStore,
     ServerRecord,
+    SettleOwners,
     StoreRecord,
     StoreRetiring,
     encode,
@@ -64,6 +65,8 @@
         "_announcing",
         "_founding",
         "_leads",
+        "_ownership_s",
+        "_settling",
         "stopped",
         "context",
         "followers",
@@ -84,6 +87,8 @@
         self._announcing: set[str] = set()
         self._founding = StoreFounding(settings.losses_borne)
         self._leads = False
+        self._settling = False
+        self._ownership_s = settings.ownership_ms / 1000
         self.stopped = False
         self.group = GroupMember(
             f"{settings.data_folder}/{LOG_FOLDER}",
@@ -176,11 +181,21 @@
         self._announcing.add(key)
         eventlet.spawn_n(self._announce, node)
 
-    def remove(self, node: Node) -> object:
-        """Take one life of a node out of the view."""
+    def note_settled(self, owners_version: int) -> None:
+        """Commit that earlier owners of rates have stopped, where an entry has waited them out.
+
+        A new life of an entry can then own at once what its earlier life owned.
+        """
+        if self._settling or owners_version == 0 or owners_version != self.state.unsettled_owners:
+            return
+        self._settling = True
+        eventlet.spawn_n(self._settle, owners_version)
+
+    def remove(self, node: Node, stopped: bool = False) -> object:
+        """Take one life of a node out of the view; `stopped` as in `RemoveEntry`."""
         match node:
             case EntryRecord():
-                return self.commit(RemoveEntry(node.entry_id, node.incarnation))
+                return self.commit(RemoveEntry(node.entry_id, node.incarnation, stopped))
             case ServerRecord():
                 return self.commit(RemoveServer(node.server_id, node.incarnation))
             case StoreRecord():
@@ -195,12 +210,25 @@
         finally:
             self._announcing.discard(node_key(node))
 
+    def _settle(self, owners_version: int) -> None:
+        try:
+            self.commit(SettleOwners(owners_version))
+            log.info("control.owners_settled", version=owners_version)
+        except (LoopBusyError, LeadUnknownError):
+            # The next heartbeat of any entry tries again, here or at the next leader.
+            self.context.metrics.count("control.settle_failed")
+        finally:
+            self._settling = False
+
     def _remove_silent_nodes(self) -> None:
         self.context.metrics.gauge("control.followers", len(self.followers))
-        for node in self.nodes.expired(self.state.view(), self.context.monotonic()):
-            log.warning("control.node_silent", node=node_key(node))
+        now = self.context.monotonic()
+        for node in self.nodes.expired(self.state.view(), now):
+            silent_s = self.nodes.silence(node, now)
+            log.warning("control.node_silent", node=node_key(node), silent_s=round(silent_s, 3))
             self.context.timeline.add("node_silent", node=node_key(node))
-            self.remove(node)
+            # Its lease began at a heartbeat that was heard here, or by a leader before this one.
+            self.remove(node, stopped=silent_s > self._ownership_s)
 
     def _found_stores(self) -> None:
         founders = self._founding.founders(self.state.view(), self.context.monotonic())
--- a/libs/control/tarragonhall_control/_nodes.py
+++ b/libs/control/tarragonhall_control/_nodes.py
@@ -8,8 +8,10 @@
 
 # Far above the interval of the checks: a gap like this means that this process itself was paused.
 PAUSE_SECONDS = 1.0
-# An entry whose link closed and that lives dials again within 0.15 s, which is a sign of life.
-CLOSED_LINK_SECONDS = 0.5
+# An entry whose link closed and that lives dials again within 0.15 s, which is a sign of life. One
+# that was killed is back at its address 0.9 to 1.4 s later and owns its organisations' rates at
+# once; taken out before, it would leave them to others that first wait until it surely stopped.
+CLOSED_LINK_SECONDS = 1.4
 
 
 class NodeWatch:
@@ -120,6 +122,10 @@
                 found.append(store)
         return found
 
+    def silence(self, node: Node, now: float) -> float:
+        """Return for how long nothing was heard of a node, in seconds."""
+        return now - self._last_sign(node)
+
     def _is_lost(self, entry: EntryRecord, now: float) -> bool:
         closed_at = self._closed_at_by_key.get(node_key(entry))
         return closed_at is not None and now - closed_at > CLOSED_LINK_SECONDS
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -104,6 +104,7 @@
         if not member.confirm():
             return self._not_leader()
         state = member.state
+        member.note_settled(beat.settled_owners)
         behind = beat.settings_revision < state.revision
         outdated = beat.view_epoch < state.epoch
         policy = state.policy_since(beat.settings_revision) if behind else None
--- a/libs/control/tarragonhall_control/_settings.py
+++ b/libs/control/tarragonhall_control/_settings.py
@@ -4,8 +4,11 @@
 
 from dataclasses import dataclass
 
+from tarragonhall_decisions import OWNERSHIP_S
 from tarragonhall_model import Address, Flag, Group, MapOf, Text, Whole
 
+OWNERSHIP_MS = int(OWNERSHIP_S * 1000)
+
 
 @dataclass(slots=True, frozen=True)
 class ControlSettings:
@@ -14,7 +17,8 @@
     `member_id` is set where members are known by another name than their instance's, and `members`
     is empty for one that waits to be added. `heal` has the leader replace and add members by
     itself, for platforms that replace machines; `losses_borne` is how many members, of control and
-    of the stores each, may then be lost at once.
+    of the stores each, may then be lost at once. An entry that was not heard for `ownership_ms`
+    owns no rates any more, and what it granted has run out.
     """
 
     data_folder: str
@@ -25,6 +29,7 @@
     member_id: str = ""
     heal: bool = False
     losses_borne: int = 1
+    ownership_ms: int = OWNERSHIP_MS
 
 
 OPTIONS = Group(
@@ -41,5 +46,8 @@
         "member_id": Text(default=""),
         "heal": Flag(default=False),
         "losses_borne": Whole(1, minimum=0),
+        # After this long without a confirmed heartbeat an entry owns no rates, and what it granted
+        # has run out. It must not be below that of the entries.
+        "ownership_ms": Whole(OWNERSHIP_MS, minimum=OWNERSHIP_MS),
     },
 )
--- a/libs/control/tests/failure_tests.py
+++ b/libs/control/tests/failure_tests.py
@@ -209,6 +209,29 @@
     assert state.view().entries == []
 
 
+def test_the_word_of_an_entry_that_earlier_owners_stopped_is_kept(start_group):
+    # Two entries joined, so one of them may have owned what is the other's now. An entry that has
+    # waited that out says so, and the next life of either need not wait again.
+    group = start_group("one")
+    state = group.state("one")
+    beats = []
+    for name in ("entry-1", "entry-2"):
+        context, _ = group.client(name)
+        node = EntryRecord(name, context.incarnation, context.link_address, "tx-waco")
+        link = context.hub.wait_for(group.address_by_name["one"], WAIT_SECONDS)
+        link.request(Heartbeat(node, 0, 0), WAIT_SECONDS)
+        beats.append((link, node))
+        group.until(lambda key=name: key in [one.entry_id for one in state.view().entries])
+    assert state.unsettled_owners == 2
+    link, node = beats[0]
+    link.request(Heartbeat(node, 0, 0, settled_owners=1), WAIT_SECONDS)
+    eventlet.sleep(0.1)
+    assert state.unsettled_owners == 2
+    link.request(Heartbeat(node, 0, 0, settled_owners=2), WAIT_SECONDS)
+    group.until(lambda: state.unsettled_owners == 0)
+    assert state.view().settled_version == 2
+
+
 def test_operators_who_race_get_one_acceptance_and_one_conflict(start_group):
     # Two operators change the same thing at the same moment, through different members. Both
     # must not believe that theirs is in force.
--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -17,7 +17,7 @@
 from tarragonhall_decisions._fair_queue import Dropped, FairQueue, QueuedCall
 from tarragonhall_decisions._model_orders import EngineState, LoadOrder, ModelDemand, ModelOrders
 from tarragonhall_decisions._quarantine import Quarantine, charged_by_crash
-from tarragonhall_decisions._rate import LEASE_S, Ask, RateLimiter, RateOutput, Tell
+from tarragonhall_decisions._rate import LEASE_S, OWNERSHIP_S, Ask, RateLimiter, RateOutput, Tell
 from tarragonhall_decisions._rate_holder import Admitted, RateRefused
 from tarragonhall_decisions._rate_reserve import RateReserve, RateSlack
 from tarragonhall_decisions._registry import BackendTable, Registry
@@ -40,6 +40,7 @@
     "CrashSuspects",
     "urgency_of",
     "LEASE_S",
+    "OWNERSHIP_S",
     "RateReserve",
     "RateSlack",
     "BackendChooser",
--- a/libs/decisions/tarragonhall_decisions/_rate.py
+++ b/libs/decisions/tarragonhall_decisions/_rate.py
@@ -15,8 +15,12 @@
 Owner changes: an owner grants only while the control group has confirmed its view within a lease,
 so every owner has stopped one lease after the entries changed. A new owner starts with an empty
 bucket one lease and one slice after it learnt of the change, or at once with the bucket that the
-earlier owner hands over. Entries count their changes (`View.entries_version`): one that missed a
-change gives up all its buckets, since another may have owned them and started them afresh.
+earlier owner hands over. An entry that comes back at its address owns what its earlier life owned;
+where the owners before were waited out already, it waits for that life's slices alone. Without this
+a killed entry that is back after a second cost its organisations another second and a half.
+
+Control counts these changes (`View.owners_version`): an entry that missed one gives up all its
+buckets, since another may have owned them and started them afresh.
 
 What stays: a tenant's calls wait while a dead owner is waited out; they are admitted afterwards if
 half of their time is not over by then.
@@ -81,6 +85,8 @@
 # once a second; when a heartbeat is later than half a second, calls wait until it comes. A longer
 # lease would spare that wait, but when an owner dies all its callers wait for the whole of it.
 LEASE_S = 1.5
+# What an owner granted at the end of its lease is spent or void after this.
+OWNERSHIP_S = LEASE_S + SLICE_VALID_S
 
 FIRST_ENTRIES_VERSION = 1
 
@@ -93,6 +99,8 @@
 
     since_version: int
     usable_from: float
+    # From when on tokens are refilled.
+    filled_from: float
     bucket: Bucket | None = None
 
 
@@ -103,13 +111,20 @@
     """
 
     def __init__(
-        self, entry_id: str, incarnation: str, rng: random.Random, lease_s: float = LEASE_S
+        self,
+        entry_id: str,
+        incarnation: str,
+        rng: random.Random,
+        lease_s: float = LEASE_S,
+        started_at: float = float("inf"),
     ) -> None:
         self.entry_id = entry_id
         self._incarnation = incarnation
         self._holder_id = f"{entry_id}@{incarnation}"
         self._rng = rng
         self._lease_s = lease_s
+        # When this process began: what an earlier life granted, it granted before.
+        self._started_at = started_at
         self._fresh_until = float("-inf")
         self._epoch = -1
         self._entries: list[EntryRecord] = []
@@ -117,7 +132,13 @@
         self._is_member = False
         # The last change of the entries, and from when on no earlier owner can act any more.
         self._entries_version = -1
-        self._settled_at = float("inf")
+        self._owners_version = -1
+        # The last version in which this entry may have come to own more: since then others were
+        # added at most, and each can only have taken something away.
+        self._gained_version = -1
+        # The version of the owners that had settled when this process first heard of any.
+        self._quiet_version = -1
+        self._settled_at = self._filled_from = float("inf")
         self._rate_by_org: dict[str, Rate] = {}
         self._holder_by_org: dict[str, Holder] = {}
         self._owned_by_org: dict[str, _Owned] = {}
@@ -144,22 +165,17 @@
         """Take over a view. Call this before `on_fresh` where one reply carries both."""
         if view.epoch <= self._epoch:
             return []
-        missed = view.entries_version > self._entries_version + 1
-        changed = view.entries_version != self._entries_version
         self._epoch = view.epoch
-        if not changed:
-            return []
-        self._entries_version = view.entries_version
-        self._keep_owners({entry.entry_id for entry in view.entries})
-        self._entries = list(view.entries)
-        self._is_member = any(
-            (entry.entry_id, entry.incarnation) == (self.entry_id, self._incarnation)
-            for entry in view.entries
-        )
-        self._settled_at = now + self._lease_s + SLICE_VALID_S
-        if view.entries_version == FIRST_ENTRIES_VERSION:
-            # There was never an entry before this one: nothing was granted, and all is there.
-            self._settled_at = float("-inf")
+        if view.entries_version == self._entries_version:
+            self._settle(view, now)
+            return self.tick(now)
+        missed = self._missed(view)
+        self._take_entries(view, missed)
+        if view.owners_version != self._owners_version or view.owners_version == 0:
+            # Earlier owners stop one slice before; nothing is refilled twice from then on.
+            self._filled_from = now + self._lease_s
+            self._settled_at = self._filled_from + SLICE_VALID_S
+        self._settle(view, now)
         if missed:
             # Another entry may have owned the buckets meanwhile and started them afresh. Keeping
             # them would give the organisation two buckets; a caller would see twice the rate.
@@ -173,6 +189,32 @@
         outputs.extend(self.tick(now))
         return outputs
 
+    def _missed(self, view: View) -> bool:
+        """Return whether the owners changed without this entry hearing of it."""
+        if view.owners_version:
+            return view.owners_version > self._owners_version + 1
+        # The view comes from a log that an earlier release wrote.
+        return view.entries_version > self._entries_version + 1
+
+    def _take_entries(self, view: View, missed: bool) -> None:
+        """Take over who is in the view, and whether this entry may own more than before."""
+        ids = {entry.entry_id for entry in view.entries}
+        lost = any(entry.entry_id not in ids for entry in self._entries)
+        was_member = self._is_member
+        self._keep_owners(ids)
+        self._entries = list(view.entries)
+        self._entries_version = view.entries_version
+        self._is_member = any(
+            (entry.entry_id, entry.incarnation) == (self.entry_id, self._incarnation)
+            for entry in view.entries
+        )
+        if missed or lost or not was_member:
+            self._gained_version = view.entries_version
+
+    def settled_owners(self, now: float) -> int:
+        """Return the version of the view's owners whose predecessors were waited out, or 0."""
+        return self._owners_version if self._is_member and now >= self._settled_at else 0
+
     def on_fresh(self, sent_at: float) -> None:
         """Note that control confirmed the view; `sent_at` is when that heartbeat was sent."""
         self._fresh_until = max(self._fresh_until, sent_at + self._lease_s)
@@ -251,6 +293,28 @@
                 self._adopt(message, now)
                 return None
 
+    def _settle(self, view: View, now: float) -> None:
+        """Find from when on no earlier owner of what this entry owns can act any more."""
+        if self._owners_version < 0 and view.owners_version <= view.settled_version:
+            self._quiet_version = view.owners_version
+        self._owners_version = view.owners_version
+        if view.entries_version == FIRST_ENTRIES_VERSION:
+            # There was never an entry before this one: nothing was granted, and all is there.
+            self._filled_from = self._settled_at = float("-inf")
+        if 0 < view.owners_version <= view.settled_version and self._is_member:
+            # Only an earlier life of this entry owned what it owns, and that has ended. Waiting
+            # for its lease would refuse the calls of its organisations for nothing.
+            is_quiet = view.owners_version == self._quiet_version
+            slices_end = (self._started_at if is_quiet else now) + SLICE_VALID_S
+            if slices_end < self._settled_at:
+                # Until then a whole burst of the earlier life may be spent late. What was refilled
+                # meanwhile would come on top of it, and a window would see twice the burst.
+                self._filled_from = self._settled_at = slices_end
+        for owned in self._owned_by_org.values():
+            if owned.bucket is None and self._settled_at < owned.usable_from:
+                owned.usable_from = self._settled_at
+                owned.filled_from = self._filled_from
+
     def _take(self, message: TakeTokens, now: float) -> TokensGranted | NotOwner:
         if message.view_epoch > self._epoch or now >= self._fresh_until:
             return NotOwner(self._epoch, int(MIN_PAUSE_S * 1000))
@@ -278,11 +342,10 @@
             return None
         owned = self._owned_by_org.get(org_id)
         if owned is None:
-            owned = _Owned(self._entries_version, self._settled_at)
+            owned = _Owned(self._gained_version, self._settled_at, self._filled_from)
             self._owned_by_org[org_id] = owned
         if owned.bucket is None and now >= owned.usable_from:
-            # Earlier owners stopped one slice before; nothing was refilled twice since then.
-            owned.bucket = Bucket(rate, 0.0, owned.usable_from - SLICE_VALID_S)
+            owned.bucket = Bucket(rate, 0.0, owned.filled_from)
         return owned
 
     def _adopt(self, message: HandOver, now: float) -> None:
--- a/libs/decisions/tests/rate_owner_tests.py
+++ b/libs/decisions/tests/rate_owner_tests.py
@@ -25,6 +25,8 @@
 OWNER = rendezvous(ORG, IDS)
 OTHERS = [entry for entry in IDS if entry != OWNER]
 NEXT = rendezvous(ORG, OTHERS)
+# One more entry that takes nothing from the owner.
+MORE = next(f"z{n}" for n in range(100) if rendezvous(ORG, [*IDS, f"z{n}"]) == OWNER)
 
 
 def view(epoch: int, ids: list[str], version: int | None = None, life: str = "1") -> View:
@@ -130,6 +132,32 @@
     assert ask(owner, 7, 2.4) == 10.0
 
 
+def test_hand_over_is_taken_after_others_were_added_too():
+    """Two entries come back together, one after the other. The first is handed its buckets once it
+    has heard of both. Passed over, the bucket would be gone, and its organisation would wait.
+    """
+    new = limiter(OWNER)
+    new.on_view(view(1, IDS), 0.0)
+    new.on_view(view(2, [*IDS, MORE]), 0.1)
+    new.on_fresh(0.1)
+    assert ask(new, 2, 0.1) is None
+    new.handle(HandOver(ORG, 7.0, 11), 0.2)
+    assert ask(new, 2, 0.2) == 7.0
+
+
+def test_hand_over_from_before_a_removal_is_not_taken():
+    """An entry is taken out and another owns its buckets for a while; a hand-over from before that
+    comes late. Taken, it would bring back tokens that the other has granted.
+    """
+    new = limiter(OWNER)
+    new.on_view(view(1, IDS), 0.0)
+    new.on_view(view(2, [*IDS, MORE]), 0.1)
+    new.on_view(view(3, IDS), 0.2)
+    new.on_fresh(0.2)
+    new.handle(HandOver(ORG, 7.0, 12), 0.3)
+    assert ask(new, 3, 0.3) is None
+
+
 def test_hand_over_that_comes_before_the_view_is_kept():
     """The earlier owner hears of the new view first. Were its hand-over dropped, callers would wait
     seconds for nothing.
--- a/libs/entry/tarragonhall_entry/_role.py
+++ b/libs/entry/tarragonhall_entry/_role.py
@@ -86,7 +86,12 @@
 
     def start(self) -> None:
         """Follow the settings and serve callers."""
-        self._control.follow(self._announcement, self._follower, self._load)
+        self._control.follow(
+            self._announcement,
+            self._follower,
+            self._load,
+            settled_owners=self._rates.settled_owners,
+        )
         self._http.start()
         log.info("entry.started", listen=self._settings.listen)
 
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -66,6 +66,7 @@
     RemoveServer,
     RemoveStore,
     ReportCrash,
+    SettleOwners,
     StartAttempt,
 )
 from tarragonhall_model._control_messages import (
@@ -328,6 +329,7 @@
     "Rejected",
     "ReleaseProgram",
     "RemoveEntry",
+    "SettleOwners",
     "RemoveServer",
     "ReportCrash",
     "RequestTimeoutError",
--- a/libs/model/tarragonhall_model/_commands.py
+++ b/libs/model/tarragonhall_model/_commands.py
@@ -156,10 +156,21 @@
 
 @record
 class RemoveEntry:
-    """Take one life of an entry out of the view. Result: `Recorded`."""
+    """Take one life of an entry out of the view. Result: `Recorded`.
+
+    `stopped` says that it was silent for longer than it may own rates without being heard.
+    """
 
     entry_id: str
     incarnation: str
+    stopped: bool = False
+
+
+@record
+class SettleOwners:
+    """Note that owners before this `owners_version` have stopped. Result: `Recorded`."""
+
+    owners_version: int
 
 
 @record
--- a/libs/model/tarragonhall_model/_control_messages.py
+++ b/libs/model/tarragonhall_model/_control_messages.py
@@ -156,6 +156,7 @@
 
     It announces the sender (`node`), and asks for news since the revision and epoch it has.
     `relay_version` is that of the relay document it has; None for a process that takes none.
+    `settled_owners` is the `owners_version` whose earlier owners it has waited out, 0 for none.
     """
 
     node: EntryRecord | ServerRecord | StoreRecord
@@ -163,6 +164,7 @@
     view_epoch: int
     load: NodeLoad = NodeLoad()
     relay_version: int | None = None
+    settled_owners: int = 0
 
 
 @record
--- a/libs/model/tarragonhall_model/_policy.py
+++ b/libs/model/tarragonhall_model/_policy.py
@@ -128,6 +128,10 @@
     `entries_version` grows by one with each change of the entries alone: a process that missed
     views can tell whether it also missed a change of the entries. `store_founders` are the store
     members that found their group, decided once; `retiring_stores` must leave it for good.
+
+    `owners_version` grows with each change of which entries there are or where they listen, so of
+    which one owns an organisation's rate; a new life of an entry at its old address owns what the
+    earlier one did. Every owner by a choice before `settled_version` has stopped.
     """
 
     epoch: int
@@ -138,3 +142,5 @@
     stores: list[StoreRecord] = field(default_factory=list)
     store_founders: list[str] = field(default_factory=list)
     retiring_stores: list[str] = field(default_factory=list)
+    owners_version: int = 0
+    settled_version: int = 0
--- a/libs/rates/tarragonhall_rates/_rates.py
+++ b/libs/rates/tarragonhall_rates/_rates.py
@@ -60,7 +60,13 @@
         self._context = context
         self._reserve = RateReserve(slack or RateSlack())
         self._rate_by_org: dict[str, Rate] = {}
-        self._limiter = RateLimiter(context.instance, context.incarnation, context.rng, lease_s)
+        self._limiter = RateLimiter(
+            context.instance,
+            context.incarnation,
+            context.rng,
+            lease_s,
+            context.started_at,
+        )
         self._event_by_id: dict[str, Event] = {}
         self._poke = Semaphore(0)
         self._stopped = False
@@ -90,6 +96,10 @@
         """Note that control confirmed the view."""
         self._limiter.on_fresh(sent_at)
 
+    def settled_owners(self) -> int:
+        """Return the version of the view's owners whose predecessors were waited out, or 0."""
+        return self._limiter.settled_owners(self._context.monotonic())
+
     def owner_of(self, org_id: str) -> str | None:
         """Return the entry that owns the bucket of an organisation in the view held."""
         return self._limiter.owner_of(org_id)
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -104,7 +104,12 @@
 
     def start(self) -> None:
         """Follow control and serve clients."""
-        self._control.follow(self._announcement, self._follower, takes_relay=True)
+        self._control.follow(
+            self._announcement,
+            self._follower,
+            takes_relay=True,
+            settled_owners=self.state.rates.settled_owners,
+        )
         self._backends.start()
         self._peers.start()
         self._accepting = eventlet.spawn(self._accept_loop)
--- a/libs/state/tarragonhall_state/_machine.py
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -35,6 +35,7 @@
     RemoveStore,
     RetireStore,
     ServerRecord,
+    SettleOwners,
     StoreRecord,
     StoreRetiring,
     View,
@@ -138,6 +139,12 @@
         """Return the epoch of the view."""
         return self._views.epoch
 
+    @property
+    def unsettled_owners(self) -> int:
+        """Return the version of the owners while earlier ones may still act, otherwise 0."""
+        views = self._views
+        return views.owners_version if views.settled_version < views.owners_version else 0
+
     @property
     def relay_version(self) -> int:
         """Return the version of the relay document in force; 0 before the first."""
@@ -275,8 +282,10 @@
         match body:
             case AnnounceEntry(entry=entry):
                 return self._views.announce_entry(entry, now_ms)
-            case RemoveEntry(entry_id=entry_id, incarnation=incarnation):
-                return self._views.remove_entry(entry_id, incarnation, now_ms)
+            case RemoveEntry(entry_id=entry_id, incarnation=incarnation, stopped=stopped):
+                return self._views.remove_entry(entry_id, incarnation, now_ms, stopped)
+            case SettleOwners(owners_version=version):
+                return self._views.settle_owners(version, now_ms)
             case AnnounceServer(server=server):
                 return self._views.announce_server(server, now_ms)
             case RemoveServer(server_id=server_id, incarnation=incarnation):
--- a/libs/state/tarragonhall_state/_views.py
+++ b/libs/state/tarragonhall_state/_views.py
@@ -36,24 +36,51 @@
     store_founders: list[str] = field(default_factory=list)
     # Every store member that was ever announced; its value says how far its retirement is.
     retirement_by_store: dict[str, str] = field(default_factory=dict)
+    # See `View.owners_version` and `View.settled_version`.
+    owners_version: int = 0
+    settled_version: int = 0
+    # Lives of entries that may own by an earlier choice, as long as nothing says that they stopped.
+    unsettled_by_life: dict[str, EntryRecord] = field(default_factory=dict)
 
     def announce_entry(self, entry: EntryRecord, at_ms: int) -> Recorded:
         """Take in an entry, in place of an earlier life of it."""
-        if self.entry_by_id.get(entry.entry_id) != entry:
-            self.entry_by_id[entry.entry_id] = entry
-            self.entries_version += 1
-            self._changed(at_ms)
+        known = self.entry_by_id.get(entry.entry_id)
+        if known == entry:
+            return Recorded(self.epoch)
+        if known is None:
+            # Any of those that are there may lose what it owns to the new one.
+            self._owners_changed(list(self.entry_by_id.values()))
+        elif known.address != entry.address:
+            self._owners_changed([known])
+        self.entry_by_id[entry.entry_id] = entry
+        self.entries_version += 1
+        self._earlier_lives_ended(entry)
+        self._changed(at_ms)
         return Recorded(self.epoch)
 
-    def remove_entry(self, entry_id: str, incarnation: str, at_ms: int) -> Recorded:
-        """Take out one life of an entry; a later life stays."""
+    def remove_entry(
+        self, entry_id: str, incarnation: str, at_ms: int, stopped: bool = False
+    ) -> Recorded:
+        """Take out one life of an entry; a later life stays.
+
+        `stopped` says that it cannot act as an owner any more, not even cut off.
+        """
         entry = self.entry_by_id.get(entry_id)
         if entry is not None and entry.incarnation == incarnation:
+            self._owners_changed([] if stopped else [entry])
             del self.entry_by_id[entry_id]
             self.entries_version += 1
             self._changed(at_ms)
         return Recorded(self.epoch)
 
+    def settle_owners(self, version: int, at_ms: int) -> Recorded:
+        """Note that every owner by a choice before this version has stopped."""
+        if self.settled_version < version == self.owners_version:
+            self.unsettled_by_life.clear()
+            self.settled_version = version
+            self._changed(at_ms)
+        return Recorded(self.epoch)
+
     def announce_server(self, server: ServerRecord, at_ms: int) -> Recorded:
         """Take in a backend server, in place of an earlier life of it."""
         if self.server_by_id.get(server.server_id) != server:
@@ -152,8 +179,34 @@
             list(self.store_by_id.values()),
             self.store_founders,
             retiring,
+            self.owners_version,
+            self.settled_version,
         )
 
+    def _owners_changed(self, losers: list[EntryRecord]) -> None:
+        """Count a change of which entry owns what; those who lose may still act on the old one."""
+        self.owners_version += 1
+        for entry in losers:
+            self.unsettled_by_life[f"{entry.entry_id}@{entry.incarnation}"] = entry
+        self._settle_if_all_ended()
+
+    def _earlier_lives_ended(self, entry: EntryRecord) -> None:
+        """Drop the lives that this one succeeds.
+
+        Only one process at a time listens at an address, so whoever had it before has ended. One
+        that was merely paused still holds its address, and no successor could be announced there.
+        """
+        for life, earlier in list(self.unsettled_by_life.items()):
+            if (earlier.entry_id, earlier.address) != (entry.entry_id, entry.address):
+                continue
+            if earlier.incarnation != entry.incarnation:
+                del self.unsettled_by_life[life]
+        self._settle_if_all_ended()
+
+    def _settle_if_all_ended(self) -> None:
+        if not self.unsettled_by_life:
+            self.settled_version = self.owners_version
+
     def _changed(self, at_ms: int) -> None:
         self.epoch += 1
         self.changed_at_ms = at_ms
--- a/libs/state/tests/views_tests.py
+++ b/libs/state/tests/views_tests.py
@@ -24,3 +24,47 @@
     assert views.view().entries_version == 2
     views.remove_entry("a", "2", 7)
     assert views.view().entries_version == 3
+
+
+def _entry(entry_id, life, address=None):
+    return EntryRecord(entry_id, life, address or f"addr-{entry_id}", "zone")
+
+
+def test_owners_settle_once_every_earlier_life_has_ended():
+    """All entries are killed shortly after one was added, and come back at their addresses.
+
+    Nobody who acted on the earlier choice of owners is left. Callers must not wait for leases.
+    """
+    views = Views()
+    for entry_id in "abc":
+        views.announce_entry(_entry(entry_id, "1"), 1)
+    assert views.view().settled_version < views.view().owners_version == 3
+    views.announce_entry(_entry("a", "2"), 2)
+    assert views.view().settled_version < views.view().owners_version
+    views.announce_entry(_entry("b", "2"), 3)
+    assert views.view().settled_version == views.view().owners_version == 3
+
+
+def test_a_life_at_another_address_says_nothing_of_the_earlier_one():
+    """An entry is started elsewhere while the earlier process is only cut off. It still grants."""
+    views = Views()
+    views.announce_entry(_entry("a", "1"), 1)
+    assert views.view().settled_version == views.view().owners_version
+    views.announce_entry(_entry("a", "2", "elsewhere"), 2)
+    assert views.view().settled_version < views.view().owners_version
+    views.announce_entry(_entry("a", "3", "elsewhere"), 3)
+    assert views.view().settled_version < views.view().owners_version
+
+
+def test_an_entry_that_is_taken_out_may_still_act():
+    """A silent entry is taken out; it may be cut off only. Its word that others settled is old."""
+    views = Views()
+    views.announce_entry(_entry("a", "1"), 1)
+    views.announce_entry(_entry("b", "1"), 2)
+    views.settle_owners(2, 3)
+    views.remove_entry("b", "1", 4)
+    views.settle_owners(2, 5)
+    assert views.view().settled_version == 2
+    assert views.view().owners_version == 3
+    views.settle_owners(3, 6)
+    assert views.view().settled_version == 3
--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -72,10 +72,14 @@
         follower: FollowerApi,
         load: Callable[[], NodeLoad] = NodeLoad,
         takes_relay: bool = False,
+        settled_owners: Callable[[], int] = int,
     ) -> None:
-        """Keep a follower fresh and `node` announced, from a green thread, until it leaves."""
+        """Keep a follower fresh and `node` announced, from a green thread, until it leaves.
+
+        `settled_owners` returns what the heartbeat's field of that name holds.
+        """
         self.followers.append(follower)
-        eventlet.spawn_n(self._follow_loop, node, follower, load, takes_relay)
+        eventlet.spawn_n(self._follow_loop, node, follower, load, takes_relay, settled_owners)
 
     def leave(self, node: EntryRecord | ServerRecord | StoreRecord, timeout_s: float) -> None:
         """Leave the view; after a failure the missing heartbeats do the same, later.
@@ -90,12 +94,22 @@
             log.warning("control.leave_failed", error=str(error))
 
     def _follow_loop(
-        self, node: Callable, follower: FollowerApi, load: Callable, takes_relay: bool
+        self,
+        node: Callable,
+        follower: FollowerApi,
+        load: Callable,
+        takes_relay: bool,
+        settled_owners: Callable[[], int],
     ) -> None:
         while _node_id(node()) not in self._left:
             relay_version = follower.relay_version if takes_relay else None
             beat = Heartbeat(
-                node(), follower.settings_revision, follower.view.epoch, load(), relay_version
+                node(),
+                follower.settings_revision,
+                follower.view.epoch,
+                load(),
+                relay_version,
+                settled_owners(),
             )
             try:
                 timed = self._leader.ask_timed(beat, ATTEMPT_SECONDS * 2)
