--- a/libs/relay/tests/relay_stand_ins.py
+++ b/libs/relay/tests/relay_stand_ins.py
@@ -324,3 +324,10 @@
             return body
         body += data[:length]
         data = data[length + 2 :]
+
+
+def refuses(_backend, arrived):
+    """Answer that the call was not run, as a full server does."""
+    arrived.connection.sendall(
+        b"HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+    )
