Read JSON that must not name a thing twice in one place

Cause: the check for doubled names stood three times (the daemon's settings, requests of the admin interface, the platform's documents). Change: `parse_json` of the model serves all three. Two of them now say which name stands twice; nothing else changes.

--- a/libs/daemon/tarragonhall_daemon/_settings.py
+++ b/libs/daemon/tarragonhall_daemon/_settings.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
 
 import tarragonhall_control
 import tarragonhall_entry
 import tarragonhall_sidecar
 from tarragonhall_control import ControlSettings
 from tarragonhall_entry import EntrySettings
-from tarragonhall_model import Address, Choice, Finding, Group, InputError, ListOf, Text, Whole
+from tarragonhall_model import (
+    Address,
+    Choice,
+    Finding,
+    Group,
+    InputError,
+    ListOf,
+    Text,
+    Whole,
+    parse_json,
+)
 from tarragonhall_sidecar import SidecarSettings
 
 MIN_SECRET_BYTES = 32
@@ -117,11 +125,12 @@
 def load_settings(path: Path) -> DaemonSettings:
     """Read and check a settings file; raise `InputError` with every finding."""
     try:
-        value = json.loads(path.read_text(), object_pairs_hook=_refuse_doubled)
+        text = path.read_text()
     except OSError as error:
         raise InputError([Finding(str(path), error.strerror or str(error))]) from error
-    except (ValueError, RecursionError) as error:
+    except UnicodeDecodeError as error:
         raise InputError([Finding(str(path), f"malformed JSON: {error}")]) from error
+    value = parse_json(text, str(path))
     made, findings = OPTIONS.load(value)
     if findings:
         raise InputError(findings)
@@ -140,17 +149,6 @@
     return secret
 
 
-def _refuse_doubled(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    # The plain parser keeps the last of two equal names, so half of an operator's file would
-    # silently not count.
-    made: dict[str, Any] = {}
-    for name, value in pairs:
-        if name in made:
-            raise ValueError(f"the name {name!r} stands twice in one object")
-        made[name] = value
-    return made
-
-
 def _resolve_paths(made: DaemonSettings, folder: Path) -> DaemonSettings:
     """Make the file paths relative to the settings file's folder."""
     link = replace(made.link, secret_file=str(folder / made.link.secret_file))
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -116,6 +116,7 @@
     secret_hash,
     shard_of,
 )
+from tarragonhall_model._json import parse_json
 from tarragonhall_model._options import (
     MAX_PORT,
     REQUIRED,
@@ -359,6 +360,7 @@
     "from_plain",
     "mutable_record",
     "new_id",
+    "parse_json",
     "new_secret",
     "record",
     "rendezvous",
--- a/libs/wire/tarragonhall_wire/_http.py
+++ b/libs/wire/tarragonhall_wire/_http.py
@@ -12,7 +12,7 @@
 import eventlet
 import structlog
 from eventlet import wsgi
-from tarragonhall_model import Finding, InputError
+from tarragonhall_model import Finding, InputError, parse_json
 
 from tarragonhall_wire._hub import split_address
 
@@ -54,10 +54,7 @@
         """Return the body as a JSON object; raise `InputError` where it is none."""
         if not self.body:
             return {}
-        try:
-            value = json.loads(self.body, object_pairs_hook=_refuse_doubled)
-        except (ValueError, RecursionError) as error:
-            raise InputError([Finding("", f"malformed JSON: {error}")]) from error
+        value = parse_json(self.body)
         if not isinstance(value, dict):
             raise InputError([Finding("", "expected a JSON object")])
         return value
@@ -74,14 +71,6 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
-def _refuse_doubled(pairs: list[tuple[str, object]]) -> dict:
-    # The plain parser keeps the last of two equal names; the first would be lost without a word.
-    made = dict(pairs)
-    if len(made) < len(pairs):
-        raise ValueError("a name stands twice in one object")
-    return made
-
-
 Route = tuple[str, re.Pattern[str], Callable[[HttpRequest], HttpResponse]]
 
 
