Choose the server of a key once for each call

Cause: which server a hash names for a key was worked out again for each server looked at, so a plain call with a key hashed every server as often as there are servers; and the function stood beside the model's `rendezvous`. Change: it is worked out once a choice, by `rendezvous`, where it is needed.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -33,7 +33,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from tarragonhall_model import BackendRecord, fingerprint
+from tarragonhall_model import BackendRecord, rendezvous
 
 PREFILL_TOKENS_PER_MS = 30.0
 RUNNING_MS = 4.0
@@ -147,10 +147,11 @@
                 del self._others_by_entry[entry_id]
         best: list[BackendRecord] = []
         lowest = float("inf")
+        first = self._first_choice(need)
         for record in self.servers(need.service):
             if record.server_id in need.avoid:
                 continue
-            cost = self._cost_ms(record, need, now)
+            cost = self._cost_ms(record, need, first, now)
             if cost < lowest - NEAR_MS:
                 best = []
             if cost <= lowest + NEAR_MS:
@@ -193,17 +194,19 @@
         pause_s = min(MOST_AVOID_S, AVOID_S * 2 ** (load.failures - 1))
         load.avoid_until = now + pause_s
 
-    def _cost_ms(self, record: BackendRecord, need: CallNeed, now: float) -> float:
+    def _cost_ms(
+        self, record: BackendRecord, need: CallNeed, first: str | None, now: float
+    ) -> float:
         load = self.load(record.server_id)
         cost = 0.0 if record.availability_zone == self._zone else ZONE_MS
         running = load.running + self._running_elsewhere(record.server_id)
         if need.parts:
             cost += running * RUNNING_MS
-            cost += self._missing_tokens(record.server_id, need) / PREFILL_TOKENS_PER_MS
+            cost += self._missing_tokens(record.server_id, need, first) / PREFILL_TOKENS_PER_MS
         else:
             waiting = running - record.slots + 1
             cost += running * RUNNING_MS + max(0, waiting) / max(1, record.slots) * SERVICE_MS
-            if need.object_key and self._first_choice(need) != record.server_id:
+            if need.object_key and first != record.server_id:
                 cost += SERVICE_MS / 4
         if not record.heard:
             cost += UNHEARD_MS
@@ -220,7 +223,7 @@
             other.running_by_server.get(server_id, 0) for other in self._others_by_entry.values()
         )
 
-    def _missing_tokens(self, server_id: str, need: CallNeed) -> int:
+    def _missing_tokens(self, server_id: str, need: CallNeed, first: str | None) -> int:
         """Return the tokens that the server would have to read: all from the first missing part."""
         total = sum(part.tokens for part in need.parts)
         if server_id == need.last_server:
@@ -228,19 +231,22 @@
             return need.parts[-1].tokens
         held = 0
         for part in need.parts:
-            if not self._holds(server_id, part, need):
+            if not self._holds(server_id, part, need, first):
                 break
             held += part.tokens
         return total - held
 
-    def _holds(self, server_id: str, part: PromptPart, need: CallNeed) -> bool:
+    def _holds(self, server_id: str, part: PromptPart, need: CallNeed, first: str | None) -> bool:
         holders = self._holders_by_part.get(part.part_id)
         if holders is not None:
             return server_id in holders
         # Nothing is known here; entries that know as little choose the same server by the hash.
-        return part is need.parts[0] and self._first_choice(need) == server_id
+        return part is need.parts[0] and first == server_id
 
-    def _first_choice(self, need: CallNeed) -> str:
+    def _first_choice(self, need: CallNeed) -> str | None:
+        """Return the server that entries choose by the hash, where nothing else speaks for one."""
+        known = not need.parts or need.parts[0].part_id in self._holders_by_part
+        if known and not need.object_key:
+            return None
         key = need.object_key or need.parts[0].part_id
-        ids = [record.server_id for record in self.servers(need.service)]
-        return max(ids, key=lambda one: (fingerprint(key, one), one))
+        return rendezvous(key, [record.server_id for record in self.servers(need.service)])
