--- a/libs/decisions/tarragonhall_decisions/_rate.py
+++ b/libs/decisions/tarragonhall_decisions/_rate.py
@@ -28,7 +28,8 @@
 Only what is in use is computed: an owner is looked up when its organisation calls, so a change of
 the view costs nothing for the thousands of organisations that are quiet.
 
-The figures and their grounds are in `_bucket` and `_rate_holder`.
+The figures and their grounds are in `_bucket` and `_rate_holder`; how long earlier owners are
+waited out is decided in `_earlier_owners`.
 """
 
 from __future__ import annotations
@@ -51,6 +52,7 @@
 
 from tarragonhall_decisions._bucket import SLICE_VALID_S, Bucket
 from tarragonhall_decisions._deadlines import Deadline
+from tarragonhall_decisions._earlier_owners import EarlierOwners
 from tarragonhall_decisions._rate_holder import (
     ASK_TIMEOUT_S,
     MIN_PAUSE_S,
@@ -88,8 +90,6 @@
 # What an owner granted at the end of its lease is spent or void after this.
 OWNERSHIP_S = LEASE_S + SLICE_VALID_S
 
-FIRST_ENTRIES_VERSION = 1
-
 RateOutput = Admitted | RateRefused | Ask | Tell
 
 
@@ -123,22 +123,16 @@
         self._holder_id = f"{entry_id}@{incarnation}"
         self._rng = rng
         self._lease_s = lease_s
-        # When this process began: what an earlier life granted, it granted before.
-        self._started_at = started_at
+        self._earlier = EarlierOwners(lease_s, started_at)
         self._fresh_until = float("-inf")
         self._epoch = -1
         self._entries: list[EntryRecord] = []
         # Whether the view names this life of the entry; an earlier one may own what it owns.
         self._is_member = False
-        # The last change of the entries, and from when on no earlier owner can act any more.
         self._entries_version = -1
-        self._owners_version = -1
         # The last version in which this entry may have come to own more: since then others were
         # added at most, and each can only have taken something away.
         self._gained_version = -1
-        # The version of the owners that had settled when this process first heard of any.
-        self._quiet_version = -1
-        self._settled_at = self._filled_from = float("inf")
         self._rate_by_org: dict[str, Rate] = {}
         self._holder_by_org: dict[str, Holder] = {}
         self._owned_by_org: dict[str, _Owned] = {}
@@ -167,16 +161,14 @@
             return []
         self._epoch = view.epoch
         if view.entries_version == self._entries_version:
-            self._settle(view, now)
+            self._earlier.on_view(view, self._is_member, now)
+            self._hasten()
             return self.tick(now)
         missed = self._missed(view)
         skipped = view.entries_version > self._entries_version + 1
         self._take_entries(view, missed)
-        if view.owners_version != self._owners_version or view.owners_version == 0:
-            # Earlier owners stop one slice before; nothing is refilled twice from then on.
-            self._filled_from = now + self._lease_s
-            self._settled_at = self._filled_from + SLICE_VALID_S
-        self._settle(view, now)
+        self._earlier.on_entries_changed(view, self._is_member, now)
+        self._hasten()
         if missed:
             # Another entry may have owned the buckets meanwhile and started them afresh. Keeping
             # them would give the organisation two buckets; a caller would see twice the rate.
@@ -198,7 +190,7 @@
     def _missed(self, view: View) -> bool:
         """Return whether the owners changed without this entry hearing of it."""
         if view.owners_version:
-            return view.owners_version > self._owners_version + 1
+            return view.owners_version > self._earlier.version + 1
         # The view comes from a log that an earlier release wrote.
         return view.entries_version > self._entries_version + 1
 
@@ -219,7 +211,8 @@
 
     def settled_owners(self, now: float) -> int:
         """Return the version of the view's owners whose predecessors were waited out, or 0."""
-        return self._owners_version if self._is_member and now >= self._settled_at else 0
+        is_over = self._is_member and now >= self._earlier.settled_at
+        return self._earlier.version if is_over else 0
 
     def on_fresh(self, sent_at: float) -> None:
         """Note that control confirmed the view; `sent_at` is when that heartbeat was sent."""
@@ -299,27 +292,12 @@
                 self._adopt(message, now)
                 return None
 
-    def _settle(self, view: View, now: float) -> None:
-        """Find from when on no earlier owner of what this entry owns can act any more."""
-        if self._owners_version < 0 and view.owners_version <= view.settled_version:
-            self._quiet_version = view.owners_version
-        self._owners_version = view.owners_version
-        if view.entries_version == FIRST_ENTRIES_VERSION:
-            # There was never an entry before this one: nothing was granted, and all is there.
-            self._filled_from = self._settled_at = float("-inf")
-        if 0 < view.owners_version <= view.settled_version and self._is_member:
-            # Only an earlier life of this entry owned what it owns, and that has ended. Waiting
-            # for its lease would refuse the calls of its organisations for nothing.
-            is_quiet = view.owners_version == self._quiet_version
-            slices_end = (self._started_at if is_quiet else now) + SLICE_VALID_S
-            if slices_end < self._settled_at:
-                # Until then a whole burst of the earlier life may be spent late. What was refilled
-                # meanwhile would come on top of it, and a window would see twice the burst.
-                self._filled_from = self._settled_at = slices_end
+    def _hasten(self) -> None:
+        """Let buckets that wait for earlier owners begin sooner, where those stopped sooner."""
         for owned in self._owned_by_org.values():
-            if owned.bucket is None and self._settled_at < owned.usable_from:
-                owned.usable_from = self._settled_at
-                owned.filled_from = self._filled_from
+            if owned.bucket is None and self._earlier.settled_at < owned.usable_from:
+                owned.usable_from = self._earlier.settled_at
+                owned.filled_from = self._earlier.filled_from
 
     def _take(self, message: TakeTokens, now: float) -> TokensGranted | NotOwner:
         if message.view_epoch > self._epoch or now >= self._fresh_until:
@@ -348,7 +326,8 @@
             return None
         owned = self._owned_by_org.get(org_id)
         if owned is None:
-            owned = _Owned(self._gained_version, self._settled_at, self._filled_from)
+            earlier = self._earlier
+            owned = _Owned(self._gained_version, earlier.settled_at, earlier.filled_from)
             self._owned_by_org[org_id] = owned
         if owned.bucket is None and now >= owned.usable_from:
             owned.bucket = Bucket(rate, 0.0, owned.filled_from)
