Let one piece of code serve where two or three stood

Cause: read once more, the change held twins: the name of the leader's role in three libraries (one of them unused), an entry's announcement in both kinds of entries, the number of loads at once in planner and plan, the head of the relay's own answers twice, and a decoded field that nothing read. Change: `RoleChanged.leads`, `ProcessContext.entry_record`, `LOADS_AT_ONCE` of the planner, one `_own_answer`; the field is gone (the header is passed on as before). Behaviour stays.

--- a/libs/consensus/tarragonhall_consensus/_core.py
+++ b/libs/consensus/tarragonhall_consensus/_core.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import enum
 import random
 from typing import TYPE_CHECKING
 
-from tarragonhall_consensus._interface import Machine, Output, RoleChanged, SendTo
+from tarragonhall_consensus._interface import Machine, Output, Role, RoleChanged, SendTo
 from tarragonhall_consensus._limits import Limits
 from tarragonhall_consensus._membership import Membership
 from tarragonhall_consensus._messages import Entry, Envelope, Message, SnapshotMeta
@@ -18,16 +17,6 @@
 NEVER = float("-inf")
 
 
-class Role(enum.StrEnum):
-    """What a member is at the moment."""
-
-    OUTSIDE = "outside"
-    LEARNER = "learner"
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
 # A member that was started stands within this share of an election timeout after it may: members
 # that were killed together are started some tenths of a second apart by themselves.
 _FIRST_SPREAD = 0.3
--- a/libs/consensus/tarragonhall_consensus/_interface.py
+++ b/libs/consensus/tarragonhall_consensus/_interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -26,6 +27,16 @@
         """Replace the whole state."""
 
 
+class Role(enum.StrEnum):
+    """What a member is at the moment."""
+
+    OUTSIDE = "outside"
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
 @dataclass(slots=True, frozen=True)
 class Tick:
     """Time has passed. Feed one every `TICK_SECONDS` or so."""
@@ -127,6 +138,11 @@
     term: int
     leader: str | None
 
+    @property
+    def leads(self) -> bool:
+        """Return whether this member leads now."""
+        return self.role == Role.LEADER
+
 
 Output = SendTo | ProposalDone | ProposalLost | ReadConfirmed | ReadLost | RoleChanged
 
--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -55,7 +55,6 @@
 EXPIRE_SECONDS = 1.0
 # Loading weights takes tens of seconds; half a second until the next order is little beside it.
 ORDER_SECONDS = 0.5
-LEADER = "leader"
 
 
 class ControlMember:
@@ -257,7 +256,7 @@
         self.nodes.link_closed(link, self.context.monotonic())
 
     def _on_role(self, changed: RoleChanged) -> None:
-        leads = changed.role == LEADER
+        leads = changed.leads
         if leads and not self._leads:
             self.nodes.grant_all(self.context.monotonic())
         if not leads:
--- a/libs/control/tarragonhall_control/_order_plan.py
+++ b/libs/control/tarragonhall_control/_order_plan.py
@@ -9,15 +9,19 @@
 
 from dataclasses import dataclass, field
 
-from tarragonhall_decisions import EngineState, LoadOrder, ModelDemand, ModelOrders
+from tarragonhall_decisions import (
+    LOADS_AT_ONCE,
+    EngineState,
+    LoadOrder,
+    ModelDemand,
+    ModelOrders,
+)
 from tarragonhall_model import ModelPolicy, NodeLoad, ServerKind, ServerRecord
 
 from tarragonhall_control._nodes import Node, node_key
 
 LOAD_MODEL = "load_model"
 UNLOAD = "unload"
-# As many loads at once as the planner of `decisions` allows the rate-limited weight store.
-ORDERS_AT_ONCE = 2
 # A load that was not told again for longer than an entry's timeout is no demand any more.
 LOAD_SECONDS = 4.0
 
@@ -91,7 +95,7 @@
         if not steps and not engines.in_flight:
             self._plan_switches(policy_by_model, engines, now)
             steps = self._switch_steps(policy_by_model, engines)
-        return steps[: max(0, ORDERS_AT_ONCE - len(engines.in_flight))]
+        return steps[: max(0, LOADS_AT_ONCE - len(engines.in_flight))]
 
     # One version after another, server by server.
 
--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -15,7 +15,13 @@
 )
 from tarragonhall_decisions._drain import DrainPhase, EntryDrain
 from tarragonhall_decisions._fair_queue import Dropped, FairQueue, QueuedCall
-from tarragonhall_decisions._model_orders import EngineState, LoadOrder, ModelDemand, ModelOrders
+from tarragonhall_decisions._model_orders import (
+    LOADS_AT_ONCE,
+    EngineState,
+    LoadOrder,
+    ModelDemand,
+    ModelOrders,
+)
 from tarragonhall_decisions._quarantine import Quarantine, charged_by_crash
 from tarragonhall_decisions._rate import LEASE_S, OWNERSHIP_S, Ask, RateLimiter, RateOutput, Tell
 from tarragonhall_decisions._rate_holder import Admitted, RateRefused
@@ -40,6 +46,7 @@
     "CrashSuspects",
     "urgency_of",
     "LEASE_S",
+    "LOADS_AT_ONCE",
     "OWNERSHIP_S",
     "RateReserve",
     "RateSlack",
--- a/libs/entry/tarragonhall_entry/_role.py
+++ b/libs/entry/tarragonhall_entry/_role.py
@@ -6,7 +6,7 @@
 import structlog
 from eventlet.greenthread import GreenThread
 from tarragonhall_decisions import DrainPhase, EntryDrain
-from tarragonhall_model import EntryRecord, NodeLoad, Refusal, RefusalCode, View
+from tarragonhall_model import NodeLoad, Refusal, RefusalCode, View
 from tarragonhall_rates import Rates
 from tarragonhall_wire import ControlClient, HttpServer, ProcessContext, Role
 
@@ -87,7 +87,7 @@
     def start(self) -> None:
         """Follow the settings and serve callers."""
         self._control.follow(
-            self._announcement,
+            self._context.entry_record,
             self._follower,
             self._load,
             settled_owners=self._rates.settled_owners,
@@ -144,7 +144,7 @@
 
     def _leave(self) -> None:
         """Leave the view and hand the rate buckets to their owners in the view without us."""
-        self._control.leave(self._announcement(), LEAVE_SECONDS)
+        self._control.leave(self._context.entry_record(), LEAVE_SECONDS)
         deadline = self._now() + VIEW_SECONDS
         while self._is_in(self._follower.view) and self._now() < deadline:
             eventlet.sleep(DRAIN_STEP_SECONDS)
@@ -162,15 +162,6 @@
             Refusal(RefusalCode.SHUTTING_DOWN, message, retry_after_ms=DRAIN_RETRY_MS)
         )
 
-    def _announcement(self) -> EntryRecord:
-        context = self._context
-        return EntryRecord(
-            context.instance,
-            context.incarnation,
-            context.link_address,
-            context.availability_zone,
-        )
-
 
 def start_entry(settings: EntrySettings, context: ProcessContext, control: ControlClient) -> Role:
     """Serve callers until drained."""
--- a/libs/group/tarragonhall_group/_member.py
+++ b/libs/group/tarragonhall_group/_member.py
@@ -19,7 +19,6 @@
 # Below a request's patience, so that the sender learns of it and can turn to another member.
 PROPOSE_SECONDS = 5.0
 CONFIRM_SECONDS = 1.0
-LEADER = "leader"
 
 
 @dataclass(slots=True)
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -327,11 +327,10 @@
         return _unavailable(RefusalCode.NO_SERVER, message, NO_SERVER_RETRY_S)
 
     def _refuse(self, refused: Refused) -> None:
-        headers: Headers = [(b"content-type", b"application/json")]
+        extra: Headers = []
         if refused.retry_after_s is not None:
-            headers.append((b"retry-after", f"{refused.retry_after_s:.3f}".encode()))
-        body = error_body(refused.error, refused.message)
-        self._client.respond(refused.status, headers, body)
+            extra = [(b"retry-after", f"{refused.retry_after_s:.3f}".encode())]
+        self._own_answer(refused.status, refused.error, refused.message, extra)
         self._report.end(self._admitted, refused.status, refused.message, refused.retry_after_s)
 
     def _fail(self, reason: str) -> None:
@@ -348,8 +347,10 @@
         self._own_answer(504, "deadline", reason)
         self._report.end(self._admitted, 504, reason)
 
-    def _own_answer(self, status: int, error: str, message: str) -> None:
-        headers: Headers = [(b"content-type", b"application/json")]
+    def _own_answer(
+        self, status: int, error: str, message: str, extra: Headers | None = None
+    ) -> None:
+        headers: Headers = [(b"content-type", b"application/json"), *(extra or ())]
         self._client.respond(status, headers, error_body(error, message))
 
 
--- a/libs/relay/tarragonhall_relay/_dialect.py
+++ b/libs/relay/tarragonhall_relay/_dialect.py
@@ -33,7 +33,6 @@
     parts: tuple[PromptPart, ...] = ()
     previous_turn: str | None = None
     object_key: str = ""
-    last_event_id: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -8,7 +8,7 @@
 import structlog
 from eventlet.greenio import GreenSocket
 from tarragonhall_decisions import LEASE_S, BackendChooser, CrashSuspects, RateSlack
-from tarragonhall_model import ClientLimits, EntryRecord
+from tarragonhall_model import ClientLimits
 from tarragonhall_rates import Rates
 from tarragonhall_wire import ControlClient, ProcessContext, split_address
 
@@ -105,7 +105,7 @@
     def start(self) -> None:
         """Follow control and serve clients."""
         self._control.follow(
-            self._announcement,
+            self._context.entry_record,
             self._follower,
             takes_relay=True,
             settled_owners=self.state.rates.settled_owners,
@@ -139,7 +139,7 @@
         ended = not self._clients
         log.info("relay.drained", calls=self.state.calls, ended=ended)
         # Only now: without its place in the view this entry gets no tokens for its callers.
-        self._control.leave(self._announcement(), LEAVE_SECONDS)
+        self._control.leave(self._context.entry_record(), LEAVE_SECONDS)
         return ended
 
     def _stop_accepting(self) -> None:
@@ -174,15 +174,6 @@
     def _is_fresh(self) -> bool:
         return self._follower.is_fresh(self._context.monotonic())
 
-    def _announcement(self) -> EntryRecord:
-        context = self._context
-        return EntryRecord(
-            context.instance,
-            context.incarnation,
-            context.link_address,
-            context.availability_zone,
-        )
-
     def _accept_loop(self) -> None:
         while True:
             try:
--- a/libs/store/tarragonhall_store/_service.py
+++ b/libs/store/tarragonhall_store/_service.py
@@ -31,7 +31,6 @@
 log = structlog.get_logger(__name__)
 
 PROPOSABLE = (ReserveTurn, EndTurn, KeepTurn)
-LEADER = "leader"
 
 
 class TurnService:
@@ -58,7 +57,7 @@
     def on_role(self, changed: RoleChanged) -> None:
         """Begin a leader's time where the log's time stands."""
         self._led_from_ms = None
-        if changed.role == LEADER:
+        if changed.leads:
             self._led_from = self._context.monotonic()
 
     def _now_ms(self) -> int:
--- a/libs/wire/tarragonhall_wire/_context.py
+++ b/libs/wire/tarragonhall_wire/_context.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from tarragonhall_model import EntryRecord
+
 from tarragonhall_wire._handshake import Peer
 from tarragonhall_wire._hub import Hub
 from tarragonhall_wire._metrics import Metrics
@@ -38,6 +40,12 @@
     wall_ms: Callable[[], int] = lambda: int(time.time() * 1000)
     started_at: float = field(default_factory=time.monotonic)
 
+    def entry_record(self) -> EntryRecord:
+        """Return what an entry in this process announces of itself."""
+        return EntryRecord(
+            self.instance, self.incarnation, self.link_address, self.availability_zone
+        )
+
 
 class Role(Protocol):
     """One role of a process, as the daemon drives it."""
