Count what each process sends, and ping only links that are idle

Cause: bytes between zones are the largest price on large deployments, and nobody could say which messages they are.

Change: each process counts messages and bytes by kind and by whether they leave the availability zone, on the metrics address and in a log line every ten seconds and at its end; `tarragonhall traffic FILES...` adds them up over all processes. Peers say their zone in the handshake, so links speak version 2. A link that sent something within half a second sends no ping.

--- a/libs/cli/tarragonhall_cli/__main__.py
+++ b/libs/cli/tarragonhall_cli/__main__.py
@@ -16,6 +16,7 @@
     _programs,
     _settings_commands,
     _system_commands,
+    _traffic,
 )
 from tarragonhall_cli._output import Output
 from tarragonhall_cli._profiles import DEFAULT_FILE
@@ -109,6 +110,17 @@
     click.echo(_losses.show(made))
 
 
+@cli.command()
+@click.argument("files", type=click.Path(exists=True, path_type=Path), nargs=-1, required=True)
+@click.option("--json", "as_json", is_flag=True, help=JSON_HELP)
+def traffic(files: tuple[Path, ...], as_json: bool) -> None:
+    """Add up what the processes sent, by kind of message and availability zone."""
+    made = _traffic.sum_traffic(_explain.read_lines(files))
+    if not made.bytes_by_row:
+        raise click.ClickException("no line tells what a process sent")
+    click.echo(json.dumps(made.as_value(), indent=2) if as_json else _traffic.show(made))
+
+
 @cli.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/libs/daemon/tarragonhall_daemon/_run.py
+++ b/libs/daemon/tarragonhall_daemon/_run.py
@@ -13,6 +13,8 @@
     Role,
     make_context,
     make_metrics,
+    report_regularly,
+    report_traffic,
     set_up_logs,
 )
 
@@ -30,12 +32,14 @@
     context = _context(settings)
     roles = start_roles(settings, context)
     log.info("daemon.started", roles=[name for name, _role in roles])
+    eventlet.spawn_n(report_regularly, context.hub.traffic, context.incarnation)
     signal_number = stop.wait()
     log.info("daemon.stopping", signal=signal.Signals(signal_number).name)
     signal.signal(signal.SIGTERM, _force)
     signal.signal(signal.SIGINT, _force)
     ended = stop_roles(roles, settings.stop_timeout_ms / 1000, context)
     context.hub.stop()
+    report_traffic(context.hub.traffic, context.incarnation)
     log.info("daemon.stopped", forced=not ended)
     lines.flush()
     return 0 if ended else EXIT_FORCED
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -9,6 +9,7 @@
 import h11
 from eventlet.green import socket
 from tarragonhall_model import BackendRecord
+from tarragonhall_wire import Traffic
 
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BackendError
@@ -25,6 +26,8 @@
 KEEP_SHARE = 0.7
 MOST_KEEP_S = 10.0
 IDLE_PER_SERVER = 12
+REQUEST_KIND = "server.request"
+ANSWER_KIND = "server.answer"
 # A server that sends one answer too many sends one; more than this and the connection is worthless.
 MAX_EXTRA_ANSWERS = 3
 
@@ -32,13 +35,24 @@
 class BackendConnection:
     """One connection to one backend server."""
 
-    __slots__ = ("_connection", "_http", "_request", "server_id", "used", "usable_until")
-
-    def __init__(self, connection, server_id: str) -> None:
+    __slots__ = (
+        "_connection",
+        "_http",
+        "_request",
+        "_traffic",
+        "_zone",
+        "server_id",
+        "used",
+        "usable_until",
+    )
+
+    def __init__(self, connection, record: BackendRecord, traffic: Traffic) -> None:
         self._connection = connection
+        self._traffic = traffic
+        self._zone = record.availability_zone
         self._http = _new_http()
         self._request: h11.Request | None = None
-        self.server_id = server_id
+        self.server_id = record.server_id
         self.used = False
         self.usable_until = 0.0
 
@@ -52,6 +66,7 @@
         if body:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage()) or b""
+        self._traffic.count(REQUEST_KIND, len(data), self._zone)
         try:
             self._connection.sendall(data)
         except OSError as error:
@@ -130,7 +145,9 @@
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(self._connection.recv(READ_BYTES))
+                received = self._connection.recv(READ_BYTES)
+                self._traffic.count(ANSWER_KIND, len(received), self._zone)
+                self._http.receive_data(received)
         except OSError as error:
             raise BackendError(f"broke off: {error}", sent=True) from error
         except h11.RemoteProtocolError as error:
@@ -140,9 +157,10 @@
 class BackendPool:
     """The idle connections of one entry, newest first."""
 
-    __slots__ = ("_idle_by_server",)
+    __slots__ = ("_idle_by_server", "_traffic")
 
-    def __init__(self) -> None:
+    def __init__(self, traffic: Traffic) -> None:
+        self._traffic = traffic
         self._idle_by_server: dict[str, list[BackendConnection]] = {}
 
     def take(self, record: BackendRecord) -> BackendConnection:
@@ -200,7 +218,7 @@
         except BaseException:
             connection.close()
             raise
-        return BackendConnection(connection, record.server_id)
+        return BackendConnection(connection, record, self._traffic)
 
 
 def _new_http() -> h11.Connection:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -84,7 +84,7 @@
             dialect=dialect,
             chooser=chooser,
             places=Places(chooser, context.rng, context.monotonic),
-            pool=BackendPool(),
+            pool=BackendPool(context.hub.traffic),
             turns=Turns(context, self._follower.store_addresses),
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
             suspects=CrashSuspects(),
--- a/libs/wire/tarragonhall_wire/__init__.py
+++ b/libs/wire/tarragonhall_wire/__init__.py
@@ -12,6 +12,7 @@
 from tarragonhall_wire._logs import set_up_logs
 from tarragonhall_wire._metrics import Metrics, make_metrics
 from tarragonhall_wire._timeline import HybridClock, Timeline
+from tarragonhall_wire._traffic import Traffic, report_regularly, report_traffic
 
 __all__ = [
     "ControlClient",
@@ -28,9 +29,12 @@
     "ProcessContext",
     "Role",
     "Timeline",
+    "Traffic",
     "UnavailableError",
     "make_context",
     "make_metrics",
+    "report_regularly",
+    "report_traffic",
     "set_up_logs",
     "split_address",
     "sse_event",
--- a/libs/wire/tarragonhall_wire/_context.py
+++ b/libs/wire/tarragonhall_wire/_context.py
@@ -15,6 +15,7 @@
 from tarragonhall_wire._hub import Hub
 from tarragonhall_wire._metrics import Metrics
 from tarragonhall_wire._timeline import HybridClock, Timeline
+from tarragonhall_wire._traffic import Traffic
 
 
 @dataclass(slots=True)
@@ -76,7 +77,9 @@
     incarnation = secrets.token_hex(8)
     rng = random.Random(secrets.randbits(64))
     timeline = Timeline(HybridClock(instance))
-    hub = Hub(Peer(instance, incarnation, link_address), secret, timeline, rng)
+    me = Peer(instance, incarnation, link_address, availability_zone)
+    traffic = Traffic(availability_zone, metrics.exposition)
+    hub = Hub(me, secret, timeline, rng, traffic)
     hub.listen(link_address)
     return ProcessContext(
         instance=instance,
--- a/libs/wire/tarragonhall_wire/_handshake.py
+++ b/libs/wire/tarragonhall_wire/_handshake.py
@@ -13,7 +13,7 @@
 
 from tarragonhall_model import CodecError, LinkError, decode, encode, record
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 NONCE_BYTES = 32
 CLIENT = b"client"
 SERVER = b"server"
@@ -30,6 +30,7 @@
     instance: str
     incarnation: str
     address: str = ""
+    availability_zone: str = ""
 
 
 @record
--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -12,6 +12,7 @@
 from tarragonhall_wire._handshake import HandshakeError, Peer, answer_greeting, greet
 from tarragonhall_wire._link import Link
 from tarragonhall_wire._timeline import Timeline
+from tarragonhall_wire._traffic import Traffic
 from tarragonhall_wire._websocket import WebSocket, accept, connect
 
 log = structlog.get_logger(__name__)
@@ -54,11 +55,20 @@
         "accepted",
         "me",
         "timeline",
+        "traffic",
     )
 
-    def __init__(self, me: Peer, secret: bytes, timeline: Timeline, rng: random.Random) -> None:
+    def __init__(
+        self,
+        me: Peer,
+        secret: bytes,
+        timeline: Timeline,
+        rng: random.Random,
+        traffic: Traffic | None = None,
+    ) -> None:
         self.me = me
         self.timeline = timeline
+        self.traffic = traffic or Traffic()
         self.accepted: list[Link] = []
         # The newest of each peer: an earlier life of it may have left one half open.
         self._accepted_by_address: dict[str, Link] = {}
@@ -184,7 +194,7 @@
             if opened is not None:
                 opened.close()
             return
-        link = Link(opened, peer, self._dispatch, self.timeline.clock)
+        link = Link(opened, peer, self._dispatch, self.timeline.clock, self.traffic)
         self.accepted.append(link)
         self._accepted_by_address[peer.address] = link
         self._run(link)
@@ -238,7 +248,7 @@
             if opened is not None:
                 opened.close()
             return None
-        return Link(opened, peer, self._dispatch, self.timeline.clock)
+        return Link(opened, peer, self._dispatch, self.timeline.clock, self.traffic)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -24,6 +24,7 @@
 
 from tarragonhall_wire._handshake import Peer
 from tarragonhall_wire._timeline import HybridClock
+from tarragonhall_wire._traffic import Traffic, kind_of
 
 log = structlog.get_logger(__name__)
 
@@ -47,9 +48,11 @@
         "_correlations",
         "_handler",
         "_last_heard",
+        "_last_sent",
         "_outbox",
         "_pending",
         "_socket",
+        "_traffic",
         "_wake",
         "_writer_waits",
         "closed",
@@ -58,8 +61,16 @@
         "sent_bytes",
     )
 
-    def __init__(self, socket, peer: Peer, handler: Handler, clock: HybridClock) -> None:
+    def __init__(
+        self,
+        socket,
+        peer: Peer,
+        handler: Handler,
+        clock: HybridClock,
+        traffic: Traffic | None = None,
+    ) -> None:
         self._socket = socket
+        self._traffic = traffic or Traffic()
         self._handler = handler
         self._clock = clock
         self._correlations = itertools.count(1)
@@ -67,7 +78,7 @@
         self._outbox: collections.deque[bytes] = collections.deque()
         self._wake = eventlet.semaphore.Semaphore(0)
         self._writer_waits = False
-        self._last_heard = time.monotonic()
+        self._last_heard = self._last_sent = time.monotonic()
         self.peer = peer
         self.closed = False
         self.sent_bytes = 0
@@ -121,7 +132,10 @@
         if len(self._outbox) >= SEND_QUEUE_MESSAGES:
             raise LinkOverloadedError(f"send queue to {self.peer.instance} is full")
         stamp = self._clock.now()
-        self._outbox.append(cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter, plain]))
+        data = cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter, plain])
+        self._traffic.count(kind_of(plain), len(data), self.peer.availability_zone)
+        self._outbox.append(data)
+        self._last_sent = time.monotonic()
         self._wake_writer()
 
     def _write_loop(self) -> None:
@@ -150,10 +164,14 @@
             eventlet.sleep(HEARTBEAT_SECONDS)
             if self.closed:
                 return
-            if time.monotonic() - self._last_heard > SILENCE_SECONDS:
+            now = time.monotonic()
+            if now - self._last_heard > SILENCE_SECONDS:
                 log.warning("link.silent", peer=self.peer.instance)
                 self.close()
                 return
+            if now - self._last_sent < HEARTBEAT_SECONDS / 2:
+                # What was sent tells the peer as much.
+                continue
             try:
                 self._put(PING, 0, None)
             except LinkOverloadedError:
