Found the stores' group in one availability zone where none has to be borne

Change: founders lie together where the deployment states that no zone is to be borne, in the zone with the most stores, and are spread as before where one is. A store of the leader's zone that stands by is taken in before others.

Ruled out: fewer stores started (the share of machines is the same in all zones, so five in one zone need all of them).

--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -7,7 +7,7 @@
 import eventlet
 import structlog
 from tarragonhall_consensus import Limits, RoleChanged
-from tarragonhall_decisions import StoreFounding
+from tarragonhall_decisions import LossesBorne, StoreFounding
 from tarragonhall_group import (
     PROPOSE_SECONDS,
     GroupHooks,
@@ -84,7 +84,8 @@
         self.nodes = NodeWatch(settings.entry_timeout_ms / 1000, settings.server_timeout_ms / 1000)
         self.orders = OrderSender(self)
         self._announcing: set[str] = set()
-        self._founding = StoreFounding(settings.losses_borne)
+        losses = LossesBorne(settings.losses_borne, settings.zone_losses_borne)
+        self._founding = StoreFounding(losses)
         self._leads = False
         self._settling = False
         self._ownership_s = settings.ownership_ms / 1000
--- a/libs/control/tarragonhall_control/_settings.py
+++ b/libs/control/tarragonhall_control/_settings.py
@@ -17,7 +17,8 @@
     `member_id` is set where members are known by another name than their instance's, and `members`
     is empty for one that waits to be added. `heal` has the leader replace and add members by
     itself, for platforms that replace machines; `losses_borne` is how many members, of control and
-    of the stores each, may then be lost at once. An entry that was not heard for `ownership_ms`
+    of the stores each, may then be lost at once, and `zone_losses_borne` how many whole zones. An
+    entry that was not heard for `ownership_ms`
     owns no rates any more, and what it granted has run out.
     """
 
@@ -29,6 +30,7 @@
     member_id: str = ""
     heal: bool = False
     losses_borne: int = 1
+    zone_losses_borne: int = 0
     ownership_ms: int = OWNERSHIP_MS
 
 
@@ -46,6 +48,7 @@
         "member_id": Text(default=""),
         "heal": Flag(default=False),
         "losses_borne": Whole(1, minimum=0),
+        "zone_losses_borne": Whole(0, minimum=0),
         # After this long without a confirmed heartbeat an entry owns no rates, and what it granted
         # has run out. It must not be below that of the entries.
         "ownership_ms": Whole(OWNERSHIP_MS, minimum=OWNERSHIP_MS),
--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -41,7 +41,7 @@
     proof_of,
 )
 from tarragonhall_decisions._routing import Need, RouteChoice, Router, subset
-from tarragonhall_decisions._store_founding import StoreFounding
+from tarragonhall_decisions._store_founding import LossesBorne, StoreFounding
 from tarragonhall_decisions._urgency import urgency_of
 
 __all__ = [
@@ -58,6 +58,7 @@
     "PromptPart",
     "BackendTable",
     "Registry",
+    "LossesBorne",
     "StoreFounding",
     "Admitted",
     "Ask",
--- a/libs/group/tarragonhall_group/_join.py
+++ b/libs/group/tarragonhall_group/_join.py
@@ -33,6 +33,7 @@
 
     member_id: str
     address: str
+    availability_zone: str = ""
 
 
 @record
@@ -90,7 +91,8 @@
     def _on_join(self, _link: Link, message: JoinGroup) -> JoinHeard:
         if not self._member.is_leader():
             return JoinHeard(leads=False, leader=self._member.leader_address())
-        self._repair.ask(message.member_id, message.address, self._context.monotonic())
+        near = message.availability_zone == self._context.availability_zone
+        self._repair.ask(message.member_id, message.address, self._context.monotonic(), near)
         return JoinHeard(leads=True)
 
     def _join_loop(self) -> None:
@@ -104,7 +106,8 @@
             self._ask_all(status)
 
     def _ask_all(self, status: Status) -> None:
-        message = JoinGroup(self._member.member_id, self._context.link_address)
+        context = self._context
+        message = JoinGroup(self._member.member_id, context.link_address, context.availability_zone)
         if self._leader is not None:
             eventlet.spawn_n(self._ask, self._leader, message)
             return
--- a/libs/group/tarragonhall_group/_repair.py
+++ b/libs/group/tarragonhall_group/_repair.py
@@ -26,6 +26,8 @@
 
     # Three members bear the loss of one; each further pair costs every commit two more copies.
     voters: int = 3
+    # Whether members of the leader's availability zone are preferred: no zone has to be borne.
+    packed: bool = False
     # How many members, silent and leaving ones not counted, are enough. All that operators and
     # backend servers may turn to are to hold the log; from the tenth on it is only more copies.
     enough_members: int = 9
@@ -47,16 +49,22 @@
     return replace(plain, voters=voters, enough_members=max(plain.enough_members, voters + 1))
 
 
-def smallest_for_losses(losses_borne: int) -> RepairLimits:
+def smallest_for_losses(losses_borne: int, zone_losses_borne: int = 0) -> RepairLimits:
     """Return limits for a group of as few members as bear the losses; other processes stand by."""
     voters = 2 * losses_borne + 1
-    return RepairLimits(voters=voters, enough_members=voters, leave_patience_s=3.5)
+    return RepairLimits(
+        voters=voters,
+        enough_members=voters,
+        packed=not zone_losses_borne,
+        leave_patience_s=3.5,
+    )
 
 
 @dataclass(slots=True)
 class _Asked:
     address: str
     at: float
+    near: bool = False
 
 
 @dataclass(slots=True)
@@ -67,9 +75,12 @@
     _asked_by_id: dict[str, _Asked] = field(default_factory=dict)
     _leaving_since: float | None = None
 
-    def ask(self, member_id: str, address: str, now: float) -> None:
-        """Note that a process that follows no leader wants to be a member."""
-        self._asked_by_id[member_id] = _Asked(address, now)
+    def ask(self, member_id: str, address: str, now: float, near: bool = False) -> None:
+        """Note that a process that follows no leader wants to be a member.
+
+        `near` says that it is in the leader's availability zone.
+        """
+        self._asked_by_id[member_id] = _Asked(address, now, near)
 
     def next_change(
         self, status: Status, leaving: frozenset[str], token: int, now: float
@@ -102,7 +113,8 @@
         known = {member.member_id for member in status.members}
         if self._has_enough(status, leaving):
             return None
-        for member_id, asked in list(self._asked_by_id.items()):
+        asking = sorted(self._asked_by_id.items(), key=lambda item: self._is_farther(item[1]))
+        for member_id, asked in asking:
             if member_id in known or now - asked.at > self.limits.joiner_valid_s:
                 del self._asked_by_id[member_id]
                 continue
@@ -111,6 +123,10 @@
             return ChangeMember(token, Member(member_id, "", asked.address, voting=False))
         return None
 
+    def _is_farther(self, asked: _Asked) -> bool:
+        """Return whether others that ask go first; in their order otherwise."""
+        return self.limits.packed and not asked.near
+
     def _has_enough(self, status: Status, leaving: frozenset[str]) -> bool:
         enough = self.limits.enough_members
         if len(status.members) >= enough + enough // 2:
--- a/libs/group/tests/join_tests.py
+++ b/libs/group/tests/join_tests.py
@@ -38,6 +38,7 @@
 
 def joiner(hub: FakeHub) -> Joiner:
     context = SimpleNamespace(hub=hub, rng=random.Random(1), link_address=ME, monotonic=lambda: 0.0)
+    context.availability_zone = "a"
     member = SimpleNamespace(member_id="me")
     return Joiner(member, context, lambda: MEMBERS)
 
--- a/libs/group/tests/repair_tests.py
+++ b/libs/group/tests/repair_tests.py
@@ -132,3 +132,19 @@
     assert change(made, seen, leaving, now=1.0) is None
     # Nobody asks; the operator is not kept waiting for ever.
     assert change(made, seen, leaving, now=4.0).member.member_id == "c"
+
+
+def test_a_member_of_the_leaders_zone_is_taken_in_first():
+    # Guards against a group that strays over all zones, one lost member after the other.
+    made = MemberRepair(smallest_for_losses(1))
+    made.ask("d", "d:1", now=0.0, near=False)
+    made.ask("e", "e:1", now=0.0, near=True)
+    assert change(made, status({"b": 0.1, "c": SILENT})).member.member_id == "e"
+
+
+def test_whoever_asked_first_is_taken_in_where_zones_may_be_lost():
+    # Guards against a group in one zone that goes with it.
+    made = MemberRepair(smallest_for_losses(1, zone_losses_borne=1))
+    made.ask("d", "d:1", now=0.0, near=False)
+    made.ask("e", "e:1", now=0.0, near=True)
+    assert change(made, status({"b": 0.1, "c": SILENT})).member.member_id == "d"
--- a/libs/store/tarragonhall_store/_role.py
+++ b/libs/store/tarragonhall_store/_role.py
@@ -111,12 +111,14 @@
             self._limits,
         )
         self._service.attach(self.member)
+        settings = self._settings
+        limits = smallest_for_losses(settings.losses_borne, settings.zone_losses_borne)
         self._joiner = Joiner(
             self.member,
             self._context,
             self._store_addresses,
             self._leaving,
-            MemberRepair(smallest_for_losses(self._settings.losses_borne)),
+            MemberRepair(limits),
         )
         self.member.start()
         self._joiner.start()
