Tell loads over two collectors a zone where there are many entries

Change: from 16 entries on, each tells two collectors of its zone; collectors exchange the sums of zones and send each entry of their zone what all others have running.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -15,6 +15,7 @@
 )
 from tarragonhall_decisions._drain import DrainPhase, EntryDrain
 from tarragonhall_decisions._fair_queue import Dropped, FairQueue, QueuedCall
+from tarragonhall_decisions._load_digest import LoadDigest, LoadTo
 from tarragonhall_decisions._model_orders import (
     LOADS_AT_ONCE,
     EngineState,
@@ -58,6 +59,8 @@
     "PromptPart",
     "BackendTable",
     "Registry",
+    "LoadDigest",
+    "LoadTo",
     "LossesBorne",
     "StoreFounding",
     "Admitted",
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -48,7 +48,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
-from tarragonhall_model import BackendRecord, rendezvous
+from tarragonhall_model import BackendRecord, LoadElsewhere, rendezvous
 
 from tarragonhall_decisions._server_window import ServerWindow
 from tarragonhall_decisions._service_pace import ServicePace
@@ -64,6 +64,8 @@
 FILLED = 1.25
 # Entries tell their load at least once in 0.8 s; one that has told nothing for this long is gone.
 OTHERS_VALID_S = 1.5
+# Stands for the other entries where only the sum of their loads is known.
+ALL_OTHERS = ""
 # Programs and subjects in use at an entry within minutes, with room; each costs some 200 bytes.
 REMEMBERED_PARTS = 20_000
 HOLDERS_PER_PART = 4
@@ -118,6 +120,7 @@
 class _OtherLoad:
     running_by_server: dict[str, int]
     at: float
+    entries: int = 1
 
 
 class BackendChooser:
@@ -180,9 +183,13 @@
 
     def on_entry_load(self, entry_id: str, running_by_server: dict[str, int], now: float) -> None:
         """Take over what another entry has running."""
-        self._forget_entry(entry_id)
-        self._others_by_entry[entry_id] = _OtherLoad(running_by_server, now)
-        self._elsewhere_by_server.update(running_by_server)
+        self._take_load(entry_id, _OtherLoad(running_by_server, now))
+
+    def on_load_elsewhere(self, message: LoadElsewhere, now: float) -> None:
+        """Take over what all other entries together have running; an earlier sum is void."""
+        for entry_id in list(self._others_by_entry):
+            self._forget_entry(entry_id)
+        self._take_load(ALL_OTHERS, _OtherLoad(message.running_by_server, now, message.entries))
 
     def own_load(self) -> dict[str, int]:
         """Return what this entry has running, for the others."""
@@ -261,7 +268,8 @@
         for record in self.servers(service):
             own += self.load(record.server_id).running
             places += max(1, record.slots)
-        return own * (1 + len(self._others_by_entry)) < places
+        others = sum(other.entries for other in self._others_by_entry.values())
+        return own * (1 + others) < places
 
     def _cost_ms(
         self, record: BackendRecord, need: CallNeed, first: str | None, now: float
@@ -293,6 +301,11 @@
         waiting = max(0, running - slots + 1)
         return RUNNING_MS * running + run_ms * waiting / slots
 
+    def _take_load(self, entry_id: str, load: _OtherLoad) -> None:
+        self._forget_entry(entry_id)
+        self._others_by_entry[entry_id] = load
+        self._elsewhere_by_server.update(load.running_by_server)
+
     def _forget_entry(self, entry_id: str) -> None:
         other = self._others_by_entry.pop(entry_id, None)
         if other is None:
--- /dev/null
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -0,0 +1,147 @@
+"""How entries learn what the others have running, in messages that grow with their number alone.
+
+Load pattern: many entries choose servers at once and must know of each other's calls, or they all
+turn to the same server. Sent by each entry to each other one, these messages grow with the square
+of the entries. Above `DIRECT_ENTRIES` entries, each tells two collectors of its availability zone;
+collectors exchange the sums of their zones and send each entry of their zone what all others have
+running. Two collectors a zone, so that one that stops or is slow costs nothing.
+
+Inputs: views, own load, messages of others. Outputs: messages to send. Times are monotonic seconds.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+from tarragonhall_model import EntryLoad, EntryRecord, LoadElsewhere, ZoneLoad, fingerprint
+
+# Up to so many entries each tells each other one: that is quicker by the way over a collector.
+DIRECT_ENTRIES = 16
+COLLECTORS = 2
+# Loads are told several times within this; whoever told none for so long (seconds) is gone.
+LOAD_VALID_S = 1.5
+
+LoadMessage = EntryLoad | ZoneLoad | LoadElsewhere
+
+
+@dataclass(slots=True, frozen=True)
+class LoadTo:
+    """A message for one entry; a lost one is made up for by the next."""
+
+    address: str
+    message: LoadMessage
+
+
+@dataclass(slots=True, frozen=True)
+class _Heard:
+    running_by_server: dict[str, int]
+    entries: int
+    at: float
+
+
+class LoadDigest:
+    """The part of one entry in telling loads."""
+
+    __slots__ = ("_collectors_by_zone", "_entries", "_heard_by_entry", "_heard_by_zone", "_me")
+
+    def __init__(self, me: EntryRecord) -> None:
+        self._me = me
+        self._entries: list[EntryRecord] = []
+        self._collectors_by_zone: dict[str, list[EntryRecord]] = {}
+        self._heard_by_entry: dict[str, _Heard] = {}
+        self._heard_by_zone: dict[str, _Heard] = {}
+
+    def on_view(self, entries: list[EntryRecord]) -> None:
+        """Take over who the entries are."""
+        self._entries = [one for one in entries if one.entry_id != self._me.entry_id]
+        by_zone: dict[str, list[EntryRecord]] = {}
+        for entry in entries:
+            by_zone.setdefault(entry.availability_zone, []).append(entry)
+        self._collectors_by_zone = {zone: _collectors(zone, one) for zone, one in by_zone.items()}
+
+    def is_direct(self) -> bool:
+        """Return whether entries tell each other without collectors."""
+        return len(self._entries) < DIRECT_ENTRIES
+
+    def is_collector(self) -> bool:
+        """Return whether this entry adds up the loads of its zone."""
+        if self.is_direct():
+            return False
+        return any(one.entry_id == self._me.entry_id for one in self._own_collectors())
+
+    def on_entry_load(self, message: EntryLoad, now: float) -> None:
+        """Take the load of an entry of the own zone."""
+        self._heard_by_entry[message.entry_id] = _Heard(message.running_by_server, 1, now)
+
+    def on_zone_load(self, message: ZoneLoad, now: float) -> None:
+        """Take the sum of another zone from one of its collectors."""
+        heard = _Heard(message.running_by_server, message.entries, now)
+        self._heard_by_zone[message.availability_zone] = heard
+
+    def tell(self, own: dict[str, int]) -> list[LoadTo]:
+        """Return the messages with this entry's own load."""
+        message = EntryLoad(self._me.entry_id, own)
+        to = self._entries if self.is_direct() else self._own_collectors()
+        return [LoadTo(one.address, message) for one in to if one.entry_id != self._me.entry_id]
+
+    def elsewhere(self, own: dict[str, int], now: float) -> LoadElsewhere:
+        """Return what all others have running, as a collector knows it."""
+        zone = self._zone_sum(own, now)
+        return self._without(self._everywhere(zone, now), own)
+
+    def digests(self, own: dict[str, int], now: float) -> list[LoadTo]:
+        """Return what a collector sends: its zone's sum, and to each entry what the others have."""
+        zone = self._zone_sum(own, now)
+        message = ZoneLoad(self._me.availability_zone, zone.entries, zone.running_by_server)
+        made = []
+        for name, collectors in self._collectors_by_zone.items():
+            if name == self._me.availability_zone:
+                continue
+            made.extend(LoadTo(one.address, message) for one in collectors)
+        everywhere = self._everywhere(zone, now)
+        for entry in self._entries:
+            if entry.availability_zone != self._me.availability_zone:
+                continue
+            heard = self._heard_by_entry.get(entry.entry_id)
+            theirs = heard.running_by_server if heard is not None else {}
+            made.append(LoadTo(entry.address, self._without(everywhere, theirs)))
+        return made
+
+    def _own_collectors(self) -> list[EntryRecord]:
+        return self._collectors_by_zone.get(self._me.availability_zone, [])
+
+    def _zone_sum(self, own: dict[str, int], now: float) -> _Heard:
+        running: Counter[str] = Counter(own)
+        entries = 1
+        for entry_id, heard in list(self._heard_by_entry.items()):
+            if now - heard.at > LOAD_VALID_S:
+                del self._heard_by_entry[entry_id]
+                continue
+            running.update(heard.running_by_server)
+            entries += 1
+        return _Heard(dict(running), entries, now)
+
+    def _everywhere(self, zone: _Heard, now: float) -> _Heard:
+        running: Counter[str] = Counter(zone.running_by_server)
+        entries = zone.entries
+        for name, heard in list(self._heard_by_zone.items()):
+            if now - heard.at > LOAD_VALID_S:
+                del self._heard_by_zone[name]
+                continue
+            running.update(heard.running_by_server)
+            entries += heard.entries
+        return _Heard(dict(running), entries, now)
+
+    @staticmethod
+    def _without(everywhere: _Heard, own: dict[str, int]) -> LoadElsewhere:
+        running = dict(everywhere.running_by_server)
+        for server_id, count in own.items():
+            running[server_id] = running.get(server_id, 0) - count
+        left = {server_id: count for server_id, count in running.items() if count > 0}
+        return LoadElsewhere(max(0, everywhere.entries - 1), left)
+
+
+def _collectors(zone: str, entries: list[EntryRecord]) -> list[EntryRecord]:
+    """Return the entries that add up the loads of a zone: the same for all who hold the view."""
+    return sorted(entries, key=lambda one: fingerprint(zone, one.entry_id))[:COLLECTORS]
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -257,6 +257,23 @@
     running_by_server: dict[str, int]
 
 
+@record
+class ZoneLoad:
+    """A collector tells those of other zones what the entries of its zone have running in sum."""
+
+    availability_zone: str
+    entries: int
+    running_by_server: dict[str, int]
+
+
+@record
+class LoadElsewhere:
+    """A collector tells an entry how many others there are and what they have running in sum."""
+
+    entries: int
+    running_by_server: dict[str, int]
+
+
 @record
 class SuspectCall:
     """An entry tells the others that a run of a request broke off without an answer."""
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -4,18 +4,20 @@
 
 import eventlet
 import structlog
-from tarragonhall_decisions import BackendTable
+from tarragonhall_decisions import BackendTable, LoadDigest, LoadTo
 from tarragonhall_model import (
     BackendsChanged,
     EntryLoad,
     FollowBackends,
     Fresh,
     LinkError,
+    LoadElsewhere,
     OrganisationPolicy,
     RelayConfig,
     RelayDocument,
     SuspectCall,
     View,
+    ZoneLoad,
 )
 from tarragonhall_state import Follower
 from tarragonhall_wire import Link, ProcessContext
@@ -36,6 +38,8 @@
 # not changed is told again before it counts as gone.
 LOAD_SECONDS = 0.4
 LOAD_REPEAT = 2
+# Seconds between two sums of a collector. They are two steps older than what entries tell.
+DIGEST_SECONDS = 0.3
 
 
 class RelayFollower(Follower):
@@ -103,20 +107,25 @@
 class PeerNews:
     """Tells the other entries what this one has running and which requests broke off."""
 
-    __slots__ = ("_context", "_follower", "_state", "_stopped", "_told")
+    __slots__ = ("_context", "_digest", "_epoch", "_follower", "_state", "_stopped", "_told")
 
     def __init__(self, context: ProcessContext, state: RelayState, follower: RelayFollower) -> None:
         self._context = context
         self._state = state
         self._follower = follower
+        self._digest = LoadDigest(context.entry_record())
+        self._epoch = -1
         self._told: dict[str, int] = {}
         self._stopped = False
         context.hub.handle(EntryLoad, self._on_load)
+        context.hub.handle(ZoneLoad, self._on_zone_load)
+        context.hub.handle(LoadElsewhere, self._on_load_elsewhere)
         context.hub.handle(SuspectCall, self._on_suspect)
 
     def start(self) -> None:
         """Tell from now on."""
         eventlet.spawn_n(self._tell_loop)
+        eventlet.spawn_n(self._digest_loop)
 
     def stop(self) -> None:
         """Tell no more."""
@@ -127,32 +136,64 @@
         while not self._stopped:
             eventlet.sleep(LOAD_SECONDS)
             rounds += 1
+            self._follow_view()
             load = self._state.chooser.own_load()
             if load == self._told and (not load or rounds % LOAD_REPEAT):
                 continue
             self._told = load
-            self._tell(EntryLoad(self._context.instance, load))
+            self._send_all(self._digest.tell(load))
+
+    def _digest_loop(self) -> None:
+        while not self._stopped:
+            eventlet.sleep(DIGEST_SECONDS)
+            self._follow_view()
+            if not self._digest.is_collector():
+                continue
+            now = self._context.monotonic()
+            load = self._state.chooser.own_load()
+            self._state.chooser.on_load_elsewhere(self._digest.elsewhere(load, now), now)
+            self._send_all(self._digest.digests(load, now))
+
+    def _follow_view(self) -> None:
+        view = self._follower.view
+        if view.epoch != self._epoch:
+            self._epoch = view.epoch
+            self._digest.on_view(view.entries)
 
     def tell_suspect(self, fingerprint: str) -> None:
         """Tell the others at once that a run of a request broke off."""
-        self._tell(SuspectCall(fingerprint))
+        message = SuspectCall(fingerprint)
+        for entry in self._follower.view.entries:
+            if entry.entry_id != self._context.instance:
+                self._send(entry.address, message)
 
     def _on_suspect(self, _link: Link, message: SuspectCall) -> None:
         self._state.suspects.broke(message.fingerprint, self._context.monotonic())
 
-    def _tell(self, message: EntryLoad | SuspectCall) -> None:
-        for entry in self._follower.view.entries:
-            if entry.entry_id == self._context.instance:
-                continue
-            try:
-                self._context.hub.link_to(entry.address).send(message)
-            except LinkError:
-                # The entry knows less for a moment; what lasts is told again or shows there too.
-                self._context.metrics.count("relay.peer_untold")
+    def _send_all(self, messages: list[LoadTo]) -> None:
+        for one in messages:
+            self._send(one.address, one.message)
+
+    def _send(self, address: str, message: object) -> None:
+        try:
+            self._context.hub.link_to(address).send(message)
+        except LinkError:
+            # The entry knows less for a moment; what lasts is told again or shows there too.
+            self._context.metrics.count("relay.peer_untold")
 
     def _on_load(self, _link: Link, message: EntryLoad) -> None:
         now = self._context.monotonic()
-        self._state.chooser.on_entry_load(message.entry_id, message.running_by_server, now)
+        if self._digest.is_direct():
+            self._state.chooser.on_entry_load(message.entry_id, message.running_by_server, now)
+            return
+        self._digest.on_entry_load(message, now)
+
+    def _on_zone_load(self, _link: Link, message: ZoneLoad) -> None:
+        self._digest.on_zone_load(message, self._context.monotonic())
+
+    def _on_load_elsewhere(self, _link: Link, message: LoadElsewhere) -> None:
+        if not self._digest.is_direct():
+            self._state.chooser.on_load_elsewhere(message, self._context.monotonic())
 
 
 class BackendFollower:
