Confirm the lead of control once for all heartbeats of 50 ms

Change: heartbeats that come within 50 ms share one round, which begins after the last of them. A follower is reached for orders from its heartbeat on, not only once that is answered.

--- a/libs/control/tarragonhall_control/_followers.py
+++ b/libs/control/tarragonhall_control/_followers.py
@@ -99,6 +99,10 @@
         earlier = self._sent_by_link.get(link)
         admits = isinstance(node, EntryRecord) or (earlier is not None and earlier.admits)
         self._sent_by_link[link] = Sent(revision, epoch, admits, relay_version)
+        self.reach(link)
+
+    def reach(self, link: Link) -> None:
+        """Send what is for the process behind a link there, before it is known what it has."""
         self._link_by_address[link.peer.address] = link
 
     def forget(self, link: Link) -> None:
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -39,6 +39,7 @@
 from tarragonhall_state import CreateFirstOperator
 from tarragonhall_wire import Link
 
+from tarragonhall_control._confirmation import SharedConfirmation
 from tarragonhall_control._followers import policy_for
 from tarragonhall_control._member import ControlMember
 
@@ -64,10 +65,11 @@
 class LinkService:
     """The handlers of the messages between any process and a control member."""
 
-    __slots__ = ("_member",)
+    __slots__ = ("_confirmation", "_member")
 
     def __init__(self, member: ControlMember) -> None:
         self._member = member
+        self._confirmation = SharedConfirmation(member.confirm)
 
     def register(self) -> None:
         """Take over the messages for control members."""
@@ -99,9 +101,10 @@
         if not member.is_leader():
             return self._not_leader()
         member.hear(beat.node, link)
+        member.followers.reach(link)
         if not isinstance(beat.node, StoreRecord):
             member.orders.note(beat.node, beat.load)
-        if not member.confirm():
+        if not self._confirmation.join():
             return self._not_leader()
         state = member.state
         member.note_settled(beat.settled_owners)
