Keep calls in their availability zone where it has servers enough

Change: in a zone with four servers of a service or more, the way out costs by the bytes that the call and the rest of its program carry, and a beginning that no server of the zone holds is read there by the one that the hash names. Zones with fewer servers choose as before. Other zones hear the loads of a zone half as often, from one collector each.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -24,7 +24,9 @@
   It loses its share by how long its calls took. An engine that is slow shows in the calls that pile
   up there; judged by the pauses of its streams as well, engines lost calls by chance.
 - Availability zones: every byte between zones is paid for, so a server in the entry's own zone wins
-  among near equals.
+  among near equals. Where the zone has servers enough to lose one and go on, calls stay there
+  unless the wait outweighs the bytes that they and the rest of their program would carry, and the
+  zone's servers read shared beginnings for themselves.
 
 All weights are expected milliseconds until the first byte of the answer.
 
@@ -56,6 +58,11 @@
 PREFILL_TOKENS_PER_MS = 30.0
 RUNNING_MS = 4.0
 ZONE_MS = 15.0
+# A zone with this many servers of a service keeps its own calls and shared beginnings.
+HOME_SERVERS = 4
+# Added for each 1,000 bytes that a call sends out of such a zone, up to `MOST_ZONE_MS`.
+ZONE_MS_PER_KB = 3.0
+MOST_ZONE_MS = 150.0
 AVOID_S = 0.2
 MOST_AVOID_S = 3.0
 UNHEARD_MS = 400.0
@@ -85,6 +92,7 @@
 
     `parts` are empty for plain services; `object_key` names what the call is about, where servers
     that handled it lately are quicker. `last_server` ran the turn before; `avoid` must not get it.
+    `size` is how many bytes the call, and what will probably follow it there, carry to the server.
     """
 
     service: str
@@ -92,6 +100,7 @@
     object_key: str = ""
     last_server: str = ""
     avoid: frozenset[str] = frozenset()
+    size: int = 0
 
 
 @dataclass(slots=True)
@@ -133,6 +142,7 @@
         "_others_by_entry",
         "_pace_by_service",
         "_rng",
+        "_near_by_service",
         "_servers_by_service",
         "_zone",
     )
@@ -146,6 +156,8 @@
         self._elsewhere_by_server: Counter[str] = Counter()
         self._pace_by_service: dict[str, ServicePace] = {}
         self._servers_by_service: dict[str, list[BackendRecord]] = {}
+        # The ids of the own zone's servers, where it has enough of them to keep its calls.
+        self._near_by_service: dict[str, list[str]] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
         self._holders_by_part: OrderedDict[str, list[str]] = OrderedDict()
 
@@ -156,6 +168,11 @@
             if record.gone or record.draining:
                 continue
             self._servers_by_service.setdefault(record.service, []).append(record)
+        self._near_by_service = {}
+        for service, servers in self._servers_by_service.items():
+            near = [one.server_id for one in servers if one.availability_zone == self._zone]
+            if len(near) >= HOME_SERVERS:
+                self._near_by_service[service] = near
         known = {record.server_id for record in records}
         for server_id in [one for one in self._load_by_id if one not in known]:
             if not self._load_by_id[server_id].running:
@@ -276,7 +293,7 @@
     ) -> float:
         load = self.load(record.server_id)
         pace = self.pace(need.service)
-        cost = 0.0 if record.availability_zone == self._zone else ZONE_MS
+        cost = 0.0 if record.availability_zone == self._zone else self._way_ms(need)
         running = load.running + self._elsewhere_by_server[record.server_id]
         cost += self._place_ms(running, record.slots, pace.run_ms)
         if need.parts:
@@ -294,6 +311,12 @@
             cost += 1000.0 * (load.avoid_until - now) + UNHEARD_MS
         return cost
 
+    def _way_ms(self, need: CallNeed) -> float:
+        """Return what it costs to send a call to another zone."""
+        if need.service not in self._near_by_service:
+            return ZONE_MS
+        return min(MOST_ZONE_MS, ZONE_MS + ZONE_MS_PER_KB * need.size / 1000)
+
     @staticmethod
     def _place_ms(running: int, slots: int, run_ms: float) -> float:
         """Return what a call waits for a place, and what the calls that run add to its time."""
@@ -330,15 +353,25 @@
 
     def _holds(self, server_id: str, part: PromptPart, need: CallNeed, first: str | None) -> bool:
         holders = self._holders_by_part.get(part.part_id)
-        if holders is not None:
-            return server_id in holders
+        if holders is not None and server_id in holders:
+            return True
         # Nothing is known here; entries that know as little choose the same server by the hash.
         return part is need.parts[0] and first == server_id
 
     def _first_choice(self, need: CallNeed) -> str | None:
         """Return the server that entries choose by the hash, where nothing else speaks for one."""
-        known = not need.parts or need.parts[0].part_id in self._holders_by_part
+        near = self._near_by_service.get(need.service)
+        known = not need.parts or self._is_held(need.parts[0], near)
         if known and not need.object_key:
             return None
         key = need.object_key or need.parts[0].part_id
-        return rendezvous(key, [record.server_id for record in self.servers(need.service)])
+        if near is None:
+            near = [record.server_id for record in self.servers(need.service)]
+        return rendezvous(key, near)
+
+    def _is_held(self, part: PromptPart, near: list[str] | None) -> bool:
+        """Return whether a server holds a part; where the zone keeps its calls, one of `near`."""
+        holders = self._holders_by_part.get(part.part_id)
+        if holders is None or near is None:
+            return holders is not None
+        return any(server_id in near for server_id in holders)
--- a/libs/decisions/tarragonhall_decisions/_load_digest.py
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -21,6 +21,8 @@
 COLLECTORS = 2
 # Loads are told several times within this; whoever told none for so long (seconds) is gone.
 LOAD_VALID_S = 1.5
+# Seconds between two sums of a zone for the other zones.
+ZONES_S = 0.55
 
 LoadMessage = EntryLoad | ZoneLoad | LoadElsewhere
 
@@ -43,7 +45,14 @@
 class LoadDigest:
     """The part of one entry in telling loads."""
 
-    __slots__ = ("_collectors_by_zone", "_entries", "_heard_by_entry", "_heard_by_zone", "_me")
+    __slots__ = (
+        "_collectors_by_zone",
+        "_entries",
+        "_heard_by_entry",
+        "_heard_by_zone",
+        "_me",
+        "_told_zones_at",
+    )
 
     def __init__(self, me: EntryRecord) -> None:
         self._me = me
@@ -51,6 +60,7 @@
         self._collectors_by_zone: dict[str, list[EntryRecord]] = {}
         self._heard_by_entry: dict[str, _Heard] = {}
         self._heard_by_zone: dict[str, _Heard] = {}
+        self._told_zones_at = float("-inf")
 
     def on_view(self, entries: list[EntryRecord]) -> None:
         """Take over who the entries are."""
@@ -93,12 +103,7 @@
     def digests(self, own: dict[str, int], now: float) -> list[LoadTo]:
         """Return what a collector sends: its zone's sum, and to each entry what the others have."""
         zone = self._zone_sum(own, now)
-        message = ZoneLoad(self._me.availability_zone, zone.entries, zone.running_by_server)
-        made = []
-        for name, collectors in self._collectors_by_zone.items():
-            if name == self._me.availability_zone:
-                continue
-            made.extend(LoadTo(one.address, message) for one in collectors)
+        made = self._to_other_zones(zone) if self._is_due(now) else []
         everywhere = self._everywhere(zone, now)
         for entry in self._entries:
             if entry.availability_zone != self._me.availability_zone:
@@ -108,6 +113,24 @@
             made.append(LoadTo(entry.address, self._without(everywhere, theirs)))
         return made
 
+    def _is_due(self, now: float) -> bool:
+        """Return whether other zones are told again: calls seldom leave their zone."""
+        if now - self._told_zones_at < ZONES_S:
+            return False
+        self._told_zones_at = now
+        return True
+
+    def _to_other_zones(self, zone: _Heard) -> list[LoadTo]:
+        """Return the zone's sum for one collector of each other zone, each collector its own."""
+        message = ZoneLoad(self._me.availability_zone, zone.entries, zone.running_by_server)
+        ids = [one.entry_id for one in self._own_collectors()]
+        rank = ids.index(self._me.entry_id)
+        made = []
+        for name, collectors in self._collectors_by_zone.items():
+            if name != self._me.availability_zone:
+                made.append(LoadTo(collectors[rank % len(collectors)].address, message))
+        return made
+
     def _own_collectors(self) -> list[EntryRecord]:
         return self._collectors_by_zone.get(self._me.availability_zone, [])
 
--- a/libs/decisions/tests/backend_choice_tests.py
+++ b/libs/decisions/tests/backend_choice_tests.py
@@ -237,3 +237,68 @@
     made.started("d-1", 1.0)
     chosen = {made.choose(CallNeed("desk"), 1.6).server_id for _ in range(200)}
     assert "d-1" not in chosen
+
+
+def zoned(count: int, zones: int = 3) -> list[BackendRecord]:
+    """Return this many engines in each of some zones."""
+    return [
+        BackendRecord(f"i-{n}", "models", f"10.0.0.{n}:80", ZONES[n % zones], 16, 1, 1)
+        for n in range(count * zones)
+    ]
+
+
+def test_programs_stay_in_a_zone_with_servers_enough():
+    # Guards against turns that carry their history between zones although the zone has room.
+    made = chooser(zoned(5), zone="zona-b")
+    for n in range(40):
+        first = CallNeed("models", (SUBJECT, PromptPart(f"own-{n}", 500)), size=20_000)
+        server = made.choose(first, 0.0)
+        assert server.availability_zone == "zona-b"
+        made.started(server.server_id, 0.0)
+
+
+def test_a_zone_reads_a_shared_beginning_once_for_itself():
+    # Guards against programs that leave their zone for as long as another zone holds their subject.
+    made = chooser(zoned(5), zone="zona-b")
+    subject = CallNeed("models", (SUBJECT, PromptPart("own", 500)), size=20_000)
+    made.answered("i-0", subject)
+    chosen = {chooser(zoned(5), "zona-b", seed).choose(subject, 0.0).server_id for seed in range(5)}
+    assert len(chosen) == 1
+    near = made.choose(subject, 0.0)
+    assert near.availability_zone == "zona-b"
+    made.answered(near.server_id, subject)
+    assert made.choose(subject, 0.0).server_id == near.server_id
+
+
+def test_a_zone_that_is_full_sends_its_programs_elsewhere():
+    # Guards against a hot zone whose calls wait while other zones stand idle.
+    made = chooser(zoned(5), zone="zona-b")
+    zones = collections.Counter()
+    for n in range(150):
+        first = CallNeed("models", (SUBJECT, PromptPart(f"own-{n}", 500)), size=20_000)
+        server = made.choose(first, 0.0)
+        if server is None:
+            break
+        made.started(server.server_id, 0.0)
+        zones[server.availability_zone] += 1
+    assert 80 <= zones["zona-b"] <= 100
+    assert zones["zona-a"] and zones["zona-c"]
+
+
+def test_a_zone_with_few_servers_shares_those_of_others():
+    # Guards against a zone's only engine that is kept busy while those of other zones are idle.
+    made = chooser(engines(6), zone="zona-a")
+    zones = collections.Counter()
+    for n in range(30):
+        server = made.choose(CallNeed("models", (PromptPart(f"own-{n}", 500),), size=20_000), 0.0)
+        made.started(server.server_id, 0.0)
+        zones[server.availability_zone] += 1
+    assert zones["zona-a"] < 16
+
+
+def test_a_turn_follows_its_program_into_another_zone():
+    # Guards against a client that comes through another zone: the conversation is read once more.
+    made = chooser(zoned(5), zone="zona-b")
+    parts = (SUBJECT, PromptPart("talk", 6_000), PromptPart("new", 200))
+    moved = CallNeed("models", parts, last_server="i-0", size=20_000)
+    assert made.choose(moved, 0.0).server_id == "i-0"
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -128,8 +128,9 @@
 
     def _serve(self) -> Refused | None:
         """Try servers until one answers; return the refusal where none ran the call."""
+        body = self._request.body
         while True:
-            server = self._place.next(self._turn.last_server)
+            server = self._place.next(self._turn.last_server, self._turn.prompt_size(body))
             if isinstance(server, Refused):
                 return self._give_up(server)
             outcome = self._try(server)
--- a/libs/relay/tarragonhall_relay/_place_of_call.py
+++ b/libs/relay/tarragonhall_relay/_place_of_call.py
@@ -26,6 +26,8 @@
 # How long until places come free where every server is full, and until one has announced itself.
 FULL_RETRY_S = 0.15
 NO_SERVER_RETRY_S = 0.8
+# A program's later turns go where its first one ran, each with all that was said before.
+TURNS_AHEAD = 4
 # A first call that waits longer than this share of its objective makes its program late, and those
 # that wait with it. Refused by then it can still be in time when it comes back.
 FIRST_CALL_PATIENCE = 0.5
@@ -74,17 +76,18 @@
         refusal = self._state.places.turn_away(self.service, self._queued, self._tier)
         return self._no_place(refusal) if refusal is not None else None
 
-    def next(self, last_server: str) -> BackendRecord | Refused:
+    def next(self, last_server: str, prompt_size: int) -> BackendRecord | Refused:
         """Wait for a server to be known and for a place there; return the server.
 
-        `last_server` ran the turn before. A place held before is given up for it.
+        `last_server` ran the turn before, and the call carries `prompt_size` bytes. A place held
+        before is given up for it.
         """
         if self._refusals >= MAX_REFUSALS:
             return self._full()
         if not hold(self._state, self._hold_until(), self._has_server):
             return self._no_server()
         places = self._state.places
-        need = self._need(last_server)
+        need = self._need(last_server, prompt_size)
         if self._place is None:
             found = places.take(self._queued, self._tier, need)
         else:
@@ -142,14 +145,16 @@
             self._unreached.clear()
         return False
 
-    def _need(self, last_server: str) -> CallNeed:
+    def _need(self, last_server: str, prompt_size: int) -> CallNeed:
         facts, route = self._call.facts, self._call.route
+        turns = TURNS_AHEAD if self._call.begins_program else 1
         return CallNeed(
             self.service,
             facts.parts if route.retained or route.affinity else (),
             facts.object_key if route.affinity else "",
             last_server,
             frozenset(self._unreached | self.ran_on),
+            prompt_size * turns,
         )
 
     def _waiting_call(self) -> QueuedCall:
--- a/libs/relay/tarragonhall_relay/_turn_of_call.py
+++ b/libs/relay/tarragonhall_relay/_turn_of_call.py
@@ -61,6 +61,10 @@
         """Return what the server is to read: everything said before, then the new input."""
         return self._open.history + body if self._open is not None else body
 
+    def prompt_size(self, body: bytes) -> int:
+        """Return how many bytes `prompt` has."""
+        return len(body) + (len(self._open.history) if self._open is not None else 0)
+
     def keep(self, body: bytes, output: bytes, used: int, server_id: str) -> None:
         """Record that the turn ended whole; raise `BrokenAnswerError` where that is not sure."""
         if self._open is None:
