--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -117,6 +117,7 @@
     shard_of,
 )
 from tarragonhall_model._json import parse_json
+from tarragonhall_model._lazy import lazy_exports
 from tarragonhall_model._options import (
     MAX_PORT,
     REQUIRED,
@@ -363,6 +364,7 @@
     "fingerprint",
     "from_plain",
     "mutable_record",
+    "lazy_exports",
     "new_id",
     "new_secret",
     "parse_json",
