Send followers what changed of the view, not the whole view each time

Change: the leader keeps its last 32 views and sends the difference to whoever holds one of them, in pushes and in replies to heartbeats; others get the whole view. A delta is applied to its base alone; whoever holds another view says so with its next heartbeat.

--- a/libs/control/tarragonhall_control/_followers.py
+++ b/libs/control/tarragonhall_control/_followers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, replace
 
 from tarragonhall_model import (
@@ -15,10 +16,16 @@
     PolicyDelta,
     ServerRecord,
     StoreRecord,
+    View,
+    ViewDelta,
+    view_delta,
 )
 from tarragonhall_state import ControlState
 from tarragonhall_wire import Link, Metrics
 
+# A follower that is further behind gets the whole view.
+KEPT_VIEWS = 32
+
 
 @dataclass(slots=True)
 class Sent:
@@ -35,16 +42,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Lack:
-    """What a follower needs: settings since `base`, the view, the relay document."""
+    """What a follower needs: settings since `base`, the view since `epoch`, the relay document."""
 
     base: int | None
-    view: bool
+    epoch: int | None
     relay: bool
     admits: bool
 
     def is_empty(self) -> bool:
         """Return whether the follower has everything."""
-        return self.base is None and not self.view and not self.relay
+        return self.base is None and self.epoch is None and not self.relay
 
 
 Node = EntryRecord | ServerRecord | StoreRecord
@@ -75,7 +82,14 @@
     the reply brings the rest.
     """
 
-    __slots__ = ("_link_by_address", "_metrics", "_pushed", "_sent_by_link", "_state")
+    __slots__ = (
+        "_link_by_address",
+        "_metrics",
+        "_pushed",
+        "_sent_by_link",
+        "_state",
+        "_view_by_epoch",
+    )
 
     def __init__(self, state: ControlState, metrics: Metrics) -> None:
         self._state = state
@@ -83,6 +97,8 @@
         self._sent_by_link: dict[Link, Sent] = {}
         self._link_by_address: dict[str, Link] = {}
         self._pushed = Sent(0, 0, relay_version=0)
+        # The newest views, so that followers can be sent what changed since theirs.
+        self._view_by_epoch: OrderedDict[int, View] = OrderedDict()
 
     def note(
         self,
@@ -105,6 +121,22 @@
         """Send what is for the process behind a link there, before it is known what it has."""
         self._link_by_address[link.peer.address] = link
 
+    def view_since(self, epoch: int) -> tuple[View | None, ViewDelta | None]:
+        """Return what leads a follower from its epoch to the newest view: all, or what changed."""
+        newest = self._newest_view()
+        if epoch >= newest.epoch:
+            return None, None
+        held = self._view_by_epoch.get(epoch)
+        return (newest, None) if held is None else (None, view_delta(held, newest))
+
+    def _newest_view(self) -> View:
+        newest = self._view_by_epoch.get(self._state.epoch)
+        if newest is None:
+            newest = self._view_by_epoch[self._state.epoch] = self._state.view()
+            while len(self._view_by_epoch) > KEPT_VIEWS:
+                self._view_by_epoch.popitem(last=False)
+        return newest
+
     def forget(self, link: Link) -> None:
         """Forget a link that has closed."""
         self._sent_by_link.pop(link, None)
@@ -162,7 +194,7 @@
     def _lack(self, sent: Sent, newest: Sent) -> Lack:
         return Lack(
             base=sent.revision if sent.revision < newest.revision else None,
-            view=sent.epoch < newest.epoch,
+            epoch=sent.epoch if sent.epoch < newest.epoch else None,
             relay=sent.relay_version is not None and sent.relay_version < newest.relay_version,
             admits=sent.admits,
         )
@@ -171,8 +203,10 @@
         policy = self._state.policy_since(lack.base) if lack.base is not None else None
         if policy is not None and not lack.admits:
             policy = _without_callers(policy)
+        view, delta = (None, None) if lack.epoch is None else self.view_since(lack.epoch)
         return News(
             policy=policy,
-            view=self._state.view() if lack.view else None,
+            view=view,
+            view_delta=delta,
             relay=self._state.relay if lack.relay else None,
         )
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -109,7 +109,7 @@
         state = member.state
         member.note_settled(beat.settled_owners)
         behind = beat.settings_revision < state.revision
-        outdated = beat.view_epoch < state.epoch
+        view, delta = member.followers.view_since(beat.view_epoch)
         policy = state.policy_since(beat.settings_revision) if behind else None
         relay_outdated = beat.relay_version is not None and beat.relay_version < state.relay_version
         relay_version = state.relay_version if relay_outdated else beat.relay_version
@@ -119,7 +119,8 @@
             view_epoch=state.epoch,
             fencing=member.loop.replica.status().term,
             policy=policy_for(beat.node, policy),
-            view=state.view() if outdated else None,
+            view=view,
+            view_delta=delta,
             relay=state.relay if relay_outdated else None,
             controls=member.member_addresses(),
         )
--- a/libs/control/tests/followers_tests.py
+++ b/libs/control/tests/followers_tests.py
@@ -72,3 +72,22 @@
     # Both share one link. Cut down for the sidecar, the news would leave the entry on old keys
     # under a new revision, and a withdrawn key would go on working.
     assert pushed_to(ENTRY, SERVER) == pushed_to(SERVER, ENTRY) == POLICY
+
+
+def test_a_follower_gets_what_changed_since_its_view_and_all_of_it_where_that_is_not_known():
+    # Guards against restarts among hundreds of members that send a whole view to each of them.
+    class Growing(State):
+        def view(self):
+            return View(self.epoch, [ENTRY] * (self.epoch > 1), [])
+
+    state = Growing()
+    followers, link, late = Followers(state, Metrics()), RecordingLink(), RecordingLink()
+    followers.note(link, ENTRY, 5, 1)
+    followers.note(late, ENTRY, 5, 0)
+    followers.push()
+    assert late.sent[0].view == View(1, [], [])
+    state.epoch = 2
+    followers.push()
+    assert link.sent[-1].view is None
+    assert link.sent[-1].view_delta.entries == [ENTRY]
+    assert followers.view_since(2) == (None, None)
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -201,6 +201,7 @@
     TurnsRead,
     UnknownTurn,
 )
+from tarragonhall_model._view_delta import ViewDelta, apply_view_delta, view_delta
 
 __all__ = [
     "AbandonCall",
@@ -365,6 +366,9 @@
     "from_plain",
     "mutable_record",
     "lazy_exports",
+    "ViewDelta",
+    "apply_view_delta",
+    "view_delta",
     "new_id",
     "new_secret",
     "parse_json",
--- a/libs/model/tarragonhall_model/_control_messages.py
+++ b/libs/model/tarragonhall_model/_control_messages.py
@@ -12,6 +12,7 @@
 from tarragonhall_model._codec import record
 from tarragonhall_model._policy import EntryRecord, PolicyDelta, ServerRecord, StoreRecord, View
 from tarragonhall_model._relay import RelayDocument
+from tarragonhall_model._view_delta import ViewDelta
 
 
 @record
@@ -173,8 +174,8 @@
 
     The receiver counts freshness from the instant *it sent* the heartbeat, on its own monotonic
     clock, so that neither clock differences nor a slow reply can make old settings look fresh.
-    `policy`, `view` and `relay` are set where the sender lags behind. `controls` are the link
-    addresses of all control members.
+    `policy`, `view` and `relay` are set where the sender lags behind; `view_delta` in place of
+    `view` where what it holds is known. `controls` are the link addresses of all control members.
     """
 
     settings_revision: int
@@ -184,6 +185,7 @@
     view: View | None = None
     relay: RelayDocument | None = None
     controls: tuple[str, ...] = ()
+    view_delta: ViewDelta | None = None
 
 
 @record
@@ -193,6 +195,7 @@
     policy: PolicyDelta | None = None
     view: View | None = None
     relay: RelayDocument | None = None
+    view_delta: ViewDelta | None = None
 
 
 @record
--- /dev/null
+++ b/libs/model/tarragonhall_model/_view_delta.py
@@ -0,0 +1,99 @@
+"""What changed from one view to another: with hundreds of members a whole view is tens of kB."""
+
+from __future__ import annotations
+
+from dataclasses import field, replace
+
+from tarragonhall_model._codec import record
+from tarragonhall_model._policy import EntryRecord, ServerRecord, StoreRecord, View
+
+
+@record
+class ViewDelta:
+    """Leads from the view of epoch `base` to that of `epoch`; for no other view.
+
+    The lists hold the members that are new or changed, and the ids of those that are gone. All
+    other fields are those of the later view.
+    """
+
+    base: int
+    epoch: int
+    changed_at_ms: int
+    entries_version: int
+    owners_version: int
+    settled_version: int
+    entries: list[EntryRecord] = field(default_factory=list)
+    servers: list[ServerRecord] = field(default_factory=list)
+    stores: list[StoreRecord] = field(default_factory=list)
+    gone_entries: list[str] = field(default_factory=list)
+    gone_servers: list[str] = field(default_factory=list)
+    gone_stores: list[str] = field(default_factory=list)
+    store_founders: list[str] = field(default_factory=list)
+    retiring_stores: list[str] = field(default_factory=list)
+
+
+def view_delta(earlier: View, later: View) -> ViewDelta:
+    """Return what leads from one view to a later one."""
+    entries, gone_entries = _difference(_entries(earlier), _entries(later))
+    servers, gone_servers = _difference(_servers(earlier), _servers(later))
+    stores, gone_stores = _difference(_stores(earlier), _stores(later))
+    return ViewDelta(
+        earlier.epoch,
+        later.epoch,
+        later.changed_at_ms,
+        later.entries_version,
+        later.owners_version,
+        later.settled_version,
+        entries,
+        servers,
+        stores,
+        gone_entries,
+        gone_servers,
+        gone_stores,
+        later.store_founders,
+        later.retiring_stores,
+    )
+
+
+def apply_view_delta(view: View, delta: ViewDelta) -> View | None:
+    """Return the later view; None where the delta does not start at this one."""
+    if view.epoch != delta.base:
+        return None
+    return replace(
+        view,
+        epoch=delta.epoch,
+        changed_at_ms=delta.changed_at_ms,
+        entries_version=delta.entries_version,
+        owners_version=delta.owners_version,
+        settled_version=delta.settled_version,
+        entries=_applied(_entries(view), delta.entries, delta.gone_entries, "entry_id"),
+        servers=_applied(_servers(view), delta.servers, delta.gone_servers, "server_id"),
+        stores=_applied(_stores(view), delta.stores, delta.gone_stores, "store_id"),
+        store_founders=delta.store_founders,
+        retiring_stores=delta.retiring_stores,
+    )
+
+
+def _entries(view: View) -> dict:
+    return {one.entry_id: one for one in view.entries}
+
+
+def _servers(view: View) -> dict:
+    return {one.server_id: one for one in view.servers}
+
+
+def _stores(view: View) -> dict:
+    return {one.store_id: one for one in view.stores}
+
+
+def _difference(earlier: dict, later: dict) -> tuple[list, list[str]]:
+    changed = [one for member_id, one in later.items() if earlier.get(member_id) != one]
+    return changed, [member_id for member_id in earlier if member_id not in later]
+
+
+def _applied(by_id: dict, changed: list, gone: list[str], id_field: str) -> list:
+    for member_id in gone:
+        by_id.pop(member_id, None)
+    for one in changed:
+        by_id[getattr(one, id_field)] = one
+    return list(by_id.values())
--- a/libs/state/tarragonhall_state/_follower.py
+++ b/libs/state/tarragonhall_state/_follower.py
@@ -16,6 +16,8 @@
     PolicyDelta,
     RelayDocument,
     View,
+    ViewDelta,
+    apply_view_delta,
 )
 
 # A change must be in force everywhere within 5 s. A process may act on settings that were current
@@ -80,6 +82,11 @@
         self.view = view
         return True
 
+    def apply_view_delta(self, delta: ViewDelta) -> bool:
+        """Take what changed since the view held; nothing where it starts at another one."""
+        view = apply_view_delta(self.view, delta)
+        return view is not None and self.apply_view(view)
+
     @property
     def relay_version(self) -> int:
         """Return the version of the relay document held; 0 before the first."""
@@ -102,6 +109,8 @@
             self.apply_policy(fresh.policy)
         if fresh.view is not None:
             self.apply_view(fresh.view)
+        if fresh.view_delta is not None:
+            self.apply_view_delta(fresh.view_delta)
         if fresh.relay is not None:
             self.apply_relay(fresh.relay)
         self.fencing = max(self.fencing, fresh.fencing)
--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -19,6 +19,7 @@
     ServerRecord,
     StoreRecord,
     View,
+    ViewDelta,
 )
 
 from tarragonhall_wire._context import ProcessContext
@@ -40,6 +41,8 @@
 
     def apply_view(self, view: View) -> bool: ...
 
+    def apply_view_delta(self, delta: ViewDelta) -> bool: ...
+
     def apply_relay(self, document: RelayDocument) -> bool: ...
 
     def confirm(self, fresh: Fresh, sent_at: float) -> None: ...
@@ -139,6 +142,8 @@
                 follower.apply_policy(news.policy)
             if news.view is not None:
                 follower.apply_view(news.view)
+            if news.view_delta is not None:
+                follower.apply_view_delta(news.view_delta)
             if news.relay is not None:
                 follower.apply_relay(news.relay)
 
