Let short calls of programs under way wait longer for their token

Organisations of five calls a second run several tools at once.

Change: a call of a program under way may wait until four times the learnt run of its kind is left, where that is longer than half of its time. Calls that begin a program, and those whose run is not known, wait as before.

--- a/libs/decisions/tarragonhall_decisions/_rate.py
+++ b/libs/decisions/tarragonhall_decisions/_rate.py
@@ -149,11 +149,20 @@
         self._fresh_until = max(self._fresh_until, sent_at + self._lease_s)
 
     def offer(
-        self, org_id: str, call_id: str, deadline: Deadline, started: bool, now: float
+        self,
+        org_id: str,
+        call_id: str,
+        deadline: Deadline,
+        started: bool,
+        now: float,
+        run_s: float | None = None,
     ) -> list[RateOutput]:
-        """Ask for a token for a call; `started` says whether its program had a call before."""
+        """Ask for a token for a call; `started` says whether its program had a call before.
+
+        `run_s` is for how long calls of its kind run, where that is known.
+        """
         holder = self._holder(org_id)
-        decided = holder.offer(call_id, deadline, started, now)
+        decided = holder.offer(call_id, deadline, started, now, run_s)
         if decided is not None:
             return [decided]
         return self._pump(org_id, holder, now)
--- a/libs/decisions/tarragonhall_decisions/_rate_holder.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_holder.py
@@ -28,6 +28,8 @@
 
 MAX_WAIT_S = 10.0
 WAIT_SHARE = 0.5
+# A call of a program under way may wait longer where this many times its run fit in what is left.
+RUN_MARGIN = 4.0
 REPORT_AFTER_S = 0.02
 ASK_TIMEOUT_S = 0.08
 SILENT_S = 1.0
@@ -103,12 +105,23 @@
     _silent_until: float = float("-inf")
 
     def offer(
-        self, call_id: str, deadline: Deadline, started: bool, now: float
+        self,
+        call_id: str,
+        deadline: Deadline,
+        started: bool,
+        now: float,
+        run_s: float | None = None,
     ) -> Admitted | RateRefused | None:
-        """Admit or refuse a call at once, or let it wait."""
+        """Admit or refuse a call at once, or let it wait.
+
+        `run_s` is for how long calls of its kind run, where that is known.
+        """
         if not self.waiting and self._spend(now):
             return Admitted(call_id)
-        allowed_s = WAIT_SHARE * (deadline.at - now)
+        left_s = deadline.at - now
+        allowed_s = WAIT_SHARE * left_s
+        if started and run_s is not None:
+            allowed_s = max(allowed_s, left_s - RUN_MARGIN * run_s)
         ahead = sum(1 for call in self.waiting if call.started or not started)
         wait_s = self._expected_wait_s(ahead, now)
         limit_s = min(MAX_WAIT_S, allowed_s)
--- a/libs/decisions/tarragonhall_decisions/_rate_shares.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_shares.py
@@ -66,6 +66,7 @@
     call_id: str
     deadline: Deadline
     started: bool
+    run_s: float | None = None
     share: str = ""
     parked: bool = False
     tried: set[str] = field(default_factory=set)
@@ -112,10 +113,19 @@
         return self._limiter.settled_owners(now)
 
     def offer(
-        self, org_id: str, call_id: str, deadline: Deadline, started: bool, now: float
+        self,
+        org_id: str,
+        call_id: str,
+        deadline: Deadline,
+        started: bool,
+        now: float,
+        run_s: float | None = None,
     ) -> list[RateOutput]:
-        """Ask for a token for a call; `started` says whether its program had a call before."""
-        call = _Call(org_id, call_id, deadline, started)
+        """Ask for a token for a call; `started` says whether its program had a call before.
+
+        `run_s` is for how long calls of its kind run, where that is known.
+        """
+        call = _Call(org_id, call_id, deadline, started, run_s)
         self._call_by_id[call_id] = call
         return self._move(call, now)
 
@@ -234,7 +244,9 @@
     def _offer(self, call: _Call, share: str, now: float) -> list[RateOutput]:
         call.tried.add(share)
         call.share = share
-        outputs = self._limiter.offer(share, call.call_id, call.deadline, call.started, now)
+        outputs = self._limiter.offer(
+            share, call.call_id, call.deadline, call.started, now, call.run_s
+        )
         done, refused = self._sort(outputs)
         if call.call_id in refused:
             call.share = ""
--- a/libs/decisions/tarragonhall_decisions/_service_pace.py
+++ b/libs/decisions/tarragonhall_decisions/_service_pace.py
@@ -99,6 +99,13 @@
         needed_s = PATIENCE / 2 * mean.value / 1000
         return patience_s if patience_s + needed_s <= left_s else None
 
+    def run_of_s(self, kind: str) -> float | None:
+        """Return for how long plain calls of one kind run; None where too few were seen."""
+        mean = self._mean_by_kind.get(kind)
+        if mean is None or mean.count < LEAST_SAMPLES:
+            return None
+        return mean.value / 1000
+
     def slowness(self, server_id: str, oldest_s: float, now: float) -> float:
         """Return how many times longer than usual a call takes, 1 within the usual spread.
 
--- a/libs/rates/tarragonhall_rates/_rates.py
+++ b/libs/rates/tarragonhall_rates/_rates.py
@@ -111,16 +111,22 @@
         return self._limiter.is_dry(org_id, self._context.monotonic())
 
     def take(
-        self, org_id: str, call_id: str, deadline: Deadline, under_way: bool
+        self,
+        org_id: str,
+        call_id: str,
+        deadline: Deadline,
+        under_way: bool,
+        run_s: float | None = None,
     ) -> Refusal | None:
         """Wait for a token; return the refusal where the call gets none.
 
-        `under_way` says that the call's program had a call before.
+        `under_way` says that the call's program had a call before, and `run_s` for how long calls
+        of its kind run, where that is known.
         """
         started = self._context.monotonic()
         event = Event()
         self._event_by_id[call_id] = event
-        self._perform(self._limiter.offer(org_id, call_id, deadline, under_way, started))
+        self._perform(self._limiter.offer(org_id, call_id, deadline, under_way, started, run_s))
         if not event.ready():
             self._poke.release()
         try:
--- a/libs/relay/tarragonhall_relay/_admission.py
+++ b/libs/relay/tarragonhall_relay/_admission.py
@@ -106,8 +106,11 @@
     return Admitted(request, facts, route, organisation, deadline, mark)
 
 
-def take_rate(state: RelayState, call: Admitted) -> Refused | None:
-    """Wait for a token of the organisation's rate; return the refusal where there is none."""
+def take_rate(state: RelayState, call: Admitted, service: str) -> Refused | None:
+    """Wait for a token of the organisation's rate; return the refusal where there is none.
+
+    `service` is the one that is to run the call.
+    """
     if call.organisation is None or call.organisation.rate is None:
         return None
     starts = call.begins_program
@@ -117,7 +120,8 @@
     under_way = bool(call.facts.program_id) and not starts
     # The client chooses the attempt's id and could use one twice at once.
     call_id = f"{call.facts.attempt_id}/{id(call)}"
-    refusal = state.rates.take(call.organisation.org_id, call_id, call.deadline, under_way)
+    run_s = state.chooser.pace(service).run_of_s(call.route.name)
+    refusal = state.rates.take(call.organisation.org_id, call_id, call.deadline, under_way, run_s)
     if refusal is not None:
         log.info(
             "rate.refused",
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -109,7 +109,7 @@
         if turned_away is not None:
             self._refuse(turned_away)
             return
-        refused = take_rate(self._state, self._admitted)
+        refused = take_rate(self._state, self._admitted, self._place.service)
         self._report.step("rated_ms")
         if refused is None:
             refused = self._run_rated()
--- a/libs/relay/tests/waiting_tests.py
+++ b/libs/relay/tests/waiting_tests.py
@@ -86,7 +86,7 @@
     def is_dry(self, _org_id):
         return True
 
-    def take(self, _org_id, _call_id, _deadline, under_way):
+    def take(self, _org_id, _call_id, _deadline, under_way, _run_s=None):
         self.taken.append(under_way)
 
     def stop(self):
