Refuse turns of programs that have spent their budget before they take tokens

Change: the stores say with a spent budget what ended turns have used, which only grows; a turn that surely does not fit is refused at once, without a token or a commit. An entry that learns it tells those of its zone, where the program's other turns come. A budget that running turns hold is not remembered.

Ruled out: asking the stores before the rate, as turns that wait for a token would hold their reservation meanwhile, and each refusal would cost a commit.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -96,6 +96,7 @@
         "Router",
         "subset",
     ),
+    "_spent_programs": ("SpentPrograms",),
     "_store_founding": (
         "LossesBorne",
         "StoreFounding",
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -257,6 +257,16 @@
     running_by_server: dict[str, int]
 
 
+@record
+class ProgramSpent:
+    """An entry tells those of its zone what a program that was refused for its budget has used."""
+
+    org_id: str
+    program_id: str
+    spent: int
+    retention_ms: int
+
+
 @record
 class ZoneLoad:
     """A collector tells those of other zones what the entries of its zone have running in sum."""
--- a/libs/model/tarragonhall_model/_turns.py
+++ b/libs/model/tarragonhall_model/_turns.py
@@ -40,7 +40,12 @@
 
 @record
 class BudgetSpent:
-    """The budget does not hold the turn; nothing was reserved."""
+    """The budget does not hold the turn; nothing was reserved.
+
+    `spent` is what ended turns have used. It only grows, whatever running turns give back.
+    """
+
+    spent: int = 0
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -72,7 +72,7 @@
         self._admitted: Admitted | None = None
         self._place: PlaceOfCall | None = None
         self._report = CallReport(state, arrived_at)
-        self._turn = TurnOfCall(state.turns)
+        self._turn = TurnOfCall(state)
 
     def run(self) -> None:
         """Answer the call.
@@ -105,7 +105,7 @@
             self._turn.end(self._used_tokens())
 
     def _run_admitted(self) -> None:
-        turned_away = self._place.turn_away()
+        turned_away = self._turn.refuse_spent(self._admitted) or self._place.turn_away()
         if turned_away is not None:
             self._refuse(turned_away)
             return
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -13,6 +13,7 @@
     LinkError,
     LoadElsewhere,
     OrganisationPolicy,
+    ProgramSpent,
     RelayConfig,
     RelayDocument,
     SuspectCall,
@@ -123,6 +124,7 @@
         context.hub.handle(ZoneLoad, self._on_zone_load)
         context.hub.handle(LoadElsewhere, self._on_load_elsewhere)
         context.hub.handle(SuspectCall, self._on_suspect)
+        context.hub.handle(ProgramSpent, self._on_spent)
 
     def start(self) -> None:
         """Tell from now on."""
@@ -169,6 +171,19 @@
             if entry.entry_id != self._context.instance:
                 self._send(entry.address, message)
 
+    def tell_spent(self, message: ProgramSpent) -> None:
+        """Tell the others of the zone, where the program's other turns come, of a spent budget."""
+        for entry in self._follower.view.entries:
+            if entry.availability_zone != self._context.availability_zone:
+                continue
+            if entry.entry_id != self._context.instance:
+                self._send(entry.address, message)
+
+    def _on_spent(self, _link: Link, message: ProgramSpent) -> None:
+        keep_s = message.retention_ms / 1000
+        now = self._context.monotonic()
+        self._state.spent.note(message.org_id, message.program_id, message.spent, keep_s, now)
+
     def _on_suspect(self, _link: Link, message: SuspectCall) -> None:
         self._state.suspects.broke(message.fingerprint, self._context.monotonic())
 
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -89,6 +89,7 @@
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
             suspects=CrashSuspects(),
             tell_suspect=lambda fingerprint: self._peers.tell_suspect(fingerprint),
+            tell_spent=lambda message: self._peers.tell_spent(message),
             metrics=context.metrics,
             rng=context.rng,
             monotonic=context.monotonic,
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tarragonhall_decisions import BackendChooser, CrashSuspects, RetryBudget
+from tarragonhall_decisions import BackendChooser, CrashSuspects, RetryBudget, SpentPrograms
+from tarragonhall_model import ProgramSpent
 from tarragonhall_rates import Rates
 from tarragonhall_wire import Metrics
 
@@ -33,11 +34,13 @@
     rates: Rates
     suspects: CrashSuspects
     tell_suspect: Callable[[str], None]
+    tell_spent: Callable[[ProgramSpent], None]
     metrics: Metrics
     rng: random.Random
     monotonic: Callable[[], float]
     is_fresh: Callable[[], bool]
     retries: RetryBudget = field(default_factory=RetryBudget)
+    spent: SpentPrograms = field(default_factory=SpentPrograms)
     table: RouteTable | None = None
     draining: bool = False
     calls: int = 0
--- a/libs/relay/tarragonhall_relay/_turn_of_call.py
+++ b/libs/relay/tarragonhall_relay/_turn_of_call.py
@@ -2,26 +2,29 @@
 
 from __future__ import annotations
 
-from tarragonhall_model import BudgetSpent, RefusalCode, Service, UnknownTurn
+from tarragonhall_model import BudgetSpent, ProgramSpent, RefusalCode, Service, UnknownTurn
 from tarragonhall_wire import UnavailableError
 
 from tarragonhall_relay._admission import UNAVAILABLE, Admitted, Refused
 from tarragonhall_relay._errors import BrokenAnswerError
-from tarragonhall_relay._turns import OpenTurn, TurnKey, Turns, TurnStoreError
+from tarragonhall_relay._state import RelayState
+from tarragonhall_relay._turns import OpenTurn, TurnKey, TurnStoreError
 
 STORE_RETRY_S = 0.8
 # Of a turn's time, what the stores may take at the most: an election is over by then.
 STORE_SECONDS = 3.0
 STORE_SHARE = 0.5
+SPENT = Refused(402, RefusalCode.BUDGET_EXHAUSTED.value, "the budget is spent")
 
 
 class TurnOfCall:
     """Holds what must be undone where the turn does not end whole."""
 
-    __slots__ = ("_key", "_open", "_turns")
+    __slots__ = ("_key", "_open", "_state", "_turns")
 
-    def __init__(self, turns: Turns) -> None:
-        self._turns = turns
+    def __init__(self, state: RelayState) -> None:
+        self._state = state
+        self._turns = state.turns
         self._key: TurnKey | None = None
         self._open: OpenTurn | None = None
 
@@ -35,6 +38,16 @@
         """Return the server that ran the turn before; empty without one."""
         return self._open.server_id if self._open is not None else ""
 
+    def refuse_spent(self, call: Admitted) -> Refused | None:
+        """Return the refusal of a turn whose program is known to have spent its budget."""
+        key = _key_of(call)
+        if not call.route.retained or key.budget is None:
+            return None
+        now = self._state.monotonic()
+        if self._state.spent.refuses(key.org_id, key.program_id, key.budget, key.most, now):
+            return SPENT
+        return None
+
     def begin(self, call: Admitted, now: float) -> Refused | None:
         """Reserve the turn's tokens and gather its history, where the route keeps turns."""
         if not call.route.retained:
@@ -47,9 +60,10 @@
             self._key = None
             return Refused(UNAVAILABLE, RefusalCode.UNAVAILABLE.value, str(error), STORE_RETRY_S)
         match began:
-            case BudgetSpent():
+            case BudgetSpent(spent=spent):
+                self._note_spent(spent)
                 self._key = None
-                return Refused(402, RefusalCode.BUDGET_EXHAUSTED.value, "the budget is spent")
+                return SPENT
             case UnknownTurn():
                 self._key = None
                 message = f"no turn {call.facts.previous_turn!r}"
@@ -57,6 +71,17 @@
         self._open = began
         return None
 
+    def _note_spent(self, spent: int) -> None:
+        """Remember a program whose budget will not hold this turn at any later time."""
+        key = self._key
+        if spent + key.most <= key.budget:
+            # Running turns hold the rest, and may give some of it back.
+            return
+        message = ProgramSpent(key.org_id, key.program_id, spent, key.retention_ms)
+        now = self._state.monotonic()
+        self._state.spent.note(key.org_id, key.program_id, spent, key.retention_ms / 1000, now)
+        self._state.tell_spent(message)
+
     def prompt(self, body: bytes) -> bytes:
         """Return what the server is to read: everything said before, then the new input."""
         return self._open.history + body if self._open is not None else body
--- a/libs/relay/tests/waiting_tests.py
+++ b/libs/relay/tests/waiting_tests.py
@@ -5,6 +5,7 @@
 import eventlet
 from relay_stand_ins import KEY, answers, event, full_until, stream
 from tarragonhall_model import (
+    BudgetSpent,
     Rate,
     Refusal,
     RefusalCode,
@@ -89,6 +90,9 @@
     def take(self, _org_id, _call_id, _deadline, under_way, _run_s=None):
         self.taken.append(under_way)
 
+    def give_back(self, _org_id):
+        return
+
     def stop(self):
         return
 
@@ -107,3 +111,27 @@
     assert float(headers["retry-after"]) > 0
     assert relay.call("/talk/", attempt="a-2", program="p-2", previous="a-0")[0] == 200
     assert rates.taken == [True]
+
+
+def test_a_program_whose_budget_is_spent_takes_no_tokens_from_others(relay):
+    # Guards against a program that loops: its refused turns would use up its organisation's rate.
+    organisation = RelayOrganisation("org-1", (KEY,), rate=Rate(10.0, 10.0))
+    relay.state.table.organisation_by_key[KEY] = organisation
+    rates = relay.state.rates = DryRates()
+    relay.turns.answer = BudgetSpent(spent=95)
+
+    def ask(attempt: str, program: str, most: str) -> int:
+        call = {"attempt": attempt, "program": program, "previous": "a-0", "most": most}
+        return relay.call("/talk/", budget="100", **call)[0]
+
+    assert ask("a-1", "p-1", "10") == 402
+    asked = len(rates.taken)
+    relay.turns.answer = None
+    assert ask("a-2", "p-1", "10") == 402
+    assert len(rates.taken) == asked
+    # Running turns held the rest of this one's budget, and may have given it back since.
+    relay.turns.answer = BudgetSpent(spent=20)
+    assert ask("a-3", "p-2", "10") == 402
+    relay.turns.answer = None
+    relay.backend(lambda _b, arrived: arrived.connection.sendall(stream(arrived, event(1))))
+    assert ask("a-4", "p-2", "10") == 200
--- a/libs/state/tarragonhall_state/_turns.py
+++ b/libs/state/tarragonhall_state/_turns.py
@@ -171,7 +171,7 @@
             return TurnEnded()
         if command.attempt_id not in tokens.reserved_by_attempt:
             if tokens.claimed() + command.most > command.budget:
-                return BudgetSpent()
+                return BudgetSpent(tokens.spent)
             tokens.reserved_by_attempt[command.attempt_id] = command.most
         return TurnReserved(chain, server_id)
 
--- a/libs/state/tests/turns_tests.py
+++ b/libs/state/tests/turns_tests.py
@@ -115,7 +115,7 @@
     stores.reserve("a", most=1_000)
     stores.end("a", used=1_000)
     stores.now_ms = RETENTION_MS
-    assert stores.reserve("b", most=1) == BudgetSpent()
+    assert stores.reserve("b", most=1) == BudgetSpent(1_000)
 
 
 NAMES = st.sampled_from(["a", "b", "c", "d", "e"])
