--- a/libs/consensus/tarragonhall_consensus/_limits.py
+++ b/libs/consensus/tarragonhall_consensus/_limits.py
@@ -14,7 +14,7 @@
 
     # A member stands for election after this long without a leader, up to twice as long at random
     # so that two seldom stand together. A slow sync stops the whole loop of a member, so the time
-    # lies far above the slowest sync measured; and a change must be in force within 5 s, so a
+    # lies far above the slowest sync; and a change must be in force within 5 s, so a
     # failover (2 s, then two round trips and two syncs) must leave time for distribution.
     election_seconds: float = 1.0
     # Members refuse to vote for `election_seconds` after they heard the leader. The lease ends a
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -29,19 +29,6 @@
   zone's servers read shared beginnings for themselves.
 
 All weights are expected milliseconds until the first byte of the answer.
-
-Grounds for the figures: `PREFILL_TOKENS_PER_MS` is the slowest reading of a prompt that engines
-publish, so that a long prompt is not read twice for a small gain. `RUNNING_MS` is what one more
-running call costs the others on engines of 12 to 96 places: its prompt is read between their steps,
-and each step takes longer. Made a share of the run time over the places, it was too much with 12
-places (a third: the 90th percentile of the first event rose from 57 to 105 ms, as entries that hear
-of each other's load late turned to one engine at once) and too little with 96 (a quarter: runs of
-405 ms took 483 at the median). `ZONE_MS` is the way there and back and the price of the bytes,
-together about a turn's prompt of 500 tokens read again. `AVOID_S` starts at about one heartbeat's
-share and doubles up to `MOST_AVOID_S`, after which a crashed server is back. `NEAR_MS` is below the
-cost of one running request. `FILLED` makes up for what is known late: with the places as the bound,
-entries turned 361 of 926 programs of a hot day away and served 0.753 of its worth; with a quarter
-more 178, and 0.836; with 0.6 more 0.702; without a bound or queue 0.673.
 """
 
 from __future__ import annotations
@@ -55,19 +42,27 @@
 from tarragonhall_decisions._server_window import ServerWindow
 from tarragonhall_decisions._service_pace import ServicePace
 
+# Prompt tokens that an engine is taken to read in a millisecond.
 PREFILL_TOKENS_PER_MS = 30.0
+# What one more running call adds to the time of the others on an engine.
 RUNNING_MS = 4.0
+# What the way to another availability zone and back costs a call.
 ZONE_MS = 15.0
 # A zone with this many servers of a service keeps its own calls and shared beginnings.
 HOME_SERVERS = 4
 # Added for each 1,000 bytes that a call sends out of such a zone, up to `MOST_ZONE_MS`.
 ZONE_MS_PER_KB = 3.0
 MOST_ZONE_MS = 150.0
+# How long a server is avoided after its first failure in a row; doubled with each further one.
 AVOID_S = 0.2
 MOST_AVOID_S = 3.0
+# Added for a server that no control member hears, or that failed lately.
 UNHEARD_MS = 400.0
+# Added for a server that has just started and is slow.
 WARMUP_MS = 200.0
+# Servers whose costs differ by no more are chosen among at random.
 NEAR_MS = 3.0
+# Share of a server's places up to which all entries together send it calls.
 FILLED = 1.25
 # Entries tell their load at least once in 0.8 s; one that has told nothing for this long is gone.
 OTHERS_VALID_S = 1.5
--- a/libs/decisions/tarragonhall_decisions/_bucket.py
+++ b/libs/decisions/tarragonhall_decisions/_bucket.py
@@ -7,11 +7,6 @@
 
 Holders that got less than they want queue: each is promised a turn, so that an entry which asks
 rarely is not starved by one that asks all the time, and no entry polls in vain.
-
-Grounds for the figures: `SLICE_VALID_S` is some hundred round trips between zones, so that replies
-are not lost to a short pause, and short enough that tokens lost with a dead holder come back soon.
-`TURN_S` lets a fast bucket serve a holder's need in few round trips. `TURN_SLACK_S` is how long a
-promised turn is kept for a holder that is late.
 """
 
 from __future__ import annotations
@@ -22,8 +17,11 @@
 
 from tarragonhall_model import Rate, TokensGranted, new_id
 
+# Seconds for which a holder may spend the tokens of a slice.
 SLICE_VALID_S = 0.5
+# Seconds of refill that one holder may take at its turn.
 TURN_S = 0.02
+# Seconds for which a promised turn is kept for a holder that is late.
 TURN_SLACK_S = 0.1
 MIN_RETRY_MS = 5
 # Sums of fractions fall short of a whole token by rounding alone.
--- a/libs/decisions/tarragonhall_decisions/_cache.py
+++ b/libs/decisions/tarragonhall_decisions/_cache.py
@@ -7,20 +7,19 @@
 Ended programs are released first, always. Under pressure the program with the lowest cost of
 recomputing for each second until it is likely to come back goes next. A program's cache is moved to
 another server when recomputing there would take longer than the transfer, by `MOVE_GAIN`.
-
-Grounds for the figures: release starts at `PRESSURE` so that a call never waits for memory, and
-stops at `RELIEF`, a few programs lower, so that it is not started by every call. A tool pause is
-taken to last as long again as it has lasted already (the usual guess where nothing is known of the
-shape). `MOVE_GAIN` of two covers that the transfer takes bandwidth from both servers.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+# Share of an engine's memory in use from which on programs are released.
 PRESSURE = 0.9
+# Share of memory in use at which releasing stops.
 RELIEF = 0.8
+# How many times cheaper than reading again a transfer must be.
 MOVE_GAIN = 2.0
+# Shortest tool pause, in seconds, that is assumed.
 MIN_PAUSE_S = 0.1
 
 
--- a/libs/decisions/tarragonhall_decisions/_crash_suspects.py
+++ b/libs/decisions/tarragonhall_decisions/_crash_suspects.py
@@ -6,10 +6,6 @@
 
 Each broken connection without an answer puts the request under suspicion, at every entry: they tell
 each other. An answer clears it. After `BARRING` broken runs it is refused at once.
-
-Grounds for the figures: servers break off a few in a hundred answers on bad days, so three in a row
-happen to one innocent request in tens of thousands, whose caller has used up its tries by then
-anyway. `FORGET_S` is longer than callers go on trying.
 """
 
 from __future__ import annotations
@@ -17,8 +13,11 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+# Broken runs in a row after which a request is refused.
 BARRING = 3
+# Seconds after which a broken run is forgotten.
 FORGET_S = 120.0
+# Bound on the requests remembered.
 MOST_SUSPECTS = 10_000
 
 
--- a/libs/decisions/tarragonhall_decisions/_deadlines.py
+++ b/libs/decisions/tarragonhall_decisions/_deadlines.py
@@ -4,11 +4,6 @@
 time on answers that nobody waits for any more, and the goodput falls just when the load is
 highest. A call whose expected wait and run time exceed what is left is refused before it costs
 anything; `retry_after_ms` says when the queue will have room for it.
-
-Grounds for the figures: `REPLY_MARGIN_MS` covers two hops between availability zones (0.5 ms each)
-and one commit with a sync on a disk (a few ms each), with room for a busy loop.
-`SMOOTHING` of one eighth follows a change within about eight calls, and one odd call moves the
-estimate by an eighth only; it is the gain that TCP uses for its round trip estimate.
 """
 
 from __future__ import annotations
@@ -17,8 +12,11 @@
 
 from tarragonhall_model import Execution, Refusal, RefusalCode
 
+# Kept back of a call's time for the way back of its answer and one commit.
 REPLY_MARGIN_MS = 50
+# Weight of a new run time in the moving mean.
 SMOOTHING = 0.125
+# Bounds of what a refusal tells its caller to wait.
 MIN_RETRY_AFTER_MS = 20
 MAX_RETRY_AFTER_MS = 60_000
 
--- a/libs/decisions/tarragonhall_decisions/_drain.py
+++ b/libs/decisions/tarragonhall_decisions/_drain.py
@@ -5,9 +5,6 @@
 
 An entry first fails `readyz`, so that the balancer sends no more, keeps listening for the grace,
 then closes the listener and leaves once the last call is answered.
-
-Grounds for the figures: `FORCE_AFTER_S` is the longest call timeout that callers state by default
-(60 s) and a margin; what still runs then has outlived its caller.
 """
 
 from __future__ import annotations
@@ -15,6 +12,7 @@
 import enum
 from dataclasses import dataclass
 
+# Seconds after which calls that still run are cut off.
 FORCE_AFTER_S = 65.0
 
 
--- a/libs/decisions/tarragonhall_decisions/_fair_queue.py
+++ b/libs/decisions/tarragonhall_decisions/_fair_queue.py
@@ -18,14 +18,6 @@
 furthest over its share loses a call, and inside it the call of a program that has not started,
 before one of a program under way. A call that cannot meet its deadline at the present drain rate is
 refused at once with the time after which the queue will have room.
-
-Grounds for the figures: `AGEING_TOKENS_PER_S` is about what one stream generates in ten seconds at
-the letter's 42 ms a token, so one second of waiting outweighs a long answer. `ATTAINED_CAP` bounds
-the extra wait of the longest program to ten seconds. The drain rate comes from the calls in
-service, so it needs no history (`InService`).
-A waiting call is given up when less than its expected run time is left: in
-overload every call waits until just then, and with half of that time 34 of 317 answers came too
-late in the overload test. `PATIENCE_SHARE`: but never in the first half of its time.
 """
 
 from __future__ import annotations
@@ -45,8 +37,11 @@
 from tarragonhall_decisions._in_service import InService
 from tarragonhall_decisions._organisation_order import OrganisationOrder
 
+# Tokens by which a program's place improves for each second that its call waits.
 AGEING_TOKENS_PER_S = 240.0
+# Tokens beyond which a program is placed no later for what it has used.
 ATTAINED_CAP = 2_400.0
+# A waiting call is not given up in this first share of its time.
 PATIENCE_SHARE = 0.5
 MIN_WEIGHT = 1e-6
 
--- a/libs/decisions/tarragonhall_decisions/_model_orders.py
+++ b/libs/decisions/tarragonhall_decisions/_model_orders.py
@@ -8,19 +8,19 @@
 `MAX_WAIT_S` for `DWELL_S`, or when it has fewer replicas than its policy asks for; the engine is
 taken from the model whose replicas are least busy, never below that model's minimum. An engine that
 changed lately is left alone for `SETTLE_S`.
-
-Grounds for the figures: loading weights takes tens of seconds, so `DWELL_S` of 10 s ignores bursts
-that pass before a load would help, and `SETTLE_S` of two minutes keeps the share of time spent on
-loading below a quarter. `LOADS_AT_ONCE` of two bounds what the rate-limited weight store must give.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
+# Seconds of expected wait for a model from which on a further replica is loaded.
 MAX_WAIT_S = 5.0
+# Seconds for which a need must last before a load is ordered.
 DWELL_S = 10.0
+# Seconds for which a server keeps what it has loaded.
 SETTLE_S = 120.0
+# Loads under way in the deployment at most.
 LOADS_AT_ONCE = 2
 # A replica below this share of its slots in use can be given up.
 IDLE_SHARE = 0.3
--- a/libs/decisions/tarragonhall_decisions/_place_queue.py
+++ b/libs/decisions/tarragonhall_decisions/_place_queue.py
@@ -15,10 +15,6 @@
 A call is refused at once where its wait is known to be longer than it has patience, with the time
 at which there should be room. Those times are spread, as callers refused together would else come
 back together.
-
-Grounds for the figures: with `FIRST_CALLS_EVERY` of eight, programs of ten calls and more keep
-seven places of eight, and new ones a place at least every few run times. `LEAST_RETRY_S` is a few
-ends of calls; `RETRY_SPREAD` spreads those who come back over as long again as they wait.
 """
 
 from __future__ import annotations
@@ -32,8 +28,11 @@
 from tarragonhall_decisions._fair_queue import Dropped, FairQueue, QueuedCall
 from tarragonhall_decisions._in_service import InService
 
+# One place in so many goes to a call that begins a program.
 FIRST_CALLS_EVERY = 8
+# Shortest time, in seconds, after which a refused caller is told to come back.
 LEAST_RETRY_S = 0.1
+# Callers are told to come back spread over this share of their wait.
 RETRY_SPREAD = 1.0
 
 
--- a/libs/decisions/tarragonhall_decisions/_quarantine.py
+++ b/libs/decisions/tarragonhall_decisions/_quarantine.py
@@ -6,11 +6,6 @@
 When a server crashes, all the requests that ran on it are suspects: nobody can tell which did it.
 They are retried apart, no two suspects on one server at a time. A second crash with one suspect on
 board then names the culprit; the innocent suspects run to their end elsewhere and are cleared.
-
-Grounds for the figures: `CONVICTING_CRASHES` of two, because one crash may be the server's own
-fault (37 instances fail on an ordinary day), and a third would cost another server.
-`FORGET_AFTER_S`: suspicion is dropped after ten minutes without a crash, far longer than a caller's
-retries last, so that one crash of a server does not slow its requests for good.
 """
 
 from __future__ import annotations
@@ -19,7 +14,9 @@
 
 from tarragonhall_model import Execution, Refusal, RefusalCode
 
+# Crashes of servers after which a request is refused.
 CONVICTING_CRASHES = 2
+# Seconds without a crash after which a request is no longer suspected.
 FORGET_AFTER_S = 600.0
 RETRY_AFTER_MS = 600_000
 
--- a/libs/decisions/tarragonhall_decisions/_rate_holder.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_holder.py
@@ -9,13 +9,6 @@
 program is spent or no server took it, gives the token back while its owner has not heard that it
 was spent. Of 800 calls of a busy organisation 84 were refused for the budget of one program that
 loops, and as many calls of its other programs had to wait.
-
-Grounds for the figures: `MAX_WAIT_S` bounds the queue of a tenant that keeps above its rate; its
-calls would else all wait until half of their deadline, with a connection each. `REPORT_AFTER_S` is
-a few round trips: the owner refills only what is not granted, so spent slices are reported soon.
-`ASK_TIMEOUT_S` is far above a round trip and what a busy entry is late; a call spends it before it
-turns to another owner, and `SILENT_S` is for how long the silent one is then passed over.
-`MAX_PAUSE_S` lets a hand-over that ends a wait early be found out soon, at four messages a second.
 """
 
 from __future__ import annotations
@@ -26,13 +19,19 @@
 
 from tarragonhall_decisions._deadlines import Deadline, bounded_retry_ms
 
+# Longest wait of any call for a token, in seconds.
 MAX_WAIT_S = 10.0
+# Share of its time that a call may wait for a token.
 WAIT_SHARE = 0.5
 # A call of a program under way may wait longer where this many times its run fit in what is left.
 RUN_MARGIN = 4.0
+# Seconds after which the owner is told of a spent slice, unless a request tells it.
 REPORT_AFTER_S = 0.02
+# Seconds after which an unanswered request counts as lost.
 ASK_TIMEOUT_S = 0.08
+# Seconds for which an owner that did not answer is passed over.
 SILENT_S = 1.0
+# Shortest and longest pause, in seconds, before an owner that cannot grant is asked again.
 MIN_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.25
 MIN_RATE = 1e-6
--- a/libs/decisions/tarragonhall_decisions/_rate_reserve.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_reserve.py
@@ -7,11 +7,6 @@
 Operators allow a rate to be exceeded a little over a window: by a share of it and by some calls on
 top. Entries spend a part of that, shared out among them, while no owner answers. What all of them
 admit together stays below what is allowed, whatever they do not know of each other.
-
-Grounds for the figures: `SAFE_SHARE` leaves a third of what is allowed for calls that were granted
-late and arrive together. `UNKNOWN_ENTRIES` entries may have started that this one has not heard of.
-Effect: with 9 entries, 133 calls a second and 8 organisations each entry may admit 6 calls of each
-over 5 s, which is about what reaches it of each in two seconds.
 """
 
 from __future__ import annotations
@@ -21,7 +16,9 @@
 
 from tarragonhall_model import Rate
 
+# Share of the tolerated excess that entries may admit without an owner.
 SAFE_SHARE = 0.67
+# Entries that may have started unknown to this one.
 UNKNOWN_ENTRIES = 1
 
 
--- a/libs/decisions/tarragonhall_decisions/_rate_shares.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_shares.py
@@ -16,11 +16,6 @@
 A call asks the shares that this entry owns first, which costs no message, then the others. It goes
 on to the next one as soon as a share has nothing left or its owner is not heard. Where none has
 anything left it waits at the one that expects to serve it first.
-
-Grounds for the figures: with `MOST_SHARES` the loss of an entry takes a sixth of a rate, less than
-organisations keep in hand. Calls come a few at once, and a share must hold as many: with a
-`LEAST_BURST` of 2 an organisation of 12 calls a second had 310 of 323 calls refused that one bucket
-served all but 4 of, with 8 it has the same 4.
 """
 
 from __future__ import annotations
@@ -43,7 +38,9 @@
 from tarragonhall_decisions._rate import RateLimiter, RateOutput
 from tarragonhall_decisions._rate_holder import Admitted, RateRefused
 
+# Shares of one rate at most.
 MOST_SHARES = 6
+# Burst of a share at least, in calls.
 LEAST_BURST = 8.0
 # Never part of an organisation's id, so that no share is named like another organisation.
 SEPARATOR = "\x1f"
--- a/libs/decisions/tarragonhall_decisions/_registry.py
+++ b/libs/decisions/tarragonhall_decisions/_registry.py
@@ -9,11 +9,6 @@
 Order: of one id, the later start wins, and within one life the higher sequence. Of one address, the
 later start wins. A server that left stays known as gone, so that a late announcement of the same
 life does not bring it back.
-
-Grounds for the figures: `SILENT_S` is three heartbeats of the deployments at hand and the seconds
-by which one may be late. A silent server is still named, marked as unheard: it may be cut off from
-the control members alone, and entries that reach it go on using it. `FORGET_S` bounds the table by
-what was there in the last minutes.
 """
 
 from __future__ import annotations
@@ -22,7 +17,9 @@
 
 from tarragonhall_model import BackendRecord
 
+# Seconds after which a server that did not announce itself is marked as unheard.
 SILENT_S = 5.0
+# Seconds after which it is forgotten.
 FORGET_S = 120.0
 
 
--- a/libs/decisions/tarragonhall_decisions/_retry.py
+++ b/libs/decisions/tarragonhall_decisions/_retry.py
@@ -7,12 +7,6 @@
 An attempt that a sidecar rejected, or that ended `NOT_RUN`, is proved not to have run: the sidecar
 keeps a tombstone and can never run it. Everything else that is not an answer is `unknown`, and a
 call that must not be repeated is then never tried again.
-
-Grounds for the figures: `SHARE_OF_SUCCESSES` of a tenth bounds the extra load of retries to 10%.
-`RESERVE` lets a quiet entry retry a few calls before it has had successes. `MAX_ATTEMPTS` of three:
-two servers failing together is an everyday event (37 of 360 instances a day), three is not.
-Back-off starts at 25 ms, far above a round trip between zones, and doubles with full jitter so that
-calls which failed together do not return together.
 """
 
 from __future__ import annotations
@@ -32,11 +26,17 @@
 
 from tarragonhall_decisions._deadlines import Deadline, bounded_retry_ms
 
+# Retries earned by each success.
 SHARE_OF_SUCCESSES = 0.1
+# Retries that an entry may make before it has had successes.
 RESERVE = 10.0
+# Retries saved up at most.
 MAX_SAVED = 100.0
+# Servers that may run one call.
 MAX_ATTEMPTS = 3
+# Servers that may reject one call.
 MAX_REJECTED_ATTEMPTS = 8
+# Bounds of the pause before another try, in seconds; doubled with each, with full jitter.
 FIRST_BACKOFF_S = 0.025
 MAX_BACKOFF_S = 1.0
 
--- a/libs/decisions/tarragonhall_decisions/_routing.py
+++ b/libs/decisions/tarragonhall_decisions/_routing.py
@@ -10,14 +10,6 @@
 - Programs under way have `NEW_PROGRAM_SHARE` of each window to themselves against new programs.
 
 The weights compare expected seconds until the answer: wait + recomputing + run time + way.
-
-Grounds for the figures: `PREFILL_S_PER_TOKEN` is assumed (10,000 tokens a second) and the same for
-all servers; nothing learns it yet. `ZONE_WAY_S` is the brief's half millisecond each way, doubled,
-since the dispatch and the answer both cross. `AFFINITY_OVERDRAFT`: a program may queue behind the
-window of the server that holds its prefix for one window more, where that is cheaper than
-recomputing.
-`SUBSET_SIZE`: with 100 servers an entry of the letter's size (360 before 3,700) has each server
-linked from about ten entries, and two random choices among 100 are as good as among all.
 """
 
 from __future__ import annotations
@@ -31,13 +23,21 @@
 
 from tarragonhall_decisions._server_state import ServerState
 
+# Seconds that a server is taken to read a token of a prompt.
 PREFILL_S_PER_TOKEN = 1e-4
+# Seconds for the way to another availability zone and back.
 ZONE_WAY_S = 0.002
+# Share of a server's window that new programs may fill.
 NEW_PROGRAM_SHARE = 0.9
+# Windows that a program may queue behind the server that holds its prefix.
 AFFINITY_OVERDRAFT = 2.0
+# Seconds between two changes of a window.
 ADAPT_EVERY_S = 0.25
+# Bound on the programs whose server is remembered.
 REMEMBERED_PROGRAMS = 20_000
+# Servers to which one entry keeps links.
 SUBSET_SIZE = 100
+# Servers drawn at random and compared.
 RANDOM_CHOICES = 2
 
 
--- a/libs/decisions/tarragonhall_decisions/_server_state.py
+++ b/libs/decisions/tarragonhall_decisions/_server_state.py
@@ -3,17 +3,6 @@
 Load patterns: a server that became slow but still answers takes as many calls as the others if it
 is judged by its open calls alone, and its report arrives late. A server that hangs ends no call at
 all, so nothing new is learnt from ends; here the age of its open calls counts too.
-
-Grounds for the figures: `SPEED_GAIN` of a quarter takes a server out after about four slow calls;
-faster calls count double, since a server on probation gets few of them. `STALE_GAIN` lets what was
-learnt of a server that gets no calls fade within about half a minute, so that it is tried again.
-`SLOW_RATIO` of two is outside the spread of healthy servers with mixed batches, and a server twice
-as slow still costs a program less than a queue would. `WEIGHT_DOWN` and `WEIGHT_UP` change the
-share gradually, in about eight calls from full to `PROBE_WEIGHT`, so that a short stall does not
-throw a server's whole load on the others; one call in twenty goes on probing it. The window shrinks
-by `WINDOW_DOWN` for each report that shows a queue and grows by one for each that shows room: the
-usual additive increase and multiplicative decrease, which lets entries that do not know each other
-share a server evenly.
 """
 
 from __future__ import annotations
@@ -22,14 +11,22 @@
 
 from tarragonhall_model import LoadReport, ServerRecord
 
+# Weight of a slower call in the learnt speed of a server.
 SPEED_GAIN = 0.25
+# Weight of a faster one.
 FASTER_GAIN = 0.5
+# Share by which what is known of a server without calls fades at each step.
 STALE_GAIN = 0.01
+# Times the usual run from which on a server counts as slow.
 SLOW_RATIO = 2.0
+# Factors by which the share of work of a server changes with each call.
 WEIGHT_DOWN = 0.7
 WEIGHT_UP = 1.3
+# Share of work that a slow server keeps, so that its recovery is noticed.
 PROBE_WEIGHT = 0.05
+# Factor by which a failure lowers the share of work.
 FAILURE_WEIGHT = 0.5
+# Factor by which a report of a queue shrinks the window.
 WINDOW_DOWN = 0.8
 # A queue of this share of the slots keeps a server busy between reports and is not congestion.
 QUEUE_SHARE = 0.125
--- a/libs/decisions/tarragonhall_decisions/_server_window.py
+++ b/libs/decisions/tarragonhall_decisions/_server_window.py
@@ -10,19 +10,17 @@
 when one of this entry's own has ended. Entries that do not know each other share a server so, and
 each keeps what it had. It grows with time and not with answers: places that other entries no
 longer use are found by one call at a time.
-
-Grounds for the figures: `DOUBLE_S` is about the run time of a turn: a window of one probes after a
-turn, one of eight every 60 ms, and a server that is free again is used in full within two seconds.
-`NOTHING_RAN` gives a pause of a tenth of a second where this entry has no call there, in which
-some of a server's 6 to 96 places come free; `REFUSED_AGAIN` lengthens it by as much with each
-refusal in a row.
 """
 
 from __future__ import annotations
 
+# Seconds in which a window that sees no refusal doubles.
 DOUBLE_S = 0.5
+# Window after a refusal where this entry has no call at the server.
 NOTHING_RAN = 0.87
+# Factor by which each further refusal in a row shrinks it.
 REFUSED_AGAIN = 0.87
+# Smallest window.
 LEAST_WINDOW = 0.25
 # By then no server is as large; a power without bounds overflows after minutes.
 MOST_DOUBLINGS = 30.0
--- a/libs/decisions/tarragonhall_decisions/_service_pace.py
+++ b/libs/decisions/tarragonhall_decisions/_service_pace.py
@@ -14,30 +14,28 @@
 What is learnt: the run time of a service as a moving mean, and for each plain server the moving
 mean of the run times of its calls over the means of their routes. A call that is under way for
 several run times counts before it ends.
-
-Grounds for the figures: `PRIOR_RUN_MS`, a turn of a model, stands only until the first calls
-have ended. `SMOOTH_RUN` follows a change within some twenty calls of this entry. Run times of calls
-differ by their own mean, so `SMOOTH_RATIO` keeps the error of a server's ratio at a third, and
-`TOLERATED` lies above that: taken for slow by chance, a server would lose its calls to others that
-are no better. `FORGET_S` is about a heartbeat: a server that was found slow gets a call now and
-then, and is believed well again as soon as two are quick. `OVERDUE` leaves out nearly all calls
-that are merely long. `PATIENCE` run times of its route are above what any look-up was seen to take
-at a server that is well, and `LEAST_SAMPLES` make that mean one to rely on. `LEAST_PATIENCE_MS`
-covers a server's queue where calls are very short.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+# Run time of a call until the first ones have ended.
 PRIOR_RUN_MS = 500.0
+# Weight of a new run time in the moving mean.
 SMOOTH_RUN = 0.05
+# Weight of a new ratio of a server's run times to the usual.
 SMOOTH_RATIO = 0.2
+# Ratio up to which a server does not count as slow.
 TOLERATED = 2.0
+# Seconds in which half of a learnt ratio is forgotten.
 FORGET_S = 2.0
+# Usual run times after which a call under way counts against its server.
 OVERDUE = 4.0
+# Run times after which a call that may run twice is sent to another server.
 PATIENCE = 5.0
 LEAST_PATIENCE_MS = 100.0
+# Calls from which on a mean run time is relied on.
 LEAST_SAMPLES = 20
 # One measure must not outweigh all that was seen before.
 MOST_RATIO = 10.0
--- a/libs/wire/tarragonhall_wire/_log_budget.py
+++ b/libs/wire/tarragonhall_wire/_log_budget.py
@@ -4,9 +4,6 @@
 the lines take more of the processor than the calls; cut off at any line, those that explain the
 failure are missing. So served calls give way first, then changes of belief, failures last; and the
 calls whose lines are kept are chosen by their id, so that all processes keep the same ones.
-
-Grounds for the figures: a line costs some 30 microseconds and 300 bytes; `LINES_A_SECOND` is then
-under 1% of a core and 60 kB a second. Served calls may use half of it and changes four fifths.
 """
 
 from __future__ import annotations
@@ -16,9 +13,12 @@
 import zlib
 from dataclasses import dataclass, field
 
+# Bounds of all lines of a process; served calls may use half, changes four fifths.
 LINES_A_SECOND = 200
 BYTES_A_SECOND = 64 * 1024
+# Seconds over which the bounds hold.
 WINDOW_S = 1.0
+# Steps in which the share of served calls that are logged is lowered.
 SAMPLE_STEPS = 64
 
 
