Grant tokens in the order in which waiting calls give up

Change: among calls of programs under way the one that gives up first goes first, at the entry and at the owner of the bucket, which is told with each question how long the first one can wait; equals go as they came, calls that begin programs last. What others wait for counts only where they go first.

--- a/libs/decisions/tarragonhall_decisions/_bucket.py
+++ b/libs/decisions/tarragonhall_decisions/_bucket.py
@@ -39,6 +39,8 @@
 class _Turn:
     wanted: float
     due: float
+    # When the first of the holder's calls gives up; the turns of others go by it.
+    gives_up_at: float
 
 
 @dataclass(slots=True)
@@ -57,10 +59,22 @@
         self.rate = rate
         self._cap()
 
-    def grant(self, holder: str, wanted: float, now: float, rng: random.Random) -> TokensGranted:
-        """Grant whole tokens, as many as are free after the turns promised to others."""
+    def grant(
+        self,
+        holder: str,
+        wanted: float,
+        now: float,
+        rng: random.Random,
+        patience_s: float = math.inf,
+    ) -> TokensGranted:
+        """Grant whole tokens, as many as are free after the turns of others that go first.
+
+        `patience_s` is after which time the first of the holder's calls gives up. Whoever gives up
+        sooner goes first, and whoever asked first among equals.
+        """
         self._refill(now)
-        ahead, backlog = self._ahead_of(holder, now)
+        gives_up_at = now + patience_s
+        ahead, backlog = self._ahead_of(holder, gives_up_at, now)
         free = self.level - ahead
         tokens = float(max(0, math.floor(min(wanted, free) + EPSILON)))
         slice_id = ""
@@ -68,7 +82,7 @@
             slice_id = new_id("slice", rng)
             self.level -= tokens
             self._slice_by_id[slice_id] = _Slice(holder, tokens, now + SLICE_VALID_S)
-        retry_ms = self._promise(holder, wanted - tokens, ahead, tokens > 0, now)
+        retry_ms = self._promise(holder, wanted - tokens, ahead, tokens > 0, now, gives_up_at)
         return TokensGranted(
             org_id="",
             tokens=tokens,
@@ -123,8 +137,11 @@
     def _cap(self) -> None:
         self.level = max(0.0, min(self.level, self.rate.burst - self._outstanding()))
 
-    def _ahead_of(self, holder: str, now: float) -> tuple[float, float]:
-        """Return the tokens promised before this holder's turn, and all that others wait for."""
+    def _ahead_of(self, holder: str, gives_up_at: float, now: float) -> tuple[float, float]:
+        """Return the tokens promised before this holder's turn, and all that others wait for.
+
+        Those who can wait longer than this holder count for neither.
+        """
         late = [h for h, turn in self._turn_by_holder.items() if turn.due + TURN_SLACK_S < now]
         for other in late:
             del self._turn_by_holder[other]
@@ -135,12 +152,22 @@
             if other == holder:
                 found = True
                 continue
+            if turn.gives_up_at > gives_up_at:
+                continue
             backlog += turn.wanted
-            if not found:
+            if not found or turn.gives_up_at < gives_up_at:
                 ahead += min(turn.wanted, self._turn_size())
         return ahead, backlog
 
-    def _promise(self, holder: str, missing: float, ahead: float, served: bool, now: float) -> int:
+    def _promise(
+        self,
+        holder: str,
+        missing: float,
+        ahead: float,
+        served: bool,
+        now: float,
+        gives_up_at: float,
+    ) -> int:
         if missing < 1.0:
             self._turn_by_holder.pop(holder, None)
             return 0
@@ -148,12 +175,14 @@
             # To the end of the queue: the others have their turn first.
             self._turn_by_holder.pop(holder, None)
             ahead = sum(
-                min(turn.wanted, self._turn_size()) for turn in self._turn_by_holder.values()
+                min(turn.wanted, self._turn_size())
+                for turn in self._turn_by_holder.values()
+                if turn.gives_up_at <= gives_up_at
             )
         needed = ahead + min(missing, self._turn_size()) - self.level
         wait_s = max(0.0, needed) / max(self.rate.per_second, EPSILON)
         wait_ms = max(MIN_RETRY_MS, math.ceil(wait_s * 1000))
-        self._turn_by_holder[holder] = _Turn(missing, now + wait_ms / 1000)
+        self._turn_by_holder[holder] = _Turn(missing, now + wait_ms / 1000, gives_up_at)
         return wait_ms
 
     def _turn_size(self) -> float:
--- a/libs/decisions/tarragonhall_decisions/_owned_buckets.py
+++ b/libs/decisions/tarragonhall_decisions/_owned_buckets.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -136,7 +137,8 @@
             return NotOwner(epoch, int((owned.usable_from - now) * 1000) + 1)
         for slice_id in message.finished:
             owned.bucket.end_slice(slice_id, 0.0, now)
-        granted = owned.bucket.grant(message.holder, message.wanted, now, self._rng)
+        patience_s = math.inf if message.patience_ms is None else message.patience_ms / 1000
+        granted = owned.bucket.grant(message.holder, message.wanted, now, self._rng, patience_s)
         return TokensGranted(
             message.org_id,
             granted.tokens,
--- a/libs/decisions/tarragonhall_decisions/_rate.py
+++ b/libs/decisions/tarragonhall_decisions/_rate.py
@@ -273,6 +273,7 @@
             float(len(holder.waiting)),
             self._epoch,
             tuple(ended.slice_id for ended in spent),
+            holder.patience_ms(now),
         )
         holder.asked_at = now
         if owner != self.entry_id:
--- a/libs/decisions/tarragonhall_decisions/_rate_holder.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_holder.py
@@ -3,7 +3,9 @@
 See `_rate` for the whole. A call waits for its token while that leaves half of its time to run. It
 is refused at once where the wait would be longer, so that its caller hears when to come back
 instead of holding a connection for nothing. Calls of programs under way come before calls that
-start a program: a tenant over its rate then finishes programs rather than starting ever more.
+start a program: a tenant over its rate then finishes programs rather than starting ever more. Among
+those under way the one that gives up first goes first, here and at the owner: a look-up of a second
+would else wait behind turns that have five.
 
 A rate limits what runs. A call that got its token and was then refused, because the budget of its
 program is spent or no server took it, gives the token back while its owner has not heard that it
@@ -121,15 +123,27 @@
         allowed_s = WAIT_SHARE * left_s
         if started and run_s is not None:
             allowed_s = max(allowed_s, left_s - RUN_MARGIN * run_s)
-        ahead = sum(1 for call in self.waiting if call.started or not started)
+        give_up_at = now + allowed_s
+        ahead = self._ahead_of(started, give_up_at)
         wait_s = self._expected_wait_s(ahead, now)
         limit_s = min(MAX_WAIT_S, allowed_s)
         if wait_s > limit_s:
             return RateRefused(call_id, self._refusal(wait_s - limit_s, now))
-        call = WaitingCall(call_id, started, now + allowed_s)
-        self.waiting.insert(ahead if started else len(self.waiting), call)
+        self.waiting.insert(ahead, WaitingCall(call_id, started, give_up_at))
         return None
 
+    def patience_ms(self, now: float) -> int | None:
+        """Return after which time the first call of a program under way gives up, if one waits."""
+        if not self.waiting or not self.waiting[0].started:
+            return None
+        return max(0, int((self.waiting[0].give_up_at - now) * 1000))
+
+    def _ahead_of(self, started: bool, give_up_at: float) -> int:
+        """Return how many calls go before one: those under way first, by when they give up."""
+        if not started:
+            return len(self.waiting)
+        return sum(1 for call in self.waiting if call.started and call.give_up_at <= give_up_at)
+
     def withdraw(self, call_id: str) -> None:
         """Forget a waiting call."""
         self.waiting = [call for call in self.waiting if call.call_id != call_id]
--- a/libs/decisions/tests/rate_holder_tests.py
+++ b/libs/decisions/tests/rate_holder_tests.py
@@ -40,3 +40,20 @@
     made = dry_holder(backlog=0.0)
     assert made.offer("call-1", Deadline(LEFT_S), True, 0.0, 0.9) is None
     assert made.waiting[0].give_up_at == LEFT_S / 2
+
+
+def test_calls_under_way_wait_in_the_order_in_which_they_give_up():
+    # Guards against look-ups of a second and a half that are lost behind turns that have five.
+    made = dry_holder(backlog=0.0)
+    assert made.offer("start", Deadline(5.0), False, 0.0) is None
+    assert made.offer("turn", Deadline(5.0), True, 0.0) is None
+    assert made.offer("look-up", Deadline(LEFT_S), True, 0.0, RUN_S) is None
+    assert [call.call_id for call in made.waiting] == ["look-up", "turn", "start"]
+    assert made.patience_ms(0.0) == 1_300
+
+
+def test_calls_that_begin_programs_say_nothing_of_their_patience():
+    made = dry_holder(backlog=0.0)
+    assert made.patience_ms(0.0) is None
+    made.offer("start", Deadline(5.0), False, 0.0)
+    assert made.patience_ms(0.0) is None
--- a/libs/model/tarragonhall_model/_rate_messages.py
+++ b/libs/model/tarragonhall_model/_rate_messages.py
@@ -13,7 +13,8 @@
 class TakeTokens:
     """Ask the owner of an organisation's bucket for a slice. Reply: `TokensGranted` or
     `NotOwner`. `holder` is the asking entry's id and incarnation. `finished` names earlier slices
-    of which nothing is left to spend.
+    of which nothing is left to spend. `patience_ms` is after which time the first of its calls
+    gives up, where one of a program under way waits.
     """
 
     org_id: str
@@ -21,6 +22,7 @@
     wanted: float
     view_epoch: int
     finished: tuple[str, ...] = ()
+    patience_ms: int | None = None
 
 
 @record
