Say load, send and announce in the exchange of loads

Cause: new code said heard and told where the field says load and sent.

Change: names and docstrings of the exchange of loads; behaviour unchanged.

--- a/libs/decisions/tarragonhall_decisions/_load_digest.py
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -2,9 +2,10 @@
 
 Load pattern: many entries choose servers at once and must know of each other's calls, or they all
 turn to the same server. Sent by each entry to each other one, these messages grow with the square
-of the entries. Above `DIRECT_ENTRIES` entries, each tells two collectors of its availability zone;
-collectors exchange the sums of their zones and send each entry of their zone what all others have
-running. Two collectors a zone, so that one that stops or is slow costs nothing.
+of the entries. Above `DIRECT_ENTRIES` entries, each sends its load to two collectors of its
+availability zone; collectors exchange the sums of their zones and send each entry of their zone
+what all others have running. There are two in a zone, so that one that stops or is slow costs
+nothing.
 
 Inputs: views, own load, messages of others. Outputs: messages to send. Times are monotonic seconds.
 """
@@ -16,10 +17,11 @@
 
 from tarragonhall_model import EntryLoad, EntryRecord, LoadElsewhere, ZoneLoad, fingerprint
 
-# Up to so many entries each tells each other one: that is quicker by the way over a collector.
+# Up to so many entries each sends its load to each other one: quicker than over a collector.
 DIRECT_ENTRIES = 16
+# Collectors of one availability zone.
 COLLECTORS = 2
-# Loads are told several times within this; whoever told none for so long (seconds) is gone.
+# Seconds after which an entry or zone that has sent no load counts no more.
 LOAD_VALID_S = 1.5
 # Seconds between two sums of a zone for the other zones.
 ZONES_S = 0.55
@@ -36,31 +38,31 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Heard:
+class _Load:
     running_by_server: dict[str, int]
     entries: int
     at: float
 
 
 class LoadDigest:
-    """The part of one entry in telling loads."""
+    """The part of one entry in the exchange of loads."""
 
     __slots__ = (
         "_collectors_by_zone",
         "_entries",
-        "_heard_by_entry",
-        "_heard_by_zone",
+        "_load_by_entry",
+        "_load_by_zone",
         "_me",
-        "_told_zones_at",
+        "_zones_sent_at",
     )
 
     def __init__(self, me: EntryRecord) -> None:
         self._me = me
         self._entries: list[EntryRecord] = []
         self._collectors_by_zone: dict[str, list[EntryRecord]] = {}
-        self._heard_by_entry: dict[str, _Heard] = {}
-        self._heard_by_zone: dict[str, _Heard] = {}
-        self._told_zones_at = float("-inf")
+        self._load_by_entry: dict[str, _Load] = {}
+        self._load_by_zone: dict[str, _Load] = {}
+        self._zones_sent_at = float("-inf")
 
     def on_view(self, entries: list[EntryRecord]) -> None:
         """Take over who the entries are."""
@@ -71,7 +73,7 @@
         self._collectors_by_zone = {zone: _collectors(zone, one) for zone, one in by_zone.items()}
 
     def is_direct(self) -> bool:
-        """Return whether entries tell each other without collectors."""
+        """Return whether entries send their loads to each other without collectors."""
         return len(self._entries) < DIRECT_ENTRIES
 
     def is_collector(self) -> bool:
@@ -82,14 +84,14 @@
 
     def on_entry_load(self, message: EntryLoad, now: float) -> None:
         """Take the load of an entry of the own zone."""
-        self._heard_by_entry[message.entry_id] = _Heard(message.running_by_server, 1, now)
+        self._load_by_entry[message.entry_id] = _Load(message.running_by_server, 1, now)
 
     def on_zone_load(self, message: ZoneLoad, now: float) -> None:
         """Take the sum of another zone from one of its collectors."""
-        heard = _Heard(message.running_by_server, message.entries, now)
-        self._heard_by_zone[message.availability_zone] = heard
+        load = _Load(message.running_by_server, message.entries, now)
+        self._load_by_zone[message.availability_zone] = load
 
-    def tell(self, own: dict[str, int]) -> list[LoadTo]:
+    def announce(self, own: dict[str, int]) -> list[LoadTo]:
         """Return the messages with this entry's own load."""
         message = EntryLoad(self._me.entry_id, own)
         to = self._entries if self.is_direct() else self._own_collectors()
@@ -108,19 +110,19 @@
         for entry in self._entries:
             if entry.availability_zone != self._me.availability_zone:
                 continue
-            heard = self._heard_by_entry.get(entry.entry_id)
-            theirs = heard.running_by_server if heard is not None else {}
+            load = self._load_by_entry.get(entry.entry_id)
+            theirs = load.running_by_server if load is not None else {}
             made.append(LoadTo(entry.address, self._without(everywhere, theirs)))
         return made
 
     def _is_due(self, now: float) -> bool:
-        """Return whether other zones are told again: calls seldom leave their zone."""
-        if now - self._told_zones_at < ZONES_S:
+        """Return whether the sum is sent to other zones again: calls seldom leave their zone."""
+        if now - self._zones_sent_at < ZONES_S:
             return False
-        self._told_zones_at = now
+        self._zones_sent_at = now
         return True
 
-    def _to_other_zones(self, zone: _Heard) -> list[LoadTo]:
+    def _to_other_zones(self, zone: _Load) -> list[LoadTo]:
         """Return the zone's sum for one collector of each other zone, each collector its own."""
         message = ZoneLoad(self._me.availability_zone, zone.entries, zone.running_by_server)
         ids = [one.entry_id for one in self._own_collectors()]
@@ -134,30 +136,30 @@
     def _own_collectors(self) -> list[EntryRecord]:
         return self._collectors_by_zone.get(self._me.availability_zone, [])
 
-    def _zone_sum(self, own: dict[str, int], now: float) -> _Heard:
+    def _zone_sum(self, own: dict[str, int], now: float) -> _Load:
         running: Counter[str] = Counter(own)
         entries = 1
-        for entry_id, heard in list(self._heard_by_entry.items()):
-            if now - heard.at > LOAD_VALID_S:
-                del self._heard_by_entry[entry_id]
+        for entry_id, load in list(self._load_by_entry.items()):
+            if now - load.at > LOAD_VALID_S:
+                del self._load_by_entry[entry_id]
                 continue
-            running.update(heard.running_by_server)
+            running.update(load.running_by_server)
             entries += 1
-        return _Heard(dict(running), entries, now)
+        return _Load(dict(running), entries, now)
 
-    def _everywhere(self, zone: _Heard, now: float) -> _Heard:
+    def _everywhere(self, zone: _Load, now: float) -> _Load:
         running: Counter[str] = Counter(zone.running_by_server)
         entries = zone.entries
-        for name, heard in list(self._heard_by_zone.items()):
-            if now - heard.at > LOAD_VALID_S:
-                del self._heard_by_zone[name]
+        for name, load in list(self._load_by_zone.items()):
+            if now - load.at > LOAD_VALID_S:
+                del self._load_by_zone[name]
                 continue
-            running.update(heard.running_by_server)
-            entries += heard.entries
-        return _Heard(dict(running), entries, now)
+            running.update(load.running_by_server)
+            entries += load.entries
+        return _Load(dict(running), entries, now)
 
     @staticmethod
-    def _without(everywhere: _Heard, own: dict[str, int]) -> LoadElsewhere:
+    def _without(everywhere: _Load, own: dict[str, int]) -> LoadElsewhere:
         running = dict(everywhere.running_by_server)
         for server_id, count in own.items():
             running[server_id] = running.get(server_id, 0) - count
--- a/libs/decisions/tests/load_digest_tests.py
+++ b/libs/decisions/tests/load_digest_tests.py
@@ -30,7 +30,7 @@
         """Let every entry tell its load once, then every collector its sums."""
         for address, digest in self.digest_by_address.items():
             if address not in self.down:
-                self.deliver(digest.tell(self.load_by_address[address]), now)
+                self.deliver(digest.announce(self.load_by_address[address]), now)
         for address, digest in self.digest_by_address.items():
             if address in self.down or not digest.is_collector():
                 continue
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -108,7 +108,7 @@
 
 
 class PeerNews:
-    """Tells the other entries what this one has running and which requests broke off."""
+    """Exchanges with the other entries what each has running, and news of single requests."""
 
     __slots__ = ("_context", "_digest", "_epoch", "_follower", "_state", "_stopped", "_told")
 
@@ -145,7 +145,7 @@
             if load == self._told and (not load or rounds % LOAD_REPEAT):
                 continue
             self._told = load
-            self._send_all(self._digest.tell(load))
+            self._send_all(self._digest.announce(load))
 
     def _digest_loop(self) -> None:
         while not self._stopped:
--- a/libs/relay/tarragonhall_relay/_turn_of_call.py
+++ b/libs/relay/tarragonhall_relay/_turn_of_call.py
@@ -75,7 +75,7 @@
         """Remember a program whose budget will not hold this turn at any later time."""
         key = self._key
         if spent + key.most <= key.budget:
-            # Running turns hold the rest, and may give some of it back.
+            # Running turns hold the rest of the budget and may give some of it back.
             return
         message = ProgramSpent(key.org_id, key.program_id, spent, key.retention_ms)
         now = self._state.monotonic()
