Take measured figures and stories out of comments

Cause: docstrings of ten modules told what was once measured in place of what the module decides.

No code changed.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -2,21 +2,20 @@
 
 Load patterns and what happens without an answer to them:
 - Turns of one program, and programs on one subject, share the beginning of their prompts. Sent
-  anywhere, an engine reads thousands of tokens again that another one holds: 80 ms and more of
-  every turn, and as much of the engine's time taken from others.
+  anywhere, an engine reads thousands of tokens again that another one holds, and takes that time
+  from the other calls there.
 - A hot subject: always the engine that holds it would build a queue there. What reading again costs
   is weighed against the wait.
 - Many entries choose at once. Each tells the others twice a second what it has running, adds
-  that to its own count, and among near equals chooses at random. Taking its own few calls for a
-  sample of everybody's moved conversations between engines by chance: a third of all tokens read
-  were read again.
+  that to its own count, and among near equals chooses at random. Its own few calls taken for a
+  sample of everybody's would move conversations between engines by chance.
 - A server that fails or does not answer is avoided for a moment, growing with each failure in a
   row, and goes on being tried: it may be the only one, or be well again.
 - Servers queue what they cannot run yet, in order of arrival. A call that lies there is out of
-  reach of any other order, and behind three times as many calls as run it is late. What all
+  reach of any other order. What all
   entries have there is kept to the places and a quarter more, so that the rest waits here, where
   ranks are known (`PlaceQueue`). An entry that has less than an equal share of the places may
-  always send: what it was told of the others is half a second old.
+  always send: what it knows of the others is half a second old.
 - A server that refuses as full gets no more of this entry's calls than it runs (`ServerWindow`).
 - An engine runs as many calls at once as it has places; the next one waits until one of them ends.
   What a place costs is learnt from how long calls run (`_service_pace`).
--- a/libs/decisions/tarragonhall_decisions/_bucket_owners.py
+++ b/libs/decisions/tarragonhall_decisions/_bucket_owners.py
@@ -19,9 +19,8 @@
 
         The owners known so far are corrected for the change.
 
-        An owner that stays can only lose to an entry that is new. Looking all of them up again
-        takes 1.1 ms for each organisation with 360 entries: with thousands of organisations the
-        loop would stand still for seconds at each restart of an entry.
+        An owner that stays can only lose to an entry that is new. Looking all of them up again at
+        each restart of an entry would stop the loop for seconds with thousands of organisations.
         """
         added = sorted(ids - self._ids)
         lost = not self._ids <= ids
--- a/libs/decisions/tarragonhall_decisions/_rate_holder.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_holder.py
@@ -8,9 +8,8 @@
 would else wait behind turns that have five.
 
 A rate limits what runs. A call that got its token and was then refused, because the budget of its
-program is spent or no server took it, gives the token back while its owner has not heard that it
-was spent. Of 800 calls of a busy organisation 84 were refused for the budget of one program that
-loops, and as many calls of its other programs had to wait.
+program is spent or no server took it, gives the token back while its owner does not know that it
+was spent.
 """
 
 from __future__ import annotations
--- a/libs/decisions/tarragonhall_decisions/_rate_shares.py
+++ b/libs/decisions/tarragonhall_decisions/_rate_shares.py
@@ -1,12 +1,11 @@
 """The rate of an organisation in several shares, each with an owner of its own.
 
 Load patterns and what happens without an answer to them:
-- The entry that owns the bucket of a busy organisation freezes, dies or is cut off. For three
-  seconds (it must be missed, and its last grants must run out) nobody grants a token: 57 calls of
-  one organisation were refused in one such pause although it was far inside its rate, and most of
-  their programs were lost with them.
+- The entry that owns the bucket of a busy organisation freezes, dies or is cut off. Until it is
+  missed and its last grants have run out nobody grants a token, and calls of an organisation far
+  inside its rate are refused.
 - Every call of an organisation asks the one entry that owns its bucket. On all entries but one that
-  costs a message each way and a millisecond or two for each call.
+  costs a message each way for each call.
 
 A rate and its burst are cut into equal shares. Each share is a bucket with an owner chosen by its
 own name, so an entry that is lost takes one share with it, and the others go on. Each share alone
--- a/libs/decisions/tarragonhall_decisions/_server_window.py
+++ b/libs/decisions/tarragonhall_decisions/_server_window.py
@@ -2,9 +2,7 @@
 
 Load pattern: more is asked of the servers than they can run. A server that has no place left and
 no room in its own queue refuses, which costs a round trip and work on both sides. Sent on at once
-to the next server, then again after a pause, nearly all that a service is sent is refused: in a
-trial with half more programs than the engines could run, 19,105 of 20,562 arrivals, and 6 of 100
-programs were served.
+to the next server, then again after a pause, nearly all that a service is sent is refused.
 
 The window falls to what ran there when the server refused, so that from then on a call goes there
 when one of this entry's own has ended. Entries that do not know each other share a server so, and
--- a/libs/group/tarragonhall_group/_join.py
+++ b/libs/group/tarragonhall_group/_join.py
@@ -74,7 +74,7 @@
         self._leaving = leaving
         self._repair = repair or MemberRepair()
         # Who led when this process asked last. A process that a full group keeps waiting asks only
-        # there: six of them that ask all ten members each time are 150 questions a second.
+        # there, not all members each time.
         self._leader: str | None = None
         self._stopped = False
         context.hub.handle(JoinGroup, self._on_join)
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -264,9 +264,8 @@
     def _patience_s(self, server: BackendRecord) -> float | None:
         """Return how long to wait for this server before a look-up is sent to another one.
 
-        Without this a look-up whose answer is lost fails its program: 14 of 19 programs that a day
-        with lost answers cost. Retries are saved up from answers, one for ten, so that an overload
-        that makes every call slow is not doubled.
+        A look-up whose answer is lost would else fail its program. Retries are saved up from
+        answers, so that an overload that makes every call slow is not doubled.
         """
         route = self._admitted.route
         if route.call_type is not CallType.IDEMPOTENT:
--- a/libs/wire/tarragonhall_wire/_exposition.py
+++ b/libs/wire/tarragonhall_wire/_exposition.py
@@ -1,6 +1,6 @@
 """Counters, gauges and histograms of one process in the text form that collectors fetch.
 
-Written here because the usual client library takes 12 MB of memory, a third of a whole process.
+Written here because the usual client library takes a third of the memory of a whole process.
 Names become `tarragonhall_relay_calls_total` and `tarragonhall_relay_call_seconds`; the values of
 labels come from a fixed set, never an id or the name of an organisation.
 """
--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -26,8 +26,8 @@
 # so a dial that began before the power came back would wait longer than one begun anew.
 CONNECT_TIMEOUT_SECONDS = 0.5
 RECONNECT_MIN_SECONDS = 0.1
-# After every process was killed, whoever dialled too early dials again within this. Calls wait for
-# it: with two seconds a leader was elected up to a second later than its voters were there.
+# After every process was killed, whoever dialled too early dials again within this, and elections
+# wait for it.
 RECONNECT_MAX_SECONDS = 0.5
 
 
--- a/libs/wire/tarragonhall_wire/_leader_client.py
+++ b/libs/wire/tarragonhall_wire/_leader_client.py
@@ -26,8 +26,7 @@
 RETRY_SECONDS = 0.05
 # A machine without power closes no connection; only its silence tells. The first try waits for some
 # commits, so that by then the next leader is being elected, and each further one twice as long, for
-# a leader that is slow. With a second for each try a turn that began as its leader lost its power
-# was refused after half of its time, although another led after 0.5 s.
+# a leader that is slow.
 FIRST_ATTEMPT_SECONDS = 0.3
 # For how long a member that did not answer is asked last.
 AVOID_SECONDS = 1.0
@@ -117,8 +116,8 @@
         """Return the leader, or the next member that can be reached at all.
 
         A member that is down must not hold a request up: while it is dialled again, the others are
-        asked. They are dialled only once no leader is known: 25 entries with a link to each of ten
-        members held 225 links that nothing was sent on but heartbeats.
+        asked. They are dialled only once no leader is known: links that carry nothing cost
+        heartbeats.
         """
         if self._leader is not None:
             # It may be a member that joined after the addresses were learnt.
