Evacuate zones by control's log, and bound the calls of cold servers over all entries

Evacuation of availability zones.

Change: `EvacuateZone` is a command of control's log. `Views` keeps the zones, each view and delta carries them, and servers of such a zone are shown as draining, which the product's own entries honour already. Any member takes the order and has the leader commit it; a zone that the deployment does not have is refused with the zones that it has. Admin API `GET /zones`, `POST /zones/{zone}/evacuation`, tool `zones list`, `zones evacuate`, `zones return`, `status`, log event `zone.evacuation`.

Cold servers.

Cause: a server that starts during traffic bears few calls a second. Against that stood a penalty of 200 ms in each entry's own choice, and no bound over entries. Entries never learnt that a server turned cold by itself (the registry compared announcements without their warm-up), nor that one was warm again: the penalty of a server that was once cold stayed until another change of it was told.

Change: `ColdServers`: each cold server has a few entries as users, picked by a hash from the view, its own zone's first, each with an equal share of the bound over any second; users by two views never act at once, since new ones wait as long as old ones may go on without a confirmation. Servers that could not be reached, and those of a zone that is returned, count as cold until they have announced themselves. The registry tells when a server turns cold again. The chooser leaves evacuated zones out; where all servers of a service stand in such zones its calls are refused at once.

--- a/libs/cli/tarragonhall_cli/__main__.py
+++ b/libs/cli/tarragonhall_cli/__main__.py
@@ -141,6 +141,7 @@
     _settings_commands.operator,
     _system_commands.program,
     _system_commands.server,
+    _system_commands.zones,
     _system_commands.member,
 ):
     cli.add_command(group)
--- a/libs/cli/tarragonhall_cli/_cluster.py
+++ b/libs/cli/tarragonhall_cli/_cluster.py
@@ -30,6 +30,18 @@
     out.fields(client.post(f"servers/{path_part(server_id)}/drain", {"draining": draining}))
 
 
+def list_zones(client: AdminClient, out: Output) -> None:
+    """List the availability zones."""
+    answer = client.get("zones")
+    columns = ["availability_zone", "evacuated", "entries", "servers"]
+    out.rows(answer, answer["zones"], columns)
+
+
+def evacuate_zone(client: AdminClient, out: Output, zone: str, evacuated: bool) -> None:
+    """Start or end the evacuation of an availability zone."""
+    out.fields(client.post(f"zones/{path_part(zone)}/evacuation", {"evacuated": evacuated}))
+
+
 def list_members(client: AdminClient, out: Output) -> None:
     """List the control members."""
     answer = client.get("members")
--- a/libs/cli/tarragonhall_cli/_system_commands.py
+++ b/libs/cli/tarragonhall_cli/_system_commands.py
@@ -59,6 +59,34 @@
     _cluster.drain_server(session.client, session.out, server_id, not undo)
 
 
+@click.group()
+def zones() -> None:
+    """Availability zones."""
+
+
+@zones.command("list")
+@click.pass_obj
+def zones_list(session: Session) -> None:
+    """List the availability zones."""
+    _cluster.list_zones(session.client, session.out)
+
+
+@zones.command("evacuate")
+@click.argument("zone")
+@click.pass_obj
+def zones_evacuate(session: Session, zone: str) -> None:
+    """Send no new calls to the backend servers of a zone."""
+    _cluster.evacuate_zone(session.client, session.out, zone, True)
+
+
+@zones.command("return")
+@click.argument("zone")
+@click.pass_obj
+def zones_return(session: Session, zone: str) -> None:
+    """End the evacuation of a zone; its servers are filled gradually."""
+    _cluster.evacuate_zone(session.client, session.out, zone, False)
+
+
 @click.group()
 def member() -> None:
     """Control members."""
--- a/libs/cli/tests/tool_tests.py
+++ b/libs/cli/tests/tool_tests.py
@@ -181,3 +181,27 @@
     run(server, "member", "add", "control-4", "127.0.0.1:7400")
     run(server, "model", "set", "planner-8b", "v2")
     assert patience[0] > 60 > patience[1]
+
+
+def test_zones_are_listed_evacuated_and_returned(admin):
+    zone = {"availability_zone": "tx-waco", "evacuated": True, "entries": 2, "servers": 9}
+    changed = {"epoch": 4, "evacuated_zones": ["tx-waco"], "request_id": "r-1"}
+    api = admin((200, {"zones": [zone]}), (200, changed), (200, changed))
+    shown = run(api, "zones", "list")
+    assert shown.exit_code == 0 and "tx-waco" in shown.output
+    assert run(api, "zones", "evacuate", "tx-waco").exit_code == 0
+    assert run(api, "zones", "return", "tx-waco").exit_code == 0
+    assert [(one[0], one[1]) for one in api.received] == [
+        ("GET", "/admin/v1/zones"),
+        ("POST", "/admin/v1/zones/tx-waco/evacuation"),
+        ("POST", "/admin/v1/zones/tx-waco/evacuation"),
+    ]
+    assert [one[2]["evacuated"] for one in api.received[1:]] == [True, False]
+
+
+def test_a_zone_that_is_mistyped_ends_with_the_reason(admin):
+    message = "no availability zone 'tx-wako'; known are tx-waco"
+    api = admin((404, {"error": "not_found", "message": message, "findings": []}))
+    shown = run(api, "zones", "evacuate", "tx-wako")
+    assert shown.exit_code != 0
+    assert message in str(shown.exception) + shown.output
--- a/libs/control/tarragonhall_control/_admin.py
+++ b/libs/control/tarragonhall_control/_admin.py
@@ -23,6 +23,7 @@
 from tarragonhall_control._admin_keys import KeyHandlers
 from tarragonhall_control._admin_settings import SettingsHandlers
 from tarragonhall_control._admin_system import SystemHandlers
+from tarragonhall_control._admin_zones import ZoneHandlers
 from tarragonhall_control._member import ControlMember
 from tarragonhall_control._messages import AdminCall, AdminResult
 from tarragonhall_control._request import AdminError, AdminReply, AdminRequest
@@ -129,6 +130,7 @@
     settings = SettingsHandlers(member)
     keys = KeyHandlers(member)
     system = SystemHandlers(member)
+    zones = ZoneHandlers(member)
     return [
         ("GET", "/status", system.status),
         ("POST", "/organisations", settings.create_organisation),
@@ -154,6 +156,8 @@
         ("POST", "/programs/{program_id}/cancel", system.cancel_program),
         ("GET", "/servers", system.list_servers),
         ("POST", "/servers/{server_id}/drain", system.drain_server),
+        ("GET", "/zones", zones.list_zones),
+        ("POST", "/zones/{zone}/evacuation", zones.evacuate),
         ("GET", "/members", system.list_members),
         ("POST", "/members", system.add_member),
         ("DELETE", "/members/{member_id}", system.remove_member),
--- a/libs/control/tarragonhall_control/_admin_system.py
+++ b/libs/control/tarragonhall_control/_admin_system.py
@@ -62,6 +62,7 @@
                 "epoch": view.epoch,
                 "entries": len(view.entries),
                 "servers": len(view.servers),
+                "evacuated_zones": view.evacuated_zones,
                 "programs": self._state.program_count(),
                 "followers": len(self._member.followers),
                 "waiting": self._member.loop.waiting(),
--- a/libs/control/tarragonhall_control/_backend_desk.py
+++ b/libs/control/tarragonhall_control/_backend_desk.py
@@ -121,7 +121,7 @@
         self._asked_at_by_link[link] = now
         if known and message.version == self._registry.version:
             return BackendsKnown(message.version, complete=False)
-        return BackendsKnown(self._registry.version, True, self._registry.records())
+        return BackendsKnown(self._registry.version, True, self._registry.records(now))
 
     def _on_link_down(self, link: Link) -> None:
         self._asked_at_by_link.pop(link, None)
--- a/libs/control/tarragonhall_control/_bodies.py
+++ b/libs/control/tarragonhall_control/_bodies.py
@@ -105,6 +105,7 @@
     },
 )
 DRAIN = Group(dict, REQUEST_ID | {"draining": Flag(True)})
+EVACUATION = Group(dict, REQUEST_ID | {"evacuated": Flag(True)})
 MEMBER = Group(dict, REQUEST_ID | {"member_id": Text(), "address": Address()})
 REPLACEMENT = Group(dict, REQUEST_ID | {"address": Address(None)})
 ONLY_REQUEST_ID = Group(dict, REQUEST_ID)
--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -26,6 +26,7 @@
     FoundStores,
     NotLeader,
     Refusal,
+    RefusalCode,
     RelayHeld,
     RemoveEntry,
     RemoveServer,
@@ -65,6 +66,7 @@
         "_founding",
         "_leads",
         "_ownership_s",
+        "_region_by_zone",
         "_settling",
         "stopped",
         "context",
@@ -89,6 +91,7 @@
         self._leads = False
         self._settling = False
         self._ownership_s = settings.ownership_ms / 1000
+        self._region_by_zone = settings.region_by_zone
         self.stopped = False
         self.group = GroupMember(
             f"{settings.data_folder}/{LOG_FOLDER}",
@@ -149,6 +152,22 @@
             return NotLeader(self.leader_address())
         return self.state.retirement(store_id)
 
+    def zones(self) -> list[str]:
+        """Return the deployment's availability zones, as told or else as processes announced."""
+        if self._region_by_zone:
+            return sorted(self._region_by_zone)
+        view = self.state.view()
+        found = {one.availability_zone for one in (*view.entries, *view.servers, *view.stores)}
+        return sorted(found | set(view.evacuated_zones))
+
+    def unknown_zone(self, availability_zone: str) -> Refusal | None:
+        """Return the refusal of an order for a zone that the deployment does not have."""
+        known = self.zones()
+        if availability_zone in known:
+            return None
+        message = f"no availability zone {availability_zone!r}; known are {', '.join(known)}"
+        return Refusal(RefusalCode.NOT_FOUND, message)
+
     def commit(self, body: object, request_id: str | None = None) -> object:
         """Commit a command with this leader's clock and return its result.
 
--- a/libs/control/tarragonhall_control/_relay_desk.py
+++ b/libs/control/tarragonhall_control/_relay_desk.py
@@ -6,6 +6,7 @@
 import structlog
 from tarragonhall_group import LeadUnknownError, LoopBusyError
 from tarragonhall_model import (
+    EvacuateZone,
     LinkError,
     NotLeader,
     Propose,
@@ -13,6 +14,7 @@
     PublishRelay,
     QueryRelay,
     QueryRetired,
+    Recorded,
     Refusal,
     RelayDocument,
     RelayHeld,
@@ -67,6 +69,17 @@
         """Return how far a retirement is; raise `NoLeaderError`."""
         return self._ask(QueryRetired(store_id))
 
+    def evacuate(self, availability_zone: str, evacuated: bool) -> Recorded | Refusal:
+        """Start or end the evacuation of a zone; raise `NoLeaderError`."""
+        refusal = self._member.unknown_zone(availability_zone)
+        if refusal is not None:
+            return refusal
+        result = self._propose(EvacuateZone(availability_zone, evacuated))
+        log.info(
+            "zone.evacuation", zone=availability_zone, evacuated=evacuated, epoch=result.revision
+        )
+        return result
+
     def _propose(self, body: object) -> object:
         request_id = new_id("req", self._member.context.rng)
         return self._ask(Propose(request_id, body)).result
--- a/libs/control/tarragonhall_control/_service.py
+++ b/libs/control/tarragonhall_control/_service.py
@@ -13,6 +13,7 @@
     ConfirmRetired,
     DisproveAttempt,
     EndProgram,
+    EvacuateZone,
     ExecutionKnown,
     Fresh,
     Heartbeat,
@@ -57,6 +58,7 @@
     PublishRelay,
     RetireStore,
     ConfirmRetired,
+    EvacuateZone,
     # Refused by the state machine as soon as there is any operator.
     CreateFirstOperator,
 )
--- a/libs/control/tarragonhall_control/_settings.py
+++ b/libs/control/tarragonhall_control/_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tarragonhall_decisions import OWNERSHIP_S
 from tarragonhall_model import Address, Flag, Group, MapOf, Text, Whole
@@ -18,8 +18,9 @@
     is empty for one that waits to be added. `heal` has the leader replace and add members by
     itself, for platforms that replace machines; `losses_borne` is how many members, of control and
     of the stores each, may then be lost at once, and `zone_losses_borne` how many whole zones. An
-    entry that was not heard for `ownership_ms`
-    owns no rates any more, and what it granted has run out.
+    entry that was not heard for `ownership_ms` owns no rates any more, and what it granted has run
+    out. `region_by_zone` names the deployment's availability zones; where it is empty, they are
+    those of the processes in the view.
     """
 
     data_folder: str
@@ -32,6 +33,7 @@
     losses_borne: int = 1
     zone_losses_borne: int = 0
     ownership_ms: int = OWNERSHIP_MS
+    region_by_zone: dict[str, str] = field(default_factory=dict)
 
 
 OPTIONS = Group(
@@ -52,5 +54,6 @@
         # After this long without a confirmed heartbeat an entry owns no rates, and what it granted
         # has run out. It must not be below that of the entries.
         "ownership_ms": Whole(OWNERSHIP_MS, minimum=OWNERSHIP_MS),
+        "region_by_zone": MapOf(Text(), default={}),
     },
 )
--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -19,6 +19,10 @@
         "should_move",
         "to_release",
     ),
+    "_cold_servers": (
+        "ColdServers",
+        "ColdSlack",
+    ),
     "_crash_suspects": ("CrashSuspects",),
     "_deadlines": (
         "Deadline",
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -16,6 +16,8 @@
   entries have there is kept to the places and a quarter more, so that the rest waits here, where
   ranks are known (`PlaceQueue`). An entry that has less than an equal share of the places may
   always send: what it knows of the others is half a second old.
+- A server that has just started, or may have while it was out of reach, gets calls up to a bound
+  over all entries (`ColdServers`).
 - A server that refuses as full gets no more of this entry's calls than it runs (`ServerWindow`).
 - An engine runs as many calls at once as it has places; the next one waits until one of them ends.
   What a place costs is learnt from how long calls run (`_service_pace`).
@@ -38,6 +40,7 @@
 
 from tarragonhall_model import BackendRecord, LoadElsewhere, rendezvous
 
+from tarragonhall_decisions._cold_servers import ColdServers
 from tarragonhall_decisions._server_window import ServerWindow
 from tarragonhall_decisions._service_pace import ServicePace
 
@@ -57,7 +60,7 @@
 MOST_AVOID_S = 3.0
 # Added for a server that no control member hears, or that failed lately.
 UNHEARD_MS = 400.0
-# Added for a server that has just started and is slow.
+# Added for a server that has just started and is slow, where no bound is known for it.
 WARMUP_MS = 200.0
 # Servers whose costs differ by no more are chosen among at random.
 NEAR_MS = 3.0
@@ -131,19 +134,27 @@
 
     __slots__ = (
         "_elsewhere_by_server",
+        "_evacuated_zones",
         "_holders_by_part",
         "_load_by_id",
         "_others_by_entry",
+        "_near_by_service",
         "_pace_by_service",
+        "_records",
         "_rng",
-        "_near_by_service",
         "_servers_by_service",
         "_zone",
+        "cold",
     )
 
-    def __init__(self, availability_zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, availability_zone: str, rng: random.Random, cold: ColdServers | None = None
+    ) -> None:
         self._zone = availability_zone
         self._rng = rng
+        self.cold = cold or ColdServers("", availability_zone)
+        self._records: list[BackendRecord] = []
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._others_by_entry: dict[str, _OtherLoad] = {}
         # Their sum, kept up: summed up anew for each server, a choice among 33 servers with 24
         # other entries took some 800 look-ups.
@@ -155,24 +166,53 @@
         self._load_by_id: dict[str, ServerLoad] = {}
         self._holders_by_part: OrderedDict[str, list[str]] = OrderedDict()
 
-    def set_servers(self, records: list[BackendRecord]) -> None:
-        """Take over the servers that may get work."""
-        self._servers_by_service = {}
+    def set_servers(self, records: list[BackendRecord], now: float) -> None:
+        """Take over the servers as they announced themselves."""
+        self._records = records
         for record in records:
+            self.cold.learn(record, now)
+        known = {record.server_id for record in records}
+        self.cold.forget(known)
+        for server_id in [one for one in self._load_by_id if one not in known]:
+            if not self._load_by_id[server_id].running:
+                del self._load_by_id[server_id]
+        for pace in self._pace_by_service.values():
+            pace.forget(known)
+        self._arrange()
+
+    def set_evacuated(self, zones: list[str], now: float) -> None:
+        """Take over the availability zones whose servers get no calls.
+
+        Servers of a zone that is none of them any more may have turned cold meanwhile.
+        """
+        returned = self._evacuated_zones - frozenset(zones)
+        self._evacuated_zones = frozenset(zones)
+        for record in self._records:
+            if record.availability_zone in returned:
+                self.cold.doubt(record.server_id, now)
+        self._arrange()
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service has servers, all of them in evacuated zones."""
+        known = [record for record in self._records if record.service == service]
+        return bool(known) and all(
+            record.availability_zone in self._evacuated_zones for record in known
+        )
+
+    def _arrange(self) -> None:
+        """Sort out which servers may get calls, and which zones keep theirs."""
+        self._servers_by_service = {}
+        for record in self._records:
             if record.gone or record.draining:
                 continue
+            if record.availability_zone in self._evacuated_zones:
+                continue
             self._servers_by_service.setdefault(record.service, []).append(record)
         self._near_by_service = {}
         for service, servers in self._servers_by_service.items():
             near = [one.server_id for one in servers if one.availability_zone == self._zone]
             if len(near) >= HOME_SERVERS:
                 self._near_by_service[service] = near
-        known = {record.server_id for record in records}
-        for server_id in [one for one in self._load_by_id if one not in known]:
-            if not self._load_by_id[server_id].running:
-                del self._load_by_id[server_id]
-        for pace in self._pace_by_service.values():
-            pace.forget(known)
 
     def servers(self, service: str) -> list[BackendRecord]:
         """Return the servers of a service that may get work."""
@@ -229,6 +269,7 @@
     def started(self, server_id: str, now: float) -> None:
         """Note that a call was sent to a server."""
         self.load(server_id).started_at.append(now)
+        self.cold.started(server_id, now)
 
     def ended(self, server_id: str, started_at: float) -> None:
         """Note that the call that was sent at `started_at` has left a server, however it ended."""
@@ -263,11 +304,12 @@
         load.failures += 1
         pause_s = min(MOST_AVOID_S, AVOID_S * 2 ** (load.failures - 1))
         load.avoid_until = now + pause_s
+        self.cold.doubt(server_id, now)
 
     def _is_open(self, record: BackendRecord, below_share: bool, now: float) -> bool:
         """Return whether a server is expected to start one more call of this entry soon."""
         load = self.load(record.server_id)
-        if not load.window.has_room(load.running, now):
+        if not load.window.has_room(load.running, now) or not self.cold.has_room(record, now):
             return False
         running = load.running + self._elsewhere_by_server[record.server_id]
         return below_share or running < FILLED * max(1, record.slots)
@@ -299,7 +341,7 @@
                 cost += pace.run_ms / 4
         if not record.heard:
             cost += UNHEARD_MS
-        if record.warmup_ms:
+        if not self.cold.is_bounded(record) and self.cold.is_cold(record, now):
             cost += WARMUP_MS
         if now < load.avoid_until:
             cost += 1000.0 * (load.avoid_until - now) + UNHEARD_MS
--- a/libs/decisions/tarragonhall_decisions/_registry.py
+++ b/libs/decisions/tarragonhall_decisions/_registry.py
@@ -19,6 +19,9 @@
 
 # Seconds after which a server that did not announce itself is marked as unheard.
 SILENT_S = 5.0
+# Milliseconds by which the warm-up that a server still needs may differ from what followers work
+# out themselves before they are told.
+WARMUP_SLACK_MS = 300
 # Seconds after which it is forgotten.
 FORGET_S = 120.0
 
@@ -63,6 +66,7 @@
         if not is_newer(record, heard.record):
             return None
         changed = not says_the_same(record, heard.record)
+        changed |= abs(record.warmup_ms - _warmup_left(heard, now)) > WARMUP_SLACK_MS
         heard.record = record
         heard.at = now
         return self._changed(record) if changed else None
@@ -93,15 +97,24 @@
                 silent.append(self._changed(heard.record))
         return silent
 
-    def records(self) -> list[BackendRecord]:
+    def records(self, now: float) -> list[BackendRecord]:
         """Return all that is known, for a follower that has nothing yet."""
-        return [heard.record for heard in self._heard_by_id.values()]
+        return [
+            replace(heard.record, warmup_ms=_warmup_left(heard, now))
+            for heard in self._heard_by_id.values()
+        ]
 
     def _changed(self, record: BackendRecord) -> BackendRecord:
         self.version += 1
         return record
 
 
+def _warmup_left(heard: _Heard, now: float) -> int:
+    """Return for how much longer a server stays cold by its last announcement, milliseconds."""
+    passed_ms = int((now - heard.at) * 1000)
+    return max(0, heard.record.warmup_ms - passed_ms)
+
+
 class BackendTable:
     """What one entry knows of the backend servers, merged from several control members.
 
--- a/libs/decisions/tests/backend_choice_tests.py
+++ b/libs/decisions/tests/backend_choice_tests.py
@@ -32,7 +32,7 @@
 
 def chooser(records: list[BackendRecord], zone: str = "zona-a", seed: int = 1) -> BackendChooser:
     made = BackendChooser(zone, random.Random(seed))
-    made.set_servers(records)
+    made.set_servers(records, 0.0)
     return made
 
 
--- a/libs/decisions/tests/registry_tests.py
+++ b/libs/decisions/tests/registry_tests.py
@@ -20,7 +20,7 @@
     registry = Registry()
     registry.hear(replace(SERVER, sequence=6, draining=True), 0.0)
     assert registry.hear(replace(SERVER, sequence=5), 0.1) is None
-    assert registry.records() == [replace(SERVER, sequence=6, draining=True)]
+    assert registry.records(99.0) == [replace(SERVER, sequence=6, draining=True)]
 
 
 def test_a_restart_under_the_same_id_counts_anew():
@@ -38,7 +38,7 @@
     reborn = replace(SERVER, born_ms=2_000, sequence=1)
     registry.hear(reborn, 0.0)
     assert registry.hear(replace(SERVER, sequence=51), 0.1) is None
-    assert registry.records() == [reborn]
+    assert registry.records(99.0) == [reborn]
 
 
 def test_a_server_that_left_does_not_come_back_by_a_late_announcement():
@@ -48,7 +48,7 @@
     registry.hear(SERVER, 0.0)
     assert registry.leave("i-1", None, 0.1).gone
     assert registry.hear(replace(SERVER, sequence=9), 0.2) is None
-    assert registry.records()[0].gone
+    assert registry.records(99.0)[0].gone
 
 
 def test_a_silent_server_stays_known_but_marked():
@@ -62,7 +62,7 @@
     heard_again = replace(SERVER, sequence=5)
     assert registry.hear(heard_again, SILENT_S + 1) == heard_again
     registry.tick(FORGET_S + SILENT_S + 2)
-    assert registry.records() == []
+    assert registry.records(99.0) == []
 
 
 def test_a_server_heard_by_one_member_counts_as_heard():
@@ -114,4 +114,24 @@
     registry = Registry()
     for record in rng.sample(arrivals, len(arrivals)):
         registry.hear(record, 0.0)
-    assert registry.records() == [words[max(picks)]]
+    assert registry.records(99.0) == [words[max(picks)]]
+
+
+def test_followers_are_told_of_a_server_that_turns_cold_by_itself():
+    """Entries that do not hear of it go on sending more than it bears while it warms up."""
+    registry = Registry()
+    registry.hear(replace(SERVER, warmup_ms=0), 0.0)
+    cold = replace(SERVER, sequence=5, warmup_ms=3_000)
+    assert registry.hear(cold, 1.0) == cold
+    # What is left shrinks with time: nothing new, and thousands of servers say it each second.
+    assert registry.hear(replace(SERVER, sequence=6, warmup_ms=1_800), 2.2) is None
+    again = replace(SERVER, sequence=7, warmup_ms=3_000)
+    assert registry.hear(again, 3.0) == again
+
+
+def test_what_a_member_tells_later_says_how_long_a_server_still_needs():
+    """A new follower that is told the first word would take the server for cold too long."""
+    registry = Registry()
+    registry.hear(replace(SERVER, warmup_ms=3_000), 0.0)
+    assert registry.records(1.0)[0].warmup_ms == 2_000
+    assert registry.records(4.0)[0].warmup_ms == 0
--- a/libs/model/tarragonhall_model/_commands.py
+++ b/libs/model/tarragonhall_model/_commands.py
@@ -211,6 +211,17 @@
     draining: bool
 
 
+@record
+class EvacuateZone:
+    """Start or end the evacuation of an availability zone by operators. Result: `Recorded`.
+
+    Repeating it is harmless; of opposite orders the one that comes later in the log holds.
+    """
+
+    availability_zone: str
+    evacuated: bool
+
+
 @record
 class Command:
     """One entry of the log: a command, the leader's clock and the id its resends share."""
--- a/libs/model/tarragonhall_model/_policy.py
+++ b/libs/model/tarragonhall_model/_policy.py
@@ -129,6 +129,8 @@
     views can tell whether it also missed a change of the entries. `store_founders` are the store
     members that found their group, decided once; `retiring_stores` must leave it for good.
 
+    `evacuated_zones` are the availability zones whose backend servers must get no calls.
+
     `owners_version` grows with each change of which entries there are or where they listen, so of
     which one owns an organisation's rate; a new life of an entry at its old address owns what the
     earlier one did. Every owner by a choice before `settled_version` has stopped.
@@ -144,3 +146,4 @@
     retiring_stores: list[str] = field(default_factory=list)
     owners_version: int = 0
     settled_version: int = 0
+    evacuated_zones: list[str] = field(default_factory=list)
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -71,12 +71,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """A group of like backend servers; `engine` is set for model engines."""
+    """A group of like backend servers; `engine` is set for model engines.
+
+    A server that has just started bears `cold_calls_per_s` while it warms up; 0 means any number.
+    """
 
     name: str
     health_path: str = ""
     max_connections: int = 0
     engine: EngineProfile | None = None
+    cold_calls_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/libs/model/tarragonhall_model/_view_delta.py
+++ b/libs/model/tarragonhall_model/_view_delta.py
@@ -30,6 +30,7 @@
     gone_stores: list[str] = field(default_factory=list)
     store_founders: list[str] = field(default_factory=list)
     retiring_stores: list[str] = field(default_factory=list)
+    evacuated_zones: list[str] = field(default_factory=list)
 
 
 def view_delta(earlier: View, later: View) -> ViewDelta:
@@ -52,6 +53,7 @@
         gone_stores,
         later.store_founders,
         later.retiring_stores,
+        later.evacuated_zones,
     )
 
 
@@ -71,6 +73,7 @@
         stores=_applied(_stores(view), delta.stores, delta.gone_stores, "store_id"),
         store_founders=delta.store_founders,
         retiring_stores=delta.retiring_stores,
+        evacuated_zones=delta.evacuated_zones,
     )
 
 
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -69,10 +69,14 @@
         """Take a view of a later epoch and tell rates and routing of it."""
         if not super().apply_view(view):
             return False
+        now = self._context.monotonic()
         self._state.rates.on_view(view)
+        self._state.chooser.cold.on_view(view.entries, now)
+        self._state.chooser.set_evacuated(view.evacuated_zones, now)
         log.info(
             "view.changed",
             epoch=view.epoch,
+            evacuated=view.evacuated_zones,
             entries=sorted(entry.entry_id for entry in view.entries),
             stores=sorted(store.store_id for store in view.stores),
         )
@@ -84,6 +88,7 @@
             return False
         config = self._state.dialect.read_config(document)
         self._set_rates(config)
+        self._set_cold_limits(config)
         self._state.table = RouteTable(config)
         log.info("relay.in_force", version=config.version, routes=len(config.routes))
         return True
@@ -91,9 +96,20 @@
     def confirm(self, fresh: Fresh, sent_at: float) -> None:
         """Take the reply to a heartbeat."""
         super().confirm(fresh, sent_at)
+        if self.view.epoch >= fresh.view_epoch:
+            self._state.chooser.cold.confirm(sent_at)
         if self.is_fresh(self._context.monotonic()):
             self._state.rates.on_fresh(sent_at)
 
+    def _set_cold_limits(self, config: RelayConfig) -> None:
+        slack = self._state.cold_slack
+        limits = {
+            service.name: int(service.cold_calls_per_s * (1 + slack.overshoot) + slack.allowance)
+            for service in config.services
+            if service.cold_calls_per_s
+        }
+        self._state.chooser.cold.set_limits(limits)
+
     def _set_rates(self, config: RelayConfig) -> None:
         earlier = self._state.table
         limited = {one.org_id for one in config.organisations or () if one.rate is not None}
@@ -297,4 +313,5 @@
                     heard=record.heard,
                 )
         self._table.forget_gone()
-        self._state.chooser.set_servers(list(self._table.by_id.values()))
+        now = self._context.monotonic()
+        self._state.chooser.set_servers(list(self._table.by_id.values()), now)
--- a/libs/relay/tarragonhall_relay/_place_of_call.py
+++ b/libs/relay/tarragonhall_relay/_place_of_call.py
@@ -84,6 +84,8 @@
         """
         if self._refusals >= MAX_REFUSALS:
             return self._full()
+        if self._state.chooser.is_evacuated(self.service):
+            return self._no_server()
         if not hold(self._state, self._hold_until(), self._has_server):
             return self._no_server()
         places = self._state.places
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -7,7 +7,14 @@
 import eventlet
 import structlog
 from eventlet.greenio import GreenSocket
-from tarragonhall_decisions import LEASE_S, BackendChooser, CrashSuspects, RateSlack
+from tarragonhall_decisions import (
+    LEASE_S,
+    BackendChooser,
+    ColdServers,
+    ColdSlack,
+    CrashSuspects,
+    RateSlack,
+)
 from tarragonhall_model import ClientLimits
 from tarragonhall_rates import Rates
 from tarragonhall_wire import ControlClient, ProcessContext, split_address
@@ -39,7 +46,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RelaySettings:
-    """Where clients connect, and by how much rates may be exceeded over a window.
+    """Where clients connect, and by how much rates and the calls of cold servers may be exceeded.
 
     `rate_lease_s` must be the same on all entries: it is how long an owner of rates may act after
     control has confirmed it, and how long its successor waits.
@@ -47,6 +54,7 @@
 
     listen: str
     rate_slack: RateSlack = RateSlack()
+    cold_slack: ColdSlack = ColdSlack()
     rate_lease_s: float = LEASE_S
 
 
@@ -79,7 +87,8 @@
         self._context = context
         self._control = control
         self._follower = RelayFollower(context)
-        chooser = BackendChooser(context.availability_zone, context.rng)
+        cold = ColdServers(context.instance, context.availability_zone)
+        chooser = BackendChooser(context.availability_zone, context.rng, cold)
         self.state = RelayState(
             dialect=dialect,
             chooser=chooser,
@@ -94,6 +103,7 @@
             rng=context.rng,
             monotonic=context.monotonic,
             is_fresh=self._is_fresh,
+            cold_slack=settings.cold_slack,
         )
         self._follower.attach(self.state)
         self._backends = BackendFollower(context, self.state)
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tarragonhall_decisions import BackendChooser, CrashSuspects, RetryBudget, SpentPrograms
+from tarragonhall_decisions import (
+    BackendChooser,
+    ColdSlack,
+    CrashSuspects,
+    RetryBudget,
+    SpentPrograms,
+)
 from tarragonhall_model import ProgramSpent
 from tarragonhall_rates import Rates
 from tarragonhall_wire import Metrics
@@ -39,6 +45,7 @@
     rng: random.Random
     monotonic: Callable[[], float]
     is_fresh: Callable[[], bool]
+    cold_slack: ColdSlack = ColdSlack()
     retries: RetryBudget = field(default_factory=RetryBudget)
     spent: SpentPrograms = field(default_factory=SpentPrograms)
     table: RouteTable | None = None
--- a/libs/relay/tests/relay_stand_ins.py
+++ b/libs/relay/tests/relay_stand_ins.py
@@ -249,7 +249,8 @@
     def backend(self, script, server_id: str = "") -> Backend:
         made = Backend(server_id or f"i-{len(self.backends)}", script)
         self.backends.append(made)
-        self.state.chooser.set_servers([one.record() for one in self.backends])
+        records = [one.record() for one in self.backends]
+        self.state.chooser.set_servers(records, self.state.monotonic())
         return made
 
     def connect(self):
--- a/libs/state/tarragonhall_state/_machine.py
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -17,6 +17,7 @@
     ConfirmRetired,
     DrainServer,
     EntryRecord,
+    EvacuateZone,
     Execution,
     FoundStores,
     Living,
@@ -302,6 +303,8 @@
                 return self._views.confirm_retired(store_id, now_ms)
             case DrainServer(server_id=server_id, draining=draining):
                 return self._views.drain_server(server_id, draining, now_ms)
+            case EvacuateZone(availability_zone=zone, evacuated=evacuated):
+                return self._views.evacuate_zone(zone, evacuated, now_ms)
         return None
 
     def _change_journal(self, body: object, now_ms: int) -> object:
--- a/libs/state/tarragonhall_state/_views.py
+++ b/libs/state/tarragonhall_state/_views.py
@@ -41,6 +41,8 @@
     settled_version: int = 0
     # Lives of entries that may own by an earlier choice, as long as nothing says that they stopped.
     unsettled_by_life: dict[str, EntryRecord] = field(default_factory=dict)
+    # Operators' orders, kept apart from the servers: one that registers later is in it as well.
+    evacuated_zones: list[str] = field(default_factory=list)
 
     def announce_entry(self, entry: EntryRecord, at_ms: int) -> Recorded:
         """Take in an entry, in place of an earlier life of it."""
@@ -162,10 +164,18 @@
             self._changed(at_ms)
         return Recorded(self.epoch)
 
+    def evacuate_zone(self, availability_zone: str, evacuated: bool, at_ms: int) -> Recorded:
+        """Start or end the evacuation of an availability zone."""
+        if evacuated != (availability_zone in self.evacuated_zones):
+            others = [one for one in self.evacuated_zones if one != availability_zone]
+            self.evacuated_zones = [*others, availability_zone] if evacuated else others
+            self._changed(at_ms)
+        return Recorded(self.epoch)
+
     def view(self) -> View:
-        """Return the view of this epoch, with the operators' drains marked."""
+        """Return the view of this epoch, with operators' drains and evacuations marked."""
         servers = [
-            replace(server, draining=True) if server.server_id in self.drained_by_id else server
+            replace(server, draining=True) if self._gets_no_work(server) else server
             for server in self.server_by_id.values()
         ]
         entries = list(self.entry_by_id.values())
@@ -181,6 +191,13 @@
             retiring,
             self.owners_version,
             self.settled_version,
+            self.evacuated_zones,
+        )
+
+    def _gets_no_work(self, server: ServerRecord) -> bool:
+        return (
+            server.server_id in self.drained_by_id
+            or server.availability_zone in self.evacuated_zones
         )
 
     def _owners_changed(self, losers: list[EntryRecord]) -> None:
--- a/libs/state/tests/views_tests.py
+++ b/libs/state/tests/views_tests.py
@@ -68,3 +68,27 @@
     assert views.view().owners_version == 3
     views.settle_owners(3, 6)
     assert views.view().settled_version == 3
+
+
+def test_an_evacuation_that_is_resent_changes_nothing():
+    """An operator's acknowledgement is lost and the order comes again, at any member."""
+    views = Views()
+    views.evacuate_zone("tx-waco", True, 1)
+    epoch = views.view().epoch
+    views.evacuate_zone("tx-waco", True, 2)
+    assert (views.view().epoch, views.view().evacuated_zones) == (epoch, ["tx-waco"])
+    views.evacuate_zone("tx-temple", False, 3)
+    assert views.view().epoch == epoch
+    views.evacuate_zone("tx-waco", False, 4)
+    assert (views.view().epoch, views.view().evacuated_zones) == (epoch + 1, [])
+
+
+def test_the_servers_of_an_evacuated_zone_are_shown_as_draining():
+    """A sidecar of the zone that restarts announces itself as ready and must get no calls."""
+    views = Views()
+    views.evacuate_zone("zone", True, 1)
+    for life in ("1", "2"):
+        views.announce_server(ServerRecord("s", life, "addr", "zone", ServerKind.MODEL, ["m"]), 2)
+        assert views.view().servers[0].draining
+    views.evacuate_zone("zone", False, 3)
+    assert not views.view().servers[0].draining
