Keep calls in the home regions that their route or organisation names

Cause: `allowedRegions` of routes and tenants was not read; a call bound to a region could run anywhere.

Change: parsed and checked; where both name regions both bind. The chooser takes servers of home zones alone; a call without a server at home is refused at once. Turns are refused where a store that would keep them stands outside the home regions and the entry's own: groups of stores by region are not built, so a deployment of two regions with stores in both does not serve home-bound turns yet.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -40,6 +40,10 @@
         "FairQueue",
         "QueuedCall",
     ),
+    "_home_regions": (
+        "home_zones",
+        "stays_home",
+    ),
     "_load_digest": (
         "LoadDigest",
         "LoadTo",
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -89,6 +89,7 @@
 
     `parts` are empty for plain services; `object_key` names what the call is about, where servers
     that handled it lately are quicker. `last_server` ran the turn before; `avoid` must not get it.
+    `zones` are where it may run, None for anywhere.
     `size` is how many bytes the call, and what will probably follow it there, carry to the server.
     """
 
@@ -98,6 +99,13 @@
     last_server: str = ""
     avoid: frozenset[str] = frozenset()
     size: int = 0
+    zones: frozenset[str] | None = None
+
+    def allows(self, record: BackendRecord) -> bool:
+        """Return whether the call may go to a server."""
+        if record.server_id in self.avoid:
+            return False
+        return self.zones is None or record.availability_zone in self.zones
 
 
 @dataclass(slots=True)
@@ -256,7 +264,7 @@
         first = self._first_choice(need)
         below_share = self._is_below_share(need.service)
         for record in self.servers(need.service):
-            if record.server_id in need.avoid or not self._is_open(record, below_share, now):
+            if not need.allows(record) or not self._is_open(record, below_share, now):
                 continue
             cost = self._cost_ms(record, need, first, now)
             if cost < lowest - NEAR_MS:
--- /dev/null
+++ b/libs/decisions/tarragonhall_decisions/_home_regions.py
@@ -0,0 +1,36 @@
+"""In which availability zones a call may run whose route or organisation names home regions."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+
+def home_zones(
+    route_regions: Iterable[str],
+    organisation_regions: Iterable[str],
+    region_by_zone: Mapping[str, str],
+) -> frozenset[str] | None:
+    """Return the zones where a call may run; None where neither names regions, both bind.
+
+    A zone whose region is not known is nobody's home.
+    """
+    bounds = [frozenset(one) for one in (route_regions, organisation_regions) if one]
+    if not bounds:
+        return None
+    regions = frozenset.intersection(*bounds)
+    return frozenset(zone for zone, region in region_by_zone.items() if region in regions)
+
+
+def stays_home(
+    store_zones: Iterable[str],
+    homes: frozenset[str],
+    own_zone: str,
+    region_by_zone: Mapping[str, str],
+) -> bool:
+    """Return whether what stores in these zones keep stays at home or in the caller's region.
+
+    Callers connect to entries of their own region.
+    """
+    regions = {region_by_zone[zone] for zone in homes}
+    regions.add(region_by_zone.get(own_zone, ""))
+    return all(region_by_zone.get(zone) in regions for zone in store_zones)
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -36,7 +36,7 @@
 
     `priority` is a rank, 0 first. A route with `retained` keeps what was said: its calls are turns
     and may continue earlier ones for `retention_s`. `max_attempts` bounds on how many backend
-    servers one call may run.
+    servers one call may run. Calls run in `home_regions` alone, where any are named.
     """
 
     name: str
@@ -54,6 +54,7 @@
     affinity: bool = False
     resumable: bool = False
     gap_objective_ms: int = 0
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,12 +96,16 @@
 
 @dataclass(slots=True, frozen=True)
 class RelayOrganisation:
-    """An organisation, its caller keys and its rate; no rate means no limit."""
+    """An organisation, its caller keys and its rate; no rate means no limit.
+
+    Its calls run in `home_regions` alone, where any are named; a route's bind as well.
+    """
 
     org_id: str
     keys: tuple[str, ...]
     priority: int = 0
     rate: Rate | None = None
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/libs/relay/tarragonhall_relay/_admission.py
+++ b/libs/relay/tarragonhall_relay/_admission.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 import structlog
-from tarragonhall_decisions import Deadline
+from tarragonhall_decisions import Deadline, home_zones, stays_home
 from tarragonhall_model import (
     InputError,
     Refusal,
@@ -38,6 +38,8 @@
 # The owner of a rate that is not heard is followed by another within two seconds. Told to come back
 # after 20 ms, as for a bucket that refills, a caller uses up its tries before that.
 OWNER_RETRY_S = 0.5
+# What binds calls to their home regions changes with operators' orders alone.
+HOME_RETRY_S = 5.0
 # A request that crashes servers is not to come back soon.
 BARRED_RETRY_S = 60.0
 
@@ -54,7 +56,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Admitted:
-    """A call that may run; `deadline` is in monotonic seconds."""
+    """A call that may run; `deadline` is in monotonic seconds.
+
+    `home_zones` are the only availability zones where it may run, None for any.
+    """
 
     request: ClientRequest
     facts: CallFacts
@@ -62,6 +67,7 @@
     organisation: RelayOrganisation | None
     deadline: Deadline
     fingerprint: str
+    home_zones: frozenset[str] | None = None
 
     @property
     def org_id(self) -> str | None:
@@ -103,7 +109,11 @@
     if state.suspects.is_barred(mark, state.monotonic()):
         message = "the request broke every backend server that ran it"
         return Refused(UNAVAILABLE, RefusalCode.QUARANTINED.value, message, BARRED_RETRY_S)
-    return Admitted(request, facts, route, organisation, deadline, mark)
+    org_regions = organisation.home_regions if organisation is not None else ()
+    homes = home_zones(route.home_regions, org_regions, state.region_by_zone)
+    if homes is not None and not _may_be_kept(state, route, homes):
+        return _away_from_home("no store keeps turns in the home regions of the call alone")
+    return Admitted(request, facts, route, organisation, deadline, mark, homes)
 
 
 def take_rate(state: RelayState, call: Admitted, service: str) -> Refused | None:
@@ -151,6 +161,17 @@
     return Refused(status, refusal.code.value, refusal.message, retry_after_s)
 
 
+def _may_be_kept(state: RelayState, route: Route, homes: frozenset[str]) -> bool:
+    """Return whether stores keep what is said on a route in its home regions alone."""
+    if not route.retained:
+        return True
+    return stays_home(state.store_zones(), homes, state.availability_zone, state.region_by_zone)
+
+
+def _away_from_home(message: str) -> Refused:
+    return Refused(UNAVAILABLE, RefusalCode.NO_SERVER.value, message, HOME_RETRY_S)
+
+
 def _unsure(message: str) -> Refused:
     return Refused(UNAVAILABLE, RefusalCode.STALE.value, message, UNSURE_RETRY_S)
 
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -65,6 +65,10 @@
         stores = sorted(self.view.stores, key=lambda store: store.availability_zone != zone)
         return [store.address for store in stores]
 
+    def store_zones(self) -> set[str]:
+        """Return the availability zones in which stores keep turns."""
+        return {store.availability_zone for store in self.view.stores}
+
     def apply_view(self, view: View) -> bool:
         """Take a view of a later epoch and tell rates and routing of it."""
         if not super().apply_view(view):
--- a/libs/relay/tarragonhall_relay/_place_of_call.py
+++ b/libs/relay/tarragonhall_relay/_place_of_call.py
@@ -84,7 +84,7 @@
         """
         if self._refusals >= MAX_REFUSALS:
             return self._full()
-        if self._state.chooser.is_evacuated(self.service):
+        if self._is_closed():
             return self._no_server()
         if not hold(self._state, self._hold_until(), self._has_server):
             return self._no_server()
@@ -133,6 +133,15 @@
         priority = organisation.priority if organisation else 0
         return urgency_of(priority, self._call.route.priority)
 
+    def _is_closed(self) -> bool:
+        """Return whether no server of the service may get the call until operators say so."""
+        chooser = self._state.chooser
+        if chooser.is_evacuated(self.service):
+            return True
+        homes = self._call.home_zones
+        known = chooser.servers(self.service)
+        return homes is not None and not any(one.availability_zone in homes for one in known)
+
     def _hold_until(self) -> float:
         total_s = self._call.deadline.at - self._arrived_at
         return self._arrived_at + min(HOLD_S, total_s * HOLD_SHARE)
@@ -157,6 +166,7 @@
             last_server,
             frozenset(self._unreached | self.ran_on),
             prompt_size * turns,
+            self._call.home_zones,
         )
 
     def _waiting_call(self) -> QueuedCall:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import eventlet
 import structlog
@@ -49,13 +50,15 @@
     """Where clients connect, and by how much rates and the calls of cold servers may be exceeded.
 
     `rate_lease_s` must be the same on all entries: it is how long an owner of rates may act after
-    control has confirmed it, and how long its successor waits.
+    control has confirmed it, and how long its successor waits. `region_by_zone` says in which
+    region each availability zone lies, for calls that must stay in some.
     """
 
     listen: str
     rate_slack: RateSlack = RateSlack()
     cold_slack: ColdSlack = ColdSlack()
     rate_lease_s: float = LEASE_S
+    region_by_zone: Mapping[str, str] = field(default_factory=dict)
 
 
 class RelayRole:
@@ -103,6 +106,9 @@
             rng=context.rng,
             monotonic=context.monotonic,
             is_fresh=self._is_fresh,
+            availability_zone=context.availability_zone,
+            region_by_zone=settings.region_by_zone,
+            store_zones=self._follower.store_zones,
             cold_slack=settings.cold_slack,
         )
         self._follower.attach(self.state)
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from tarragonhall_decisions import (
@@ -29,7 +29,7 @@
     """The parts that a call needs.
 
     `table` is None until the first document has arrived. `is_fresh` says whether control has
-    confirmed lately that it is the newest.
+    confirmed lately that it is the newest. `store_zones` are the availability zones of the stores.
     """
 
     dialect: Dialect
@@ -45,6 +45,9 @@
     rng: random.Random
     monotonic: Callable[[], float]
     is_fresh: Callable[[], bool]
+    availability_zone: str
+    region_by_zone: Mapping[str, str]
+    store_zones: Callable[[], set[str]]
     cold_slack: ColdSlack = ColdSlack()
     retries: RetryBudget = field(default_factory=RetryBudget)
     spent: SpentPrograms = field(default_factory=SpentPrograms)
