Count the prompts that engines still have to read in the choice of servers

Cause: engines here have 96 places and read 32 prompt tokens a ms, so what calls wait for is not a place but the prompts before theirs.

Hypothesis: the tokens that calls without a first event still wait for tell the wait. Each entry knows its own and tells them with its load; what was told counts as long as the engine needs to read it.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -19,6 +19,9 @@
 - A server that has just started, or may have while it was out of reach, gets calls up to a bound
   over all entries (`ColdServers`).
 - A server that refuses as full gets no more of this entry's calls than it runs (`ServerWindow`).
+- An engine with many places reads one prompt after the other: calls that have a place wait for
+  those before them. What each entry's calls wait for is told to the others, and what was told
+  counts for as long as the engine needs to read it.
 - An engine runs as many calls at once as it has places; the next one waits until one of them ends.
   What a place costs is learnt from how long calls run (`_service_pace`).
 - A plain server that turned slow or hangs takes as many calls as the others and is late with each.
@@ -112,10 +115,12 @@
 class ServerLoad:
     """What this entry knows of one server from its own calls.
 
-    `started_at` are the calls under way, oldest first.
+    `started_at` are the calls under way, oldest first; `unread_by_call` the prompt tokens of those
+    that have had no answer yet.
     """
 
     started_at: list[float] = field(default_factory=list)
+    unread_by_call: dict[str, int] = field(default_factory=dict)
     failures: int = 0
     avoid_until: float = float("-inf")
     window: ServerWindow = field(default_factory=ServerWindow)
@@ -133,6 +138,7 @@
 @dataclass(slots=True, frozen=True)
 class _OtherLoad:
     running_by_server: dict[str, int]
+    unread_by_server: dict[str, int]
     at: float
     entries: int = 1
 
@@ -240,20 +246,47 @@
             load = self._load_by_id[server_id] = ServerLoad()
         return load
 
-    def on_entry_load(self, entry_id: str, running_by_server: dict[str, int], now: float) -> None:
+    def on_entry_load(
+        self,
+        entry_id: str,
+        running_by_server: dict[str, int],
+        now: float,
+        unread_by_server: dict[str, int] | None = None,
+    ) -> None:
         """Take over what another entry has running."""
-        self._take_load(entry_id, _OtherLoad(running_by_server, now))
+        self._take_load(entry_id, _OtherLoad(running_by_server, unread_by_server or {}, now))
 
     def on_load_elsewhere(self, message: LoadElsewhere, now: float) -> None:
         """Take over what all other entries together have running; an earlier sum is void."""
         for entry_id in list(self._others_by_entry):
             self._forget_entry(entry_id)
-        self._take_load(ALL_OTHERS, _OtherLoad(message.running_by_server, now, message.entries))
+        load = _OtherLoad(message.running_by_server, message.unread_by_server, now, message.entries)
+        self._take_load(ALL_OTHERS, load)
 
     def own_load(self) -> dict[str, int]:
         """Return what this entry has running, for the others."""
         return {one: load.running for one, load in self._load_by_id.items() if load.running}
 
+    def own_unread(self) -> dict[str, int]:
+        """Return how many prompt tokens this entry's calls wait for to be read, for the others."""
+        sums = {one: sum(load.unread_by_call.values()) for one, load in self._load_by_id.items()}
+        return {server_id: tokens for server_id, tokens in sums.items() if tokens}
+
+    def unread_tokens(self, record: BackendRecord, need: CallNeed) -> int:
+        """Return how many tokens a server would have to read for a call."""
+        if not need.parts:
+            return 0
+        return self._missing_tokens(record.server_id, need, self._first_choice(need))
+
+    def reads(self, server_id: str, call_id: str, tokens: int) -> None:
+        """Note that a call was sent whose prompt the server still has to read."""
+        if tokens:
+            self.load(server_id).unread_by_call[call_id] = tokens
+
+    def has_read(self, server_id: str, call_id: str) -> None:
+        """Note that a call has its first answer, or has left the server."""
+        self.load(server_id).unread_by_call.pop(call_id, None)
+
     def choose(self, need: CallNeed, now: float) -> BackendRecord | None:
         """Return the server with room that has the lowest cost; None where there is none."""
         for entry_id, other in list(self._others_by_entry.items()):
@@ -341,7 +374,9 @@
         running = load.running + self._elsewhere_by_server[record.server_id]
         cost += self._place_ms(running, record.slots, pace.run_ms)
         if need.parts:
-            cost += self._missing_tokens(record.server_id, need, first) / PREFILL_TOKENS_PER_MS
+            unread = self._queue_tokens(record.server_id, load, now)
+            unread += self._missing_tokens(record.server_id, need, first)
+            cost += unread / PREFILL_TOKENS_PER_MS
         else:
             slowness = pace.slowness(record.server_id, load.oldest_s(now), now)
             cost += pace.run_ms * (slowness - 1.0)
@@ -355,6 +390,18 @@
             cost += 1000.0 * (load.avoid_until - now) + UNHEARD_MS
         return cost
 
+    def _queue_tokens(self, server_id: str, load: ServerLoad, now: float) -> float:
+        """Return how many tokens a server probably has to read before those of another call.
+
+        What other entries have told is older the longer ago; the server has gone on reading.
+        """
+        tokens = float(sum(load.unread_by_call.values()))
+        for other in self._others_by_entry.values():
+            told = other.unread_by_server.get(server_id, 0)
+            if told:
+                tokens += max(0.0, told - PREFILL_TOKENS_PER_MS * (now - other.at) * 1000)
+        return tokens
+
     def _way_ms(self, need: CallNeed) -> float:
         """Return what it costs to send a call to another zone."""
         if need.service not in self._near_by_service:
--- a/libs/decisions/tarragonhall_decisions/_load_digest.py
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -13,7 +13,9 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from tarragonhall_model import EntryLoad, EntryRecord, LoadElsewhere, ZoneLoad, fingerprint
 
@@ -26,6 +28,10 @@
 # Seconds between two sums of a zone for the other zones.
 ZONES_S = 0.55
 
+# Prompt tokens by server that were sent there and have had no answer yet.
+Unread = Mapping[str, int]
+NOTHING: Unread = MappingProxyType({})
+
 LoadMessage = EntryLoad | ZoneLoad | LoadElsewhere
 
 
@@ -40,6 +46,7 @@
 @dataclass(slots=True, frozen=True)
 class _Load:
     running_by_server: dict[str, int]
+    unread_by_server: dict[str, int]
     entries: int
     at: float
 
@@ -84,35 +91,37 @@
 
     def on_entry_load(self, message: EntryLoad, now: float) -> None:
         """Take the load of an entry of the own zone."""
-        self._load_by_entry[message.entry_id] = _Load(message.running_by_server, 1, now)
+        load = _Load(message.running_by_server, message.unread_by_server, 1, now)
+        self._load_by_entry[message.entry_id] = load
 
     def on_zone_load(self, message: ZoneLoad, now: float) -> None:
         """Take the sum of another zone from one of its collectors."""
-        load = _Load(message.running_by_server, message.entries, now)
+        load = _Load(message.running_by_server, message.unread_by_server, message.entries, now)
         self._load_by_zone[message.availability_zone] = load
 
-    def announce(self, own: dict[str, int]) -> list[LoadTo]:
+    def announce(self, own: dict[str, int], unread: Unread = NOTHING) -> list[LoadTo]:
         """Return the messages with this entry's own load."""
-        message = EntryLoad(self._me.entry_id, own)
+        message = EntryLoad(self._me.entry_id, own, dict(unread))
         to = self._entries if self.is_direct() else self._own_collectors()
         return [LoadTo(one.address, message) for one in to if one.entry_id != self._me.entry_id]
 
-    def elsewhere(self, own: dict[str, int], now: float) -> LoadElsewhere:
+    def elsewhere(self, own: dict[str, int], now: float, unread: Unread = NOTHING) -> LoadElsewhere:
         """Return what all others have running, as a collector knows it."""
-        zone = self._zone_sum(own, now)
-        return self._without(self._everywhere(zone, now), own)
+        zone = self._zone_sum(own, unread, now)
+        return _without(self._everywhere(zone, now), own, unread)
 
-    def digests(self, own: dict[str, int], now: float) -> list[LoadTo]:
+    def digests(self, own: dict[str, int], now: float, unread: Unread = NOTHING) -> list[LoadTo]:
         """Return what a collector sends: its zone's sum, and to each entry what the others have."""
-        zone = self._zone_sum(own, now)
+        zone = self._zone_sum(own, unread, now)
         made = self._to_other_zones(zone) if self._is_due(now) else []
         everywhere = self._everywhere(zone, now)
         for entry in self._entries:
             if entry.availability_zone != self._me.availability_zone:
                 continue
             load = self._load_by_entry.get(entry.entry_id)
-            theirs = load.running_by_server if load is not None else {}
-            made.append(LoadTo(entry.address, self._without(everywhere, theirs)))
+            theirs = load.running_by_server if load is not None else NOTHING
+            unread_there = load.unread_by_server if load is not None else NOTHING
+            made.append(LoadTo(entry.address, _without(everywhere, theirs, unread_there)))
         return made
 
     def _is_due(self, now: float) -> bool:
@@ -124,7 +133,12 @@
 
     def _to_other_zones(self, zone: _Load) -> list[LoadTo]:
         """Return the zone's sum for one collector of each other zone, each collector its own."""
-        message = ZoneLoad(self._me.availability_zone, zone.entries, zone.running_by_server)
+        message = ZoneLoad(
+            self._me.availability_zone,
+            zone.entries,
+            zone.running_by_server,
+            zone.unread_by_server,
+        )
         ids = [one.entry_id for one in self._own_collectors()]
         rank = ids.index(self._me.entry_id)
         made = []
@@ -136,35 +150,45 @@
     def _own_collectors(self) -> list[EntryRecord]:
         return self._collectors_by_zone.get(self._me.availability_zone, [])
 
-    def _zone_sum(self, own: dict[str, int], now: float) -> _Load:
-        running: Counter[str] = Counter(own)
-        entries = 1
-        for entry_id, load in list(self._load_by_entry.items()):
-            if now - load.at > LOAD_VALID_S:
-                del self._load_by_entry[entry_id]
-                continue
-            running.update(load.running_by_server)
-            entries += 1
-        return _Load(dict(running), entries, now)
+    def _zone_sum(self, own: dict[str, int], unread: Unread, now: float) -> _Load:
+        mine = _Load(own, dict(unread), 1, now)
+        return _sum(mine, _valid(self._load_by_entry, now), now)
 
     def _everywhere(self, zone: _Load, now: float) -> _Load:
-        running: Counter[str] = Counter(zone.running_by_server)
-        entries = zone.entries
-        for name, load in list(self._load_by_zone.items()):
-            if now - load.at > LOAD_VALID_S:
-                del self._load_by_zone[name]
-                continue
-            running.update(load.running_by_server)
-            entries += load.entries
-        return _Load(dict(running), entries, now)
-
-    @staticmethod
-    def _without(everywhere: _Load, own: dict[str, int]) -> LoadElsewhere:
-        running = dict(everywhere.running_by_server)
-        for server_id, count in own.items():
-            running[server_id] = running.get(server_id, 0) - count
-        left = {server_id: count for server_id, count in running.items() if count > 0}
-        return LoadElsewhere(max(0, everywhere.entries - 1), left)
+        return _sum(zone, _valid(self._load_by_zone, now), now)
+
+
+def _valid(load_by_source: dict[str, _Load], now: float) -> list[_Load]:
+    """Return the loads that still count; forget the others."""
+    for source, load in list(load_by_source.items()):
+        if now - load.at > LOAD_VALID_S:
+            del load_by_source[source]
+    return list(load_by_source.values())
+
+
+def _sum(first: _Load, others: list[_Load], now: float) -> _Load:
+    running: Counter[str] = Counter(first.running_by_server)
+    unread: Counter[str] = Counter(first.unread_by_server)
+    entries = first.entries
+    for load in others:
+        running.update(load.running_by_server)
+        unread.update(load.unread_by_server)
+        entries += load.entries
+    return _Load(dict(running), dict(unread), entries, now)
+
+
+def _without(everywhere: _Load, own: Unread, unread: Unread) -> LoadElsewhere:
+    """Return what is left of a sum without the part of one entry."""
+    return LoadElsewhere(
+        max(0, everywhere.entries - 1),
+        _minus(everywhere.running_by_server, own),
+        _minus(everywhere.unread_by_server, unread),
+    )
+
+
+def _minus(total: dict[str, int], own: Unread) -> dict[str, int]:
+    left = {server_id: count - own.get(server_id, 0) for server_id, count in total.items()}
+    return {server_id: count for server_id, count in left.items() if count > 0}
 
 
 def _collectors(zone: str, entries: list[EntryRecord]) -> list[EntryRecord]:
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -260,10 +260,14 @@
 
 @record
 class EntryLoad:
-    """An entry tells the others how many calls it has running on each backend server."""
+    """An entry tells the others how many calls it has running on each backend server.
+
+    `unread_by_server` are the prompt tokens of calls there that have had no answer yet.
+    """
 
     entry_id: str
     running_by_server: dict[str, int]
+    unread_by_server: dict[str, int] = field(default_factory=dict)
 
 
 @record
@@ -283,6 +287,7 @@
     availability_zone: str
     entries: int
     running_by_server: dict[str, int]
+    unread_by_server: dict[str, int] = field(default_factory=dict)
 
 
 @record
@@ -291,6 +296,7 @@
 
     entries: int
     running_by_server: dict[str, int]
+    unread_by_server: dict[str, int] = field(default_factory=dict)
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -215,6 +215,7 @@
                 continue
             if not self._report.events:
                 self._report.step("first_ms")
+                self._place.has_read()
             self._client.send(b"".join(event.raw for event in events))
             self._report.events += len(events)
             if keeps:
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -138,7 +138,7 @@
         self._follower = follower
         self._digest = LoadDigest(context.entry_record())
         self._epoch = -1
-        self._told: dict[str, int] = {}
+        self._told: tuple[dict[str, int], dict[str, int]] = ({}, {})
         self._stopped = False
         context.hub.handle(EntryLoad, self._on_load)
         context.hub.handle(ZoneLoad, self._on_zone_load)
@@ -162,10 +162,11 @@
             rounds += 1
             self._follow_view()
             load = self._state.chooser.own_load()
-            if load == self._told and (not load or rounds % LOAD_REPEAT):
+            unread = self._state.chooser.own_unread()
+            if (load, unread) == self._told and (not load or rounds % LOAD_REPEAT):
                 continue
-            self._told = load
-            self._send_all(self._digest.announce(load))
+            self._told = (load, unread)
+            self._send_all(self._digest.announce(load, unread))
 
     def _digest_loop(self) -> None:
         while not self._stopped:
@@ -175,8 +176,10 @@
                 continue
             now = self._context.monotonic()
             load = self._state.chooser.own_load()
-            self._state.chooser.on_load_elsewhere(self._digest.elsewhere(load, now), now)
-            self._send_all(self._digest.digests(load, now))
+            unread = self._state.chooser.own_unread()
+            elsewhere = self._digest.elsewhere(load, now, unread)
+            self._state.chooser.on_load_elsewhere(elsewhere, now)
+            self._send_all(self._digest.digests(load, now, unread))
 
     def _follow_view(self) -> None:
         view = self._follower.view
@@ -221,7 +224,9 @@
     def _on_load(self, _link: Link, message: EntryLoad) -> None:
         now = self._context.monotonic()
         if self._digest.is_direct():
-            self._state.chooser.on_entry_load(message.entry_id, message.running_by_server, now)
+            self._state.chooser.on_entry_load(
+                message.entry_id, message.running_by_server, now, message.unread_by_server
+            )
             return
         self._digest.on_entry_load(message, now)
 
--- a/libs/relay/tarragonhall_relay/_places.py
+++ b/libs/relay/tarragonhall_relay/_places.py
@@ -93,7 +93,12 @@
         self._queue(service).on_end(place.queued)
         self._pump(service)
 
+    def has_read(self, place: Place) -> None:
+        """Note that the server of a place has begun to answer the call."""
+        self._chooser.has_read(place.server.server_id, place.queued.call_id)
+
     def _leave(self, place: Place) -> None:
+        self.has_read(place)
         self._chooser.ended(place.server.server_id, place.started_at)
 
     def _wait(self, call: QueuedCall, waiter: _Waiter) -> Place | Refusal:
@@ -142,6 +147,10 @@
     def _grant(
         self, call: QueuedCall, server: BackendRecord, queue: PlaceQueue, now: float
     ) -> None:
+        need = self._waiter_by_id[call.call_id].need
+        self._chooser.reads(
+            server.server_id, call.call_id, self._chooser.unread_tokens(server, need)
+        )
         self._chooser.started(server.server_id, now)
         queue.placed(call)
         self._waiter_by_id.pop(call.call_id).end(Place(server, now, call))
