Find servers that take calls and answer none by what all entries see

Cause: a hung engine or a zone without power takes calls and breaks nothing off.

Hypothesis: with the loads, entries tell how many of their calls are silent at each server and how many it answered within a second; so one entry's loss saves the others'. A zone with two silent servers counts against each server there that does not answer.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -104,6 +104,7 @@
         "Router",
         "subset",
     ),
+    "_silent_servers": ("SilentServers",),
     "_spent_programs": ("SpentPrograms",),
     "_store_founding": (
         "LossesBorne",
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -24,6 +24,8 @@
   counts for as long as the engine needs to read it.
 - An engine runs as many calls at once as it has places; the next one waits until one of them ends.
   What a place costs is learnt from how long calls run (`_service_pace`).
+- A server or zone that takes calls and answers none is found by all entries together
+  (`SilentServers`).
 - A plain server that turned slow or hangs takes as many calls as the others and is late with each.
   It loses its share by how long its calls took. An engine that is slow shows in the calls that pile
   up there; judged by the pauses of its streams as well, engines lost calls by chance.
@@ -41,11 +43,12 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
-from tarragonhall_model import BackendRecord, LoadElsewhere, rendezvous
+from tarragonhall_model import BackendRecord, LoadElsewhere, ServerSigns, rendezvous
 
 from tarragonhall_decisions._cold_servers import ColdServers
 from tarragonhall_decisions._server_window import ServerWindow
 from tarragonhall_decisions._service_pace import ServicePace
+from tarragonhall_decisions._silent_servers import SilentServers
 
 # Prompt tokens that an engine is taken to read in a millisecond.
 PREFILL_TOKENS_PER_MS = 30.0
@@ -73,6 +76,7 @@
 OTHERS_VALID_S = 1.5
 # Stands for the other entries where only the sum of their loads is known.
 ALL_OTHERS = ""
+NO_SIGNS = ServerSigns()
 # Programs and subjects in use at an entry within minutes, with room; each costs some 200 bytes.
 REMEMBERED_PARTS = 20_000
 HOLDERS_PER_PART = 4
@@ -138,7 +142,7 @@
 @dataclass(slots=True, frozen=True)
 class _OtherLoad:
     running_by_server: dict[str, int]
-    unread_by_server: dict[str, int]
+    signs: ServerSigns
     at: float
     entries: int = 1
 
@@ -159,6 +163,7 @@
         "_servers_by_service",
         "_zone",
         "cold",
+        "silent",
     )
 
     def __init__(
@@ -179,10 +184,12 @@
         self._near_by_service: dict[str, list[str]] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
         self._holders_by_part: OrderedDict[str, list[str]] = OrderedDict()
+        self.silent = SilentServers()
 
     def set_servers(self, records: list[BackendRecord], now: float) -> None:
         """Take over the servers as they announced themselves."""
         self._records = records
+        self.silent.set_servers(records)
         for record in records:
             self.cold.learn(record, now)
         known = {record.server_id for record in records}
@@ -251,40 +258,49 @@
         entry_id: str,
         running_by_server: dict[str, int],
         now: float,
-        unread_by_server: dict[str, int] | None = None,
+        signs: ServerSigns = NO_SIGNS,
     ) -> None:
         """Take over what another entry has running."""
-        self._take_load(entry_id, _OtherLoad(running_by_server, unread_by_server or {}, now))
+        self._take_load(entry_id, _OtherLoad(running_by_server, signs, now))
 
     def on_load_elsewhere(self, message: LoadElsewhere, now: float) -> None:
         """Take over what all other entries together have running; an earlier sum is void."""
         for entry_id in list(self._others_by_entry):
             self._forget_entry(entry_id)
-        load = _OtherLoad(message.running_by_server, message.unread_by_server, now, message.entries)
+        load = _OtherLoad(message.running_by_server, message.signs, now, message.entries)
         self._take_load(ALL_OTHERS, load)
 
     def own_load(self) -> dict[str, int]:
         """Return what this entry has running, for the others."""
         return {one: load.running for one, load in self._load_by_id.items() if load.running}
 
-    def own_unread(self) -> dict[str, int]:
-        """Return how many prompt tokens this entry's calls wait for to be read, for the others."""
+    def own_signs(self, now: float) -> ServerSigns:
+        """Return what this entry's calls show of servers besides their number, for the others."""
         sums = {one: sum(load.unread_by_call.values()) for one, load in self._load_by_id.items()}
-        return {server_id: tokens for server_id, tokens in sums.items() if tokens}
+        unread = {server_id: tokens for server_id, tokens in sums.items() if tokens}
+        return ServerSigns(unread, *self.silent.own_signs(now))
 
-    def unread_tokens(self, record: BackendRecord, need: CallNeed) -> int:
+    def _unread_tokens(self, record: BackendRecord, need: CallNeed) -> int:
         """Return how many tokens a server would have to read for a call."""
         if not need.parts:
             return 0
         return self._missing_tokens(record.server_id, need, self._first_choice(need))
 
-    def reads(self, server_id: str, call_id: str, tokens: int) -> None:
-        """Note that a call was sent whose prompt the server still has to read."""
+    def awaits(self, record: BackendRecord, call_id: str, need: CallNeed, now: float) -> None:
+        """Note that a call is sent whose first answer is awaited."""
+        self.silent.sent(record, call_id, now)
+        tokens = self._unread_tokens(record, need)
         if tokens:
-            self.load(server_id).unread_by_call[call_id] = tokens
+            self.load(record.server_id).unread_by_call[call_id] = tokens
 
-    def has_read(self, server_id: str, call_id: str) -> None:
-        """Note that a call has its first answer, or has left the server."""
+    def began(self, server_id: str, call_id: str, now: float) -> None:
+        """Note that a call has its first answer."""
+        self.silent.answered(server_id, call_id, now)
+        self.load(server_id).unread_by_call.pop(call_id, None)
+
+    def left(self, server_id: str, call_id: str, now: float) -> None:
+        """Note that a call has left its server, with an answer or without."""
+        self.silent.left(server_id, call_id, now)
         self.load(server_id).unread_by_call.pop(call_id, None)
 
     def choose(self, need: CallNeed, now: float) -> BackendRecord | None:
@@ -296,10 +312,11 @@
         lowest = float("inf")
         first = self._first_choice(need)
         below_share = self._is_below_share(need.service)
+        silence_ms = self.silent.costs(now)
         for record in self.servers(need.service):
             if not need.allows(record) or not self._is_open(record, below_share, now):
                 continue
-            cost = self._cost_ms(record, need, first, now)
+            cost = self._cost_ms(record, need, first, now) + silence_ms.get(record.server_id, 0.0)
             if cost < lowest - NEAR_MS:
                 best = []
             if cost <= lowest + NEAR_MS:
@@ -397,7 +414,7 @@
         """
         tokens = float(sum(load.unread_by_call.values()))
         for other in self._others_by_entry.values():
-            told = other.unread_by_server.get(server_id, 0)
+            told = other.signs.unread_by_server.get(server_id, 0)
             if told:
                 tokens += max(0.0, told - PREFILL_TOKENS_PER_MS * (now - other.at) * 1000)
         return tokens
@@ -419,6 +436,15 @@
         self._forget_entry(entry_id)
         self._others_by_entry[entry_id] = load
         self._elsewhere_by_server.update(load.running_by_server)
+        self._tell_silence()
+
+    def _tell_silence(self) -> None:
+        silent: Counter[str] = Counter()
+        answered: Counter[str] = Counter()
+        for other in self._others_by_entry.values():
+            silent.update(other.signs.silent_by_server)
+            answered.update(other.signs.answered_by_server)
+        self.silent.on_elsewhere(silent, answered)
 
     def _forget_entry(self, entry_id: str) -> None:
         other = self._others_by_entry.pop(entry_id, None)
--- a/libs/decisions/tarragonhall_decisions/_load_digest.py
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -13,11 +13,17 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
-from types import MappingProxyType
 
-from tarragonhall_model import EntryLoad, EntryRecord, LoadElsewhere, ZoneLoad, fingerprint
+from tarragonhall_model import (
+    EntryLoad,
+    EntryRecord,
+    LoadElsewhere,
+    ServerSigns,
+    ZoneLoad,
+    fingerprint,
+)
 
 # Up to so many entries each sends its load to each other one: quicker than over a collector.
 DIRECT_ENTRIES = 16
@@ -28,9 +34,7 @@
 # Seconds between two sums of a zone for the other zones.
 ZONES_S = 0.55
 
-# Prompt tokens by server that were sent there and have had no answer yet.
-Unread = Mapping[str, int]
-NOTHING: Unread = MappingProxyType({})
+NOTHING = ServerSigns()
 
 LoadMessage = EntryLoad | ZoneLoad | LoadElsewhere
 
@@ -46,7 +50,7 @@
 @dataclass(slots=True, frozen=True)
 class _Load:
     running_by_server: dict[str, int]
-    unread_by_server: dict[str, int]
+    signs: ServerSigns
     entries: int
     at: float
 
@@ -91,37 +95,41 @@
 
     def on_entry_load(self, message: EntryLoad, now: float) -> None:
         """Take the load of an entry of the own zone."""
-        load = _Load(message.running_by_server, message.unread_by_server, 1, now)
+        load = _Load(message.running_by_server, message.signs, 1, now)
         self._load_by_entry[message.entry_id] = load
 
     def on_zone_load(self, message: ZoneLoad, now: float) -> None:
         """Take the sum of another zone from one of its collectors."""
-        load = _Load(message.running_by_server, message.unread_by_server, message.entries, now)
+        load = _Load(message.running_by_server, message.signs, message.entries, now)
         self._load_by_zone[message.availability_zone] = load
 
-    def announce(self, own: dict[str, int], unread: Unread = NOTHING) -> list[LoadTo]:
+    def announce(self, own: dict[str, int], signs: ServerSigns = NOTHING) -> list[LoadTo]:
         """Return the messages with this entry's own load."""
-        message = EntryLoad(self._me.entry_id, own, dict(unread))
+        message = EntryLoad(self._me.entry_id, own, signs)
         to = self._entries if self.is_direct() else self._own_collectors()
         return [LoadTo(one.address, message) for one in to if one.entry_id != self._me.entry_id]
 
-    def elsewhere(self, own: dict[str, int], now: float, unread: Unread = NOTHING) -> LoadElsewhere:
+    def elsewhere(
+        self, own: dict[str, int], now: float, signs: ServerSigns = NOTHING
+    ) -> LoadElsewhere:
         """Return what all others have running, as a collector knows it."""
-        zone = self._zone_sum(own, unread, now)
-        return _without(self._everywhere(zone, now), own, unread)
+        zone = self._zone_sum(own, signs, now)
+        return _without(self._everywhere(zone, now), own, signs)
 
-    def digests(self, own: dict[str, int], now: float, unread: Unread = NOTHING) -> list[LoadTo]:
+    def digests(
+        self, own: dict[str, int], now: float, signs: ServerSigns = NOTHING
+    ) -> list[LoadTo]:
         """Return what a collector sends: its zone's sum, and to each entry what the others have."""
-        zone = self._zone_sum(own, unread, now)
+        zone = self._zone_sum(own, signs, now)
         made = self._to_other_zones(zone) if self._is_due(now) else []
         everywhere = self._everywhere(zone, now)
         for entry in self._entries:
             if entry.availability_zone != self._me.availability_zone:
                 continue
             load = self._load_by_entry.get(entry.entry_id)
-            theirs = load.running_by_server if load is not None else NOTHING
-            unread_there = load.unread_by_server if load is not None else NOTHING
-            made.append(LoadTo(entry.address, _without(everywhere, theirs, unread_there)))
+            theirs = load.running_by_server if load is not None else {}
+            signs_there = load.signs if load is not None else NOTHING
+            made.append(LoadTo(entry.address, _without(everywhere, theirs, signs_there)))
         return made
 
     def _is_due(self, now: float) -> bool:
@@ -137,7 +145,7 @@
             self._me.availability_zone,
             zone.entries,
             zone.running_by_server,
-            zone.unread_by_server,
+            zone.signs,
         )
         ids = [one.entry_id for one in self._own_collectors()]
         rank = ids.index(self._me.entry_id)
@@ -150,9 +158,8 @@
     def _own_collectors(self) -> list[EntryRecord]:
         return self._collectors_by_zone.get(self._me.availability_zone, [])
 
-    def _zone_sum(self, own: dict[str, int], unread: Unread, now: float) -> _Load:
-        mine = _Load(own, dict(unread), 1, now)
-        return _sum(mine, _valid(self._load_by_entry, now), now)
+    def _zone_sum(self, own: dict[str, int], signs: ServerSigns, now: float) -> _Load:
+        return _sum(_Load(own, signs, 1, now), _valid(self._load_by_entry, now), now)
 
     def _everywhere(self, zone: _Load, now: float) -> _Load:
         return _sum(zone, _valid(self._load_by_zone, now), now)
@@ -167,26 +174,40 @@
 
 
 def _sum(first: _Load, others: list[_Load], now: float) -> _Load:
-    running: Counter[str] = Counter(first.running_by_server)
-    unread: Counter[str] = Counter(first.unread_by_server)
-    entries = first.entries
-    for load in others:
-        running.update(load.running_by_server)
-        unread.update(load.unread_by_server)
-        entries += load.entries
-    return _Load(dict(running), dict(unread), entries, now)
+    loads = [first, *others]
+    return _Load(
+        _added(one.running_by_server for one in loads),
+        ServerSigns(
+            _added(one.signs.unread_by_server for one in loads),
+            _added(one.signs.silent_by_server for one in loads),
+            _added(one.signs.answered_by_server for one in loads),
+        ),
+        sum(one.entries for one in loads),
+        now,
+    )
+
+
+def _added(parts: Iterable[dict[str, int]]) -> dict[str, int]:
+    total: Counter[str] = Counter()
+    for one in parts:
+        total.update(one)
+    return dict(total)
 
 
-def _without(everywhere: _Load, own: Unread, unread: Unread) -> LoadElsewhere:
+def _without(everywhere: _Load, own: dict[str, int], signs: ServerSigns) -> LoadElsewhere:
     """Return what is left of a sum without the part of one entry."""
     return LoadElsewhere(
         max(0, everywhere.entries - 1),
         _minus(everywhere.running_by_server, own),
-        _minus(everywhere.unread_by_server, unread),
+        ServerSigns(
+            _minus(everywhere.signs.unread_by_server, signs.unread_by_server),
+            _minus(everywhere.signs.silent_by_server, signs.silent_by_server),
+            _minus(everywhere.signs.answered_by_server, signs.answered_by_server),
+        ),
     )
 
 
-def _minus(total: dict[str, int], own: Unread) -> dict[str, int]:
+def _minus(total: dict[str, int], own: dict[str, int]) -> dict[str, int]:
     left = {server_id: count - own.get(server_id, 0) for server_id, count in total.items()}
     return {server_id: count for server_id, count in left.items() if count > 0}
 
--- a/libs/decisions/tests/reading_queue_tests.py
+++ b/libs/decisions/tests/reading_queue_tests.py
@@ -7,7 +7,7 @@
 
 from tarragonhall_decisions import BackendChooser, CallNeed, LoadDigest, PromptPart
 from tarragonhall_decisions._backend_choice import PREFILL_TOKENS_PER_MS
-from tarragonhall_model import BackendRecord, EntryLoad, EntryRecord, LoadElsewhere
+from tarragonhall_model import BackendRecord, EntryLoad, EntryRecord, LoadElsewhere, ServerSigns
 
 SUBJECT = PromptPart("subject", 2_560)
 
@@ -29,7 +29,7 @@
     wanted = need(name)
     record = made.choose(wanted, now)
     made.started(record.server_id, now)
-    made.reads(record.server_id, name, made.unread_tokens(record, wanted))
+    made.awaits(record, name, wanted, now)
     return record.server_id
 
 
@@ -40,18 +40,19 @@
     counts = collections.Counter(start(made, f"talk-{n}") for n in range(24))
     assert len(counts) == 4
     # Each engine has about as much to read; the one that holds the subject gets more calls for it.
-    unread = made.own_unread().values()
+    unread = made.own_signs(0.0).unread_by_server.values()
     assert max(unread) <= 1.4 * min(unread)
 
 
 def test_what_was_read_is_no_queue_any_more():
     made = chooser(2)
     made.answered("i-0", CallNeed("models", (SUBJECT,)))
+    holder = made.servers("models")[0]
     for n in range(8):
-        made.reads("i-0", f"talk-{n}", 1_000)
+        made.awaits(holder, f"talk-{n}", need(f"talk-{n}"), 0.0)
     assert made.choose(need("next"), 0.0).server_id == "i-1"
     for n in range(8):
-        made.has_read("i-0", f"talk-{n}")
+        made.began("i-0", f"talk-{n}", 0.1)
     assert made.choose(need("next"), 0.0).server_id == "i-0"
 
 
@@ -60,10 +61,10 @@
     made = chooser(2)
     made.answered("i-0", CallNeed("models", (SUBJECT,)))
     long = int(PREFILL_TOKENS_PER_MS * 1_000)
-    made.on_entry_load("entry-2", {"i-0": 1}, 0.0, {"i-0": long})
+    made.on_entry_load("entry-2", {"i-0": 1}, 0.0, ServerSigns({"i-0": long}))
     assert made.choose(need("next"), 0.1).server_id == "i-1"
     assert made.choose(need("next"), 0.99).server_id == "i-0"
-    made.on_load_elsewhere(LoadElsewhere(3, {"i-0": 1}, {"i-0": long}), 1.0)
+    made.on_load_elsewhere(LoadElsewhere(3, {"i-0": 1}, ServerSigns({"i-0": long})), 1.0)
     assert made.choose(need("next"), 1.1).server_id == "i-1"
 
 
@@ -79,6 +80,9 @@
         for one in entries
         if one.availability_zone == zone and one.entry_id != collector
     )
-    digests[collector].on_entry_load(EntryLoad(other, {"s": 1}, {"s": 700}), 0.0)
-    elsewhere = digests[collector].elsewhere({"s": 2}, 0.1, {"s": 50})
-    assert (elsewhere.running_by_server, elsewhere.unread_by_server) == ({"s": 1}, {"s": 700})
+    digests[collector].on_entry_load(
+        EntryLoad(other, {"s": 1}, ServerSigns({"s": 700}, {"s": 1}, {"s": 4})), 0.0
+    )
+    elsewhere = digests[collector].elsewhere({"s": 2}, 0.1, ServerSigns({"s": 50}, {"s": 2}))
+    assert elsewhere.running_by_server == {"s": 1}
+    assert elsewhere.signs == ServerSigns({"s": 700}, {"s": 1}, {"s": 4})
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -259,15 +259,26 @@
 
 
 @record
-class EntryLoad:
-    """An entry tells the others how many calls it has running on each backend server.
+class ServerSigns:
+    """What calls show of backend servers besides their number, by server.
 
-    `unread_by_server` are the prompt tokens of calls there that have had no answer yet.
+    `unread_by_server` are the prompt tokens of calls that have had no answer yet,
+    `silent_by_server` the calls that should have had one, `answered_by_server` those that were
+    answered within the last second.
     """
 
+    unread_by_server: dict[str, int] = field(default_factory=dict)
+    silent_by_server: dict[str, int] = field(default_factory=dict)
+    answered_by_server: dict[str, int] = field(default_factory=dict)
+
+
+@record
+class EntryLoad:
+    """An entry tells the others how many calls it has running on each backend server."""
+
     entry_id: str
     running_by_server: dict[str, int]
-    unread_by_server: dict[str, int] = field(default_factory=dict)
+    signs: ServerSigns = ServerSigns()
 
 
 @record
@@ -287,7 +298,7 @@
     availability_zone: str
     entries: int
     running_by_server: dict[str, int]
-    unread_by_server: dict[str, int] = field(default_factory=dict)
+    signs: ServerSigns = ServerSigns()
 
 
 @record
@@ -296,7 +307,7 @@
 
     entries: int
     running_by_server: dict[str, int]
-    unread_by_server: dict[str, int] = field(default_factory=dict)
+    signs: ServerSigns = ServerSigns()
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -136,6 +136,7 @@
             outcome = self._try(server)
             match outcome:
                 case WholeAnswer():
+                    self._place.began()
                     self._learn_call(server)
                     self._answered(server)
                     self._place.leave()
@@ -215,7 +216,7 @@
                 continue
             if not self._report.events:
                 self._report.step("first_ms")
-                self._place.has_read()
+                self._place.began()
             self._client.send(b"".join(event.raw for event in events))
             self._report.events += len(events)
             if keeps:
@@ -253,6 +254,8 @@
         self._state.suspects.answered(self._admitted.fingerprint)
 
     def _note_not_run(self, server: BackendRecord, outcome: NotRun) -> None:
+        if outcome.full:
+            self._place.began()
         self._place.refused(reached=outcome.full)
         self._state.metrics.count("relay.not_run")
         log.info(
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -16,6 +16,7 @@
     ProgramSpent,
     RelayConfig,
     RelayDocument,
+    ServerSigns,
     SuspectCall,
     View,
     ZoneLoad,
@@ -138,7 +139,7 @@
         self._follower = follower
         self._digest = LoadDigest(context.entry_record())
         self._epoch = -1
-        self._told: tuple[dict[str, int], dict[str, int]] = ({}, {})
+        self._told: tuple[dict[str, int], ServerSigns] = ({}, ServerSigns())
         self._stopped = False
         context.hub.handle(EntryLoad, self._on_load)
         context.hub.handle(ZoneLoad, self._on_zone_load)
@@ -162,11 +163,11 @@
             rounds += 1
             self._follow_view()
             load = self._state.chooser.own_load()
-            unread = self._state.chooser.own_unread()
-            if (load, unread) == self._told and (not load or rounds % LOAD_REPEAT):
+            signs = self._state.chooser.own_signs(self._context.monotonic())
+            if (load, signs) == self._told and (not load or rounds % LOAD_REPEAT):
                 continue
-            self._told = (load, unread)
-            self._send_all(self._digest.announce(load, unread))
+            self._told = (load, signs)
+            self._send_all(self._digest.announce(load, signs))
 
     def _digest_loop(self) -> None:
         while not self._stopped:
@@ -176,10 +177,10 @@
                 continue
             now = self._context.monotonic()
             load = self._state.chooser.own_load()
-            unread = self._state.chooser.own_unread()
-            elsewhere = self._digest.elsewhere(load, now, unread)
+            signs = self._state.chooser.own_signs(now)
+            elsewhere = self._digest.elsewhere(load, now, signs)
             self._state.chooser.on_load_elsewhere(elsewhere, now)
-            self._send_all(self._digest.digests(load, now, unread))
+            self._send_all(self._digest.digests(load, now, signs))
 
     def _follow_view(self) -> None:
         view = self._follower.view
@@ -225,7 +226,7 @@
         now = self._context.monotonic()
         if self._digest.is_direct():
             self._state.chooser.on_entry_load(
-                message.entry_id, message.running_by_server, now, message.unread_by_server
+                message.entry_id, message.running_by_server, now, message.signs
             )
             return
         self._digest.on_entry_load(message, now)
--- a/libs/relay/tarragonhall_relay/_place_of_call.py
+++ b/libs/relay/tarragonhall_relay/_place_of_call.py
@@ -121,10 +121,10 @@
         self.ran_on.add(server_id)
         self._state.chooser.failed(server_id, self._state.monotonic())
 
-    def has_read(self) -> None:
+    def began(self) -> None:
         """Note that the server has begun to answer."""
         if self._place is not None:
-            self._state.places.has_read(self._place)
+            self._state.places.began(self._place)
 
     def leave(self) -> None:
         """Give the place back, if one is held."""
--- a/libs/relay/tarragonhall_relay/_places.py
+++ b/libs/relay/tarragonhall_relay/_places.py
@@ -93,12 +93,12 @@
         self._queue(service).on_end(place.queued)
         self._pump(service)
 
-    def has_read(self, place: Place) -> None:
+    def began(self, place: Place) -> None:
         """Note that the server of a place has begun to answer the call."""
-        self._chooser.has_read(place.server.server_id, place.queued.call_id)
+        self._chooser.began(place.server.server_id, place.queued.call_id, self._monotonic())
 
     def _leave(self, place: Place) -> None:
-        self.has_read(place)
+        self._chooser.left(place.server.server_id, place.queued.call_id, self._monotonic())
         self._chooser.ended(place.server.server_id, place.started_at)
 
     def _wait(self, call: QueuedCall, waiter: _Waiter) -> Place | Refusal:
@@ -148,9 +148,7 @@
         self, call: QueuedCall, server: BackendRecord, queue: PlaceQueue, now: float
     ) -> None:
         need = self._waiter_by_id[call.call_id].need
-        self._chooser.reads(
-            server.server_id, call.call_id, self._chooser.unread_tokens(server, need)
-        )
+        self._chooser.awaits(server, call.call_id, need, now)
         self._chooser.started(server.server_id, now)
         queue.placed(call)
         self._waiter_by_id.pop(call.call_id).end(Place(server, now, call))
