Take prompts that are still to be read out of the choice again: a large burst re-reads more for it

The count of silent servers stays. Its messages lose the unread tokens, and the digest keeps a test for the rest.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -19,9 +19,6 @@
 - A server that has just started, or may have while it was out of reach, gets calls up to a bound
   over all entries (`ColdServers`).
 - A server that refuses as full gets no more of this entry's calls than it runs (`ServerWindow`).
-- An engine with many places reads one prompt after the other: calls that have a place wait for
-  those before them. What each entry's calls wait for is told to the others, and what was told
-  counts for as long as the engine needs to read it.
 - An engine runs as many calls at once as it has places; the next one waits until one of them ends.
   What a place costs is learnt from how long calls run (`_service_pace`).
 - A server or zone that takes calls and answers none is found by all entries together
@@ -119,12 +116,10 @@
 class ServerLoad:
     """What this entry knows of one server from its own calls.
 
-    `started_at` are the calls under way, oldest first; `unread_by_call` the prompt tokens of those
-    that have had no answer yet.
+    `started_at` are the calls under way, oldest first.
     """
 
     started_at: list[float] = field(default_factory=list)
-    unread_by_call: dict[str, int] = field(default_factory=dict)
     failures: int = 0
     avoid_until: float = float("-inf")
     window: ServerWindow = field(default_factory=ServerWindow)
@@ -276,32 +271,7 @@
 
     def own_signs(self, now: float) -> ServerSigns:
         """Return what this entry's calls show of servers besides their number, for the others."""
-        sums = {one: sum(load.unread_by_call.values()) for one, load in self._load_by_id.items()}
-        unread = {server_id: tokens for server_id, tokens in sums.items() if tokens}
-        return ServerSigns(unread, *self.silent.own_signs(now))
-
-    def _unread_tokens(self, record: BackendRecord, need: CallNeed) -> int:
-        """Return how many tokens a server would have to read for a call."""
-        if not need.parts:
-            return 0
-        return self._missing_tokens(record.server_id, need, self._first_choice(need))
-
-    def awaits(self, record: BackendRecord, call_id: str, need: CallNeed, now: float) -> None:
-        """Note that a call is sent whose first answer is awaited."""
-        self.silent.sent(record, call_id, now)
-        tokens = self._unread_tokens(record, need)
-        if tokens:
-            self.load(record.server_id).unread_by_call[call_id] = tokens
-
-    def began(self, server_id: str, call_id: str, now: float) -> None:
-        """Note that a call has its first answer."""
-        self.silent.answered(server_id, call_id, now)
-        self.load(server_id).unread_by_call.pop(call_id, None)
-
-    def left(self, server_id: str, call_id: str, now: float) -> None:
-        """Note that a call has left its server, with an answer or without."""
-        self.silent.left(server_id, call_id, now)
-        self.load(server_id).unread_by_call.pop(call_id, None)
+        return ServerSigns(*self.silent.own_signs(now))
 
     def choose(self, need: CallNeed, now: float) -> BackendRecord | None:
         """Return the server with room that has the lowest cost; None where there is none."""
@@ -391,9 +361,7 @@
         running = load.running + self._elsewhere_by_server[record.server_id]
         cost += self._place_ms(running, record.slots, pace.run_ms)
         if need.parts:
-            unread = self._queue_tokens(record.server_id, load, now)
-            unread += self._missing_tokens(record.server_id, need, first)
-            cost += unread / PREFILL_TOKENS_PER_MS
+            cost += self._missing_tokens(record.server_id, need, first) / PREFILL_TOKENS_PER_MS
         else:
             slowness = pace.slowness(record.server_id, load.oldest_s(now), now)
             cost += pace.run_ms * (slowness - 1.0)
@@ -407,18 +375,6 @@
             cost += 1000.0 * (load.avoid_until - now) + UNHEARD_MS
         return cost
 
-    def _queue_tokens(self, server_id: str, load: ServerLoad, now: float) -> float:
-        """Return how many tokens a server probably has to read before those of another call.
-
-        What other entries have told is older the longer ago; the server has gone on reading.
-        """
-        tokens = float(sum(load.unread_by_call.values()))
-        for other in self._others_by_entry.values():
-            told = other.signs.unread_by_server.get(server_id, 0)
-            if told:
-                tokens += max(0.0, told - PREFILL_TOKENS_PER_MS * (now - other.at) * 1000)
-        return tokens
-
     def _way_ms(self, need: CallNeed) -> float:
         """Return what it costs to send a call to another zone."""
         if need.service not in self._near_by_service:
--- a/libs/decisions/tarragonhall_decisions/_load_digest.py
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -178,7 +178,6 @@
     return _Load(
         _added(one.running_by_server for one in loads),
         ServerSigns(
-            _added(one.signs.unread_by_server for one in loads),
             _added(one.signs.silent_by_server for one in loads),
             _added(one.signs.answered_by_server for one in loads),
         ),
@@ -200,7 +199,6 @@
         max(0, everywhere.entries - 1),
         _minus(everywhere.running_by_server, own),
         ServerSigns(
-            _minus(everywhere.signs.unread_by_server, signs.unread_by_server),
             _minus(everywhere.signs.silent_by_server, signs.silent_by_server),
             _minus(everywhere.signs.answered_by_server, signs.answered_by_server),
         ),
--- a/libs/decisions/tests/load_digest_tests.py
+++ b/libs/decisions/tests/load_digest_tests.py
@@ -5,7 +5,14 @@
 import pytest
 from tarragonhall_decisions import LoadDigest
 from tarragonhall_decisions._load_digest import DIRECT_ENTRIES, LOAD_VALID_S
-from tarragonhall_model import EntryLoad, EntryRecord, LoadElsewhere, ZoneLoad, encode
+from tarragonhall_model import (
+    EntryLoad,
+    EntryRecord,
+    LoadElsewhere,
+    ServerSigns,
+    ZoneLoad,
+    encode,
+)
 
 
 class Entries:
@@ -117,3 +124,23 @@
         made.round(now=2 * LOAD_VALID_S + step * 0.6)
     watcher = made.records[1].address
     assert made.elsewhere_by_address[watcher].running_by_server == made.others_of(watcher)
+
+
+def test_collectors_add_up_what_entries_see_of_silent_servers():
+    """A sum that lost them would leave each entry to find a hung server by its own calls."""
+    entries = [EntryRecord(f"e-{n}", "1", f"a:{n}", f"z-{n % 2}") for n in range(40)]
+    digests = {one.entry_id: LoadDigest(one) for one in entries}
+    for digest in digests.values():
+        digest.on_view(entries)
+    collector = next(name for name, one in digests.items() if one.is_collector())
+    zone = next(one.availability_zone for one in entries if one.entry_id == collector)
+    other = next(
+        one.entry_id
+        for one in entries
+        if one.availability_zone == zone and one.entry_id != collector
+    )
+    told = EntryLoad(other, {"s": 1}, ServerSigns({"s": 1}, {"s": 4}))
+    digests[collector].on_entry_load(told, 0.0)
+    elsewhere = digests[collector].elsewhere({"s": 2}, 0.1, ServerSigns({"s": 2}))
+    assert elsewhere.running_by_server == {"s": 1}
+    assert elsewhere.signs == ServerSigns({"s": 1}, {"s": 4})
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -262,12 +262,10 @@
 class ServerSigns:
     """What calls show of backend servers besides their number, by server.
 
-    `unread_by_server` are the prompt tokens of calls that have had no answer yet,
-    `silent_by_server` the calls that should have had one, `answered_by_server` those that were
-    answered within the last second.
+    `silent_by_server` are the calls that should have had an answer, `answered_by_server` those that
+    were answered within the last second.
     """
 
-    unread_by_server: dict[str, int] = field(default_factory=dict)
     silent_by_server: dict[str, int] = field(default_factory=dict)
     answered_by_server: dict[str, int] = field(default_factory=dict)
 
--- a/libs/relay/tarragonhall_relay/_places.py
+++ b/libs/relay/tarragonhall_relay/_places.py
@@ -95,10 +95,12 @@
 
     def began(self, place: Place) -> None:
         """Note that the server of a place has begun to answer the call."""
-        self._chooser.began(place.server.server_id, place.queued.call_id, self._monotonic())
+        self._chooser.silent.answered(
+            place.server.server_id, place.queued.call_id, self._monotonic()
+        )
 
     def _leave(self, place: Place) -> None:
-        self._chooser.left(place.server.server_id, place.queued.call_id, self._monotonic())
+        self._chooser.silent.left(place.server.server_id, place.queued.call_id, self._monotonic())
         self._chooser.ended(place.server.server_id, place.started_at)
 
     def _wait(self, call: QueuedCall, waiter: _Waiter) -> Place | Refusal:
@@ -147,8 +149,7 @@
     def _grant(
         self, call: QueuedCall, server: BackendRecord, queue: PlaceQueue, now: float
     ) -> None:
-        need = self._waiter_by_id[call.call_id].need
-        self._chooser.awaits(server, call.call_id, need, now)
+        self._chooser.silent.sent(server, call.call_id, now)
         self._chooser.started(server.server_id, now)
         queue.placed(call)
         self._waiter_by_id.pop(call.call_id).end(Place(server, now, call))
