Tell and take over changes of backend servers by the moment, not one by one

Where all servers start at once, each change looked at all servers at each entry (for reused addresses, forgotten ones and the arrangement of the choice) and went to each entry in a message of its own from each member.

Change: members gather changes for 20 ms and send each entry one message; entries gather them for 20 ms before they arrange the choice; the table looks at the addresses of changed servers alone. A server that leaves is told that it may go when the message is out, as before.

--- a/libs/control/tarragonhall_control/_backend_desk.py
+++ b/libs/control/tarragonhall_control/_backend_desk.py
@@ -8,6 +8,7 @@
 
 import eventlet
 import structlog
+from eventlet.event import Event
 from tarragonhall_decisions import Registry
 from tarragonhall_model import (
     AdoptBackend,
@@ -30,17 +31,32 @@
 # Before a leaving server is told that it may go, the other members are to have told their entries.
 # Short, since its patience ends after a second, and the promise leaves two seconds besides.
 SHARE_SECONDS = 0.4
+# Seconds in which changes are gathered for the entries: where all servers start at once, each entry
+# would else get a message for each of them from each member.
+GATHER_SECONDS = 0.02
 
 
 class BackendDesk:
     """The registry of one control member and the entries that follow it."""
 
-    __slots__ = ("_asked_at_by_link", "_member", "_registry", "_stopped")
+    __slots__ = (
+        "_asked_at_by_link",
+        "_changed_by_id",
+        "_member",
+        "_registry",
+        "_stopped",
+        "_told",
+        "_told_version",
+    )
 
     def __init__(self, member: ControlMember) -> None:
         self._member = member
         self._registry = Registry()
         self._asked_at_by_link: dict[Link, float] = {}
+        # Gathered until they are told; `_told` is sent then.
+        self._changed_by_id: dict[str, BackendRecord] = {}
+        self._told = Event()
+        self._told_version = 0
         self._stopped = False
 
     def start(self) -> None:
@@ -61,6 +77,7 @@
         if changed is not None:
             self._tell(changed)
             self._share(changed)
+            self._told.wait()
 
     def leave(self, server_id: str, born_ms: int | None) -> None:
         """Take a server's word that it leaves; return once the entries in reach were told."""
@@ -68,6 +85,7 @@
         gone = self._registry.leave(server_id, born_ms, now)
         self._tell(gone)
         self._share(gone)
+        self._told.wait()
 
     def _tell(self, record: BackendRecord) -> None:
         log.info(
@@ -80,13 +98,24 @@
             gone=record.gone,
             heard=record.heard,
         )
-        news = BackendsChanged(self._registry.version, [record])
+        if not self._changed_by_id:
+            self._told = Event()
+            eventlet.spawn_after(GATHER_SECONDS, self._tell_changes)
+        self._changed_by_id[record.server_id] = record
+
+    def _tell_changes(self) -> None:
+        """Tell the entries what has changed within a moment, in one message for each."""
+        records = list(self._changed_by_id.values())
+        self._changed_by_id.clear()
+        news = BackendsChanged(self._registry.version, records, self._told_version)
+        self._told_version = self._registry.version
         for link in list(self._asked_at_by_link):
             try:
                 link.send(news)
             except LinkError:
                 # The follower's next question brings the whole table.
                 self._asked_at_by_link.pop(link, None)
+        self._told.send()
 
     def _share(self, record: BackendRecord) -> None:
         """Have the other members tell their followers: an entry may have no link to this one."""
@@ -108,11 +137,12 @@
         now = self._member.context.monotonic()
         record = message.record
         if record.gone:
-            self._tell(self._registry.leave(record.server_id, record.born_ms or None, now))
-            return BackendAdopted()
-        changed = self._registry.hear(record, now)
+            changed = self._registry.leave(record.server_id, record.born_ms or None, now)
+        else:
+            changed = self._registry.hear(record, now)
         if changed is not None:
             self._tell(changed)
+            self._told.wait()
         return BackendAdopted()
 
     def _on_follow(self, link: Link, message: FollowBackends) -> BackendsKnown:
--- a/libs/decisions/tarragonhall_decisions/_registry.py
+++ b/libs/decisions/tarragonhall_decisions/_registry.py
@@ -122,10 +122,13 @@
     member says so. `gone` and `draining` count as soon as any member says so of this life.
     """
 
-    __slots__ = ("_by_source", "by_id")
+    __slots__ = ("_by_source", "_ids_by_address", "by_id")
 
     def __init__(self) -> None:
         self.by_id: dict[str, BackendRecord] = {}
+        # Looked up for changed servers alone: going through all of them at each change takes the
+        # square of their number where they all start at once.
+        self._ids_by_address: dict[str, set[str]] = {}
         self._by_source: dict[str, dict[str, BackendRecord]] = {}
 
     def replace_source(self, source: str, records: list[BackendRecord]) -> set[str]:
@@ -157,26 +160,29 @@
                 merged = replace(before, heard=False)
             if merged is None or merged == before:
                 continue
-            self.by_id[server_id] = merged
+            self._put(merged)
             changed.add(server_id)
-        changed |= self._drop_reused_addresses()
+        for address in {self.by_id[server_id].address for server_id in changed}:
+            changed |= self._drop_replaced_at(address)
         return changed
 
-    def _drop_reused_addresses(self) -> set[str]:
+    def _put(self, record: BackendRecord) -> None:
+        before = self.by_id.get(record.server_id)
+        if before is not None and before.address != record.address:
+            self._ids_by_address[before.address].discard(record.server_id)
+        self._ids_by_address.setdefault(record.address, set()).add(record.server_id)
+        self.by_id[record.server_id] = record
+
+    def _drop_replaced_at(self, address: str) -> set[str]:
         """Mark as gone whatever stands at the address of a server that started later."""
-        newest_by_address: dict[str, BackendRecord] = {}
-        for record in self.by_id.values():
-            if record.gone:
-                continue
-            other = newest_by_address.get(record.address)
-            if other is None or record.born_ms > other.born_ms:
-                newest_by_address[record.address] = record
-        replaced = set()
-        for server_id, record in list(self.by_id.items()):
-            if record.gone or newest_by_address[record.address] is record:
-                continue
-            self.by_id[server_id] = replace(record, gone=True)
-            replaced.add(server_id)
+        standing = [self.by_id[server_id] for server_id in self._ids_by_address[address]]
+        standing = [record for record in standing if not record.gone]
+        if len(standing) < 2:
+            return set()
+        newest = max(standing, key=lambda record: (record.born_ms, record.server_id))
+        replaced = {one.server_id for one in standing if one is not newest}
+        for server_id in replaced:
+            self._put(replace(self.by_id[server_id], gone=True))
         return replaced
 
     def forget_gone(self) -> None:
@@ -184,7 +190,7 @@
         named = {server_id for held in self._by_source.values() for server_id in held}
         for server_id in list(self.by_id):
             if server_id not in named:
-                del self.by_id[server_id]
+                self._ids_by_address[self.by_id.pop(server_id).address].discard(server_id)
 
 
 def _merged(records: list[BackendRecord]) -> BackendRecord:
--- a/libs/decisions/tests/registry_tests.py
+++ b/libs/decisions/tests/registry_tests.py
@@ -135,3 +135,29 @@
     registry.hear(replace(SERVER, warmup_ms=3_000), 0.0)
     assert registry.records(1.0)[0].warmup_ms == 2_000
     assert registry.records(4.0)[0].warmup_ms == 0
+
+
+def test_a_thousand_servers_that_start_at_once_cost_no_square_of_their_number():
+    """Each change that looks at all servers stopped entries for seconds when all had started."""
+
+    class Counting(dict):
+        looks = 0
+
+        def __getitem__(self, key):
+            Counting.looks += 1
+            return super().__getitem__(key)
+
+        def values(self):
+            Counting.looks += len(self)
+            return super().values()
+
+        def items(self):
+            Counting.looks += len(self)
+            return super().items()
+
+    table = BackendTable()
+    table.by_id = Counting()
+    for n in range(1_000):
+        record = replace(SERVER, server_id=f"i-{n}", address=f"a:{n}")
+        assert table.update_source("c-1", [record]) == {f"i-{n}"}
+    assert Counting.looks < 10_000
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -200,10 +200,11 @@
 
 @record
 class BackendsChanged:
-    """Some backend servers changed at a control member."""
+    """Some backend servers changed at a control member, after the version `base`."""
 
     version: int
     records: list[BackendRecord]
+    base: int = -1
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_following.py
+++ b/libs/relay/tarragonhall_relay/_following.py
@@ -36,6 +36,8 @@
 # Many round trips: a member that answers later is busy or gone, and the next question comes soon.
 ASK_SECONDS = 1.0
 LINK_SECONDS = 0.5
+# Seconds in which changes of servers are gathered before calls are sent by them.
+ARRANGE_SECONDS = 0.02
 # How soon a member that was just learnt of is followed.
 WATCH_SECONDS = 0.25
 # Calls run for some hundred milliseconds; told this often, the others know most of them. What has
@@ -242,7 +244,15 @@
 class BackendFollower:
     """Follows the backend servers at every control member at once."""
 
-    __slots__ = ("_context", "_followed", "_state", "_stopped", "_table", "_version_by_source")
+    __slots__ = (
+        "_arranging",
+        "_context",
+        "_followed",
+        "_state",
+        "_stopped",
+        "_table",
+        "_version_by_source",
+    )
 
     def __init__(self, context: ProcessContext, state: RelayState) -> None:
         self._context = context
@@ -250,6 +260,7 @@
         self._table = BackendTable()
         self._followed: set[str] = set()
         self._version_by_source: dict[str, int] = {}
+        self._arranging = False
         self._stopped = False
         context.hub.handle(BackendsChanged, self._on_changed)
         context.hub.on_up(self._on_link_up)
@@ -300,8 +311,8 @@
 
     def _on_changed(self, link: Link, news: BackendsChanged) -> None:
         address = link.peer.address
-        if self._version_by_source.get(address, news.version) == news.version - 1:
-            # One missed change shows as a gap; then the next question brings the whole table.
+        if self._version_by_source.get(address) == news.base:
+            # Missed changes show as a gap; then the next question brings the whole table.
             self._version_by_source[address] = news.version
         self._apply(self._table.update_source(address, news.records))
 
@@ -322,6 +333,13 @@
                     gone=record.gone,
                     heard=record.heard,
                 )
+        if not self._arranging:
+            self._arranging = True
+            eventlet.spawn_after(ARRANGE_SECONDS, self._arrange)
+
+    def _arrange(self) -> None:
+        """Hand all servers on, once for the changes of a moment: it takes a look at each."""
+        self._arranging = False
         self._table.forget_gone()
         now = self._context.monotonic()
         self._state.chooser.set_servers(list(self._table.by_id.values()), now)
