--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -224,6 +224,8 @@
 
     def is_evacuated(self, service: str) -> bool:
         """Return whether a service has servers, all of them in evacuated zones."""
+        if not self._evacuated_zones:
+            return False
         known = [record for record in self._records if record.service == service]
         return bool(known) and all(
             record.availability_zone in self._evacuated_zones for record in known
@@ -293,9 +295,7 @@
 
     def choose(self, need: CallNeed, now: float) -> BackendRecord | None:
         """Return the server with room that has the lowest cost; None where there is none."""
-        for entry_id, other in list(self._others_by_entry.items()):
-            if now - other.at > OTHERS_VALID_S:
-                self._forget_entry(entry_id)
+        self._forget_expired_loads(now)
         best: list[BackendRecord] = []
         lowest = float("inf")
         first = self._first_choice(need)
@@ -414,6 +414,18 @@
         self._elsewhere_by_server.update(load.running_by_server)
         self._tell_silence()
 
+    def _forget_expired_loads(self, now: float) -> None:
+        """Forget the loads of entries that have told nothing since."""
+        expired = [
+            entry_id
+            for entry_id, other in self._others_by_entry.items()
+            if now - other.at > OTHERS_VALID_S
+        ]
+        for entry_id in expired:
+            self._forget_entry(entry_id)
+        if expired:
+            self._tell_silence()
+
     def _tell_silence(self) -> None:
         silent: Counter[str] = Counter()
         answered: Counter[str] = Counter()
--- a/libs/decisions/tests/silent_servers_tests.py
+++ b/libs/decisions/tests/silent_servers_tests.py
@@ -102,3 +102,15 @@
         made.answered(f"i-{n % 6}", f"a-{n}", n + 1.0)
     made.sent(servers()[0], "b", 300.0)
     assert made.costs(302.0) == {}
+
+
+def test_what_was_told_long_ago_counts_no_more():
+    """Collectors fall silent themselves; a server that is well again would stay shunned for good."""
+    made = BackendChooser("tx-austin", random.Random(1))
+    made.set_servers(servers(1), 0.0)
+    signs = ServerSigns(silent_by_server={"i-0": 3})
+    made.on_load_elsewhere(LoadElsewhere(24, {}, signs), 0.0)
+    made.choose(CallNeed("models"), 0.1)
+    assert made.silent.costs(0.1)
+    made.choose(CallNeed("models"), 5.0)
+    assert not made.silent.costs(5.0)
