--- a/libs/decisions/tests/silent_servers_tests.py
+++ b/libs/decisions/tests/silent_servers_tests.py
@@ -105,7 +105,7 @@
 
 
 def test_what_was_told_long_ago_counts_no_more():
-    """Collectors fall silent themselves; a server that is well again would stay shunned for good."""
+    """Collectors fall silent themselves; a server that is well would stay shunned for good."""
     made = BackendChooser("tx-austin", random.Random(1))
     made.set_servers(servers(1), 0.0)
     signs = ServerSigns(silent_by_server={"i-0": 3})
