Keep one rule for which servers a choice may look at, and one for calls sent lately

Cause: found in reading the change again. Which servers may get calls stood twice in the chooser (arranged, and asked once more of each candidate among many); the calls to a cold server within the last second were pruned by the same loop in two places; `ColdServers` kept a zone that it never read.

Change: the servers by id are those that were arranged; `sent_lately` prunes and counts; the zone is gone from the constructor, and from the tests that passed it. Behaviour as before, assertions unchanged.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -174,7 +174,7 @@
     ) -> None:
         self._zone = availability_zone
         self._rng = rng
-        self.cold = cold or ColdServers("", availability_zone)
+        self.cold = cold or ColdServers("")
         self._records: list[BackendRecord] = []
         self._evacuated_zones: frozenset[str] = frozenset()
         self._others_by_entry: dict[str, _OtherLoad] = {}
@@ -240,7 +240,9 @@
             if record.availability_zone in self._evacuated_zones:
                 continue
             self._servers_by_service.setdefault(record.service, []).append(record)
-        self._record_by_id = {record.server_id: record for record in self._records}
+        self._record_by_id = {
+            one.server_id: one for servers in self._servers_by_service.values() for one in servers
+        }
         self._first_by_key.clear()
         self._near_by_service = {}
         self._places_by_service = {}
@@ -495,12 +497,7 @@
             if len(found) >= MOST_LOOKED_AT:
                 break
             found[record.server_id] = record
-        return [one for one in found.values() if one is not None and self._may_get_calls(one, need)]
-
-    def _may_get_calls(self, record: BackendRecord, need: CallNeed) -> bool:
-        if record.gone or record.draining or record.service != need.service:
-            return False
-        return record.availability_zone not in self._evacuated_zones
+        return [one for one in found.values() if one is not None and one.service == need.service]
 
     def _is_held(self, part: PromptPart, near: list[str] | None) -> bool:
         """Return whether a server holds a part; where the zone keeps its calls, one of `near`."""
--- a/libs/decisions/tarragonhall_decisions/_cold_servers.py
+++ b/libs/decisions/tarragonhall_decisions/_cold_servers.py
@@ -53,6 +53,12 @@
     until: float
     sent_at: deque[float] = field(default_factory=deque)
 
+    def sent_lately(self, now: float) -> int:
+        """Return how many calls were sent within the window; forget the others."""
+        while self.sent_at and now - self.sent_at[0] >= WINDOW_S:
+            self.sent_at.popleft()
+        return len(self.sent_at)
+
 
 @dataclass(slots=True, frozen=True)
 class _HeldView:
@@ -72,12 +78,10 @@
         "_share_by_key",
         "_views",
         "_warmth_by_id",
-        "_zone",
     )
 
-    def __init__(self, entry_id: str, availability_zone: str) -> None:
+    def __init__(self, entry_id: str) -> None:
         self._entry_id = entry_id
-        self._zone = availability_zone
         self._limit_by_service: dict[str, int] = {}
         # The newest view last, and those that held at some time within `VIEW_VALID_S`.
         self._views: deque[_HeldView] = deque()
@@ -142,10 +146,8 @@
             return True
         if now - self._confirmed_at > VIEW_VALID_S:
             return False
-        sent_at = self._warmth_by_id[record.server_id].sent_at
-        while sent_at and now - sent_at[0] >= WINDOW_S:
-            sent_at.popleft()
-        return len(sent_at) < self._share(record, now)
+        sent = self._warmth_by_id[record.server_id].sent_lately(now)
+        return sent < self._share(record, now)
 
     def is_user(self, record: BackendRecord) -> bool:
         """Return whether the newest view makes this entry a user of a server while it is cold."""
@@ -154,11 +156,9 @@
     def started(self, server_id: str, now: float) -> None:
         """Note that a call was sent to a server."""
         warmth = self._warmth_by_id.get(server_id)
-        if warmth is None:
-            return
-        while warmth.sent_at and now - warmth.sent_at[0] >= WINDOW_S:
-            warmth.sent_at.popleft()
-        warmth.sent_at.append(now)
+        if warmth is not None:
+            warmth.sent_lately(now)
+            warmth.sent_at.append(now)
 
     def _share(self, record: BackendRecord, now: float) -> int:
         """Return the smallest share by any view that held within `VIEW_VALID_S`."""
--- a/libs/decisions/tests/cold_servers_tests.py
+++ b/libs/decisions/tests/cold_servers_tests.py
@@ -21,7 +21,7 @@
 
 
 def cold_servers(entry: EntryRecord, view: list[EntryRecord], at: float = 0.0) -> ColdServers:
-    made = ColdServers(entry.entry_id, entry.availability_zone)
+    made = ColdServers(entry.entry_id)
     made.set_limits({"models": LIMIT})
     made.on_view(view, at)
     made.confirm(at)
@@ -160,9 +160,7 @@
         one = running.get(name)
         if action == "start" and one is None:
             # It has heard nothing yet; a stopped life has left its place in the view.
-            running[name] = _Entry(
-                records[name], ColdServers(name, records[name].availability_zone)
-            )
+            running[name] = _Entry(records[name], ColdServers(name))
             running[name].cold.set_limits({"models": LIMIT})
             running[name].cold.learn(COLD, now)
             silent_since.pop(name, None)
@@ -202,7 +200,7 @@
 def test_a_burst_leaves_cold_servers_to_their_bound_and_goes_to_the_others():
     """All engines of one zone return cold in the middle of a burst."""
     view = entries(3)
-    cold = ColdServers("e-1", "tx-waco")
+    cold = ColdServers("e-1")
     cold.set_limits({"models": LIMIT})
     cold.on_view(view, -10.0)
     cold.confirm(0.0)
--- a/libs/decisions/tests/zones_tests.py
+++ b/libs/decisions/tests/zones_tests.py
@@ -63,7 +63,7 @@
 
 def test_a_returned_zone_is_filled_by_the_bound_for_cold_servers():
     """Its servers turned cold shortly before and have not said so yet: a rush would break them."""
-    cold = ColdServers("e-1", "tx-waco")
+    cold = ColdServers("e-1")
     cold.set_limits({"models": 30})
     cold.on_view([EntryRecord("e-1", "1", "a", "tx-waco")], -5.0)
     cold.confirm(0.0)
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -90,7 +90,7 @@
         self._context = context
         self._control = control
         self._follower = RelayFollower(context)
-        cold = ColdServers(context.instance, context.availability_zone)
+        cold = ColdServers(context.instance)
         chooser = BackendChooser(context.availability_zone, context.rng, cold)
         self.state = RelayState(
             dialect=dialect,
