Take measured figures out of six comments

Cause: comments of limits and tables told what was measured (messages, look-ups, bytes, starts), which belongs to docs/design/limits.md.

Measured: lint, docs and the tests of decisions, state, consensus and relay passed.

--- a/libs/consensus/tarragonhall_consensus/_limits.py
+++ b/libs/consensus/tarragonhall_consensus/_limits.py
@@ -20,9 +20,8 @@
     # Members refuse to vote for `election_seconds` after they heard the leader. The lease ends a
     # tenth earlier, for clocks that run at different speeds.
     lease_seconds: float = 0.9
-    # Members that only apply learn of a commit with the next entries, or this much later. Telling
-    # them at once took half of all messages between members, and nobody waits for it: callers are
-    # answered by the leader.
+    # Members that only apply learn of a commit with the next entries, or this much later. Nobody
+    # waits for it: callers are answered by the leader.
     commit_notice_seconds: float = 0.02
     # Three may be lost before anyone stands for election.
     heartbeat_seconds: float = 0.25
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -74,7 +74,7 @@
 # Stands for the other entries where only the sum of their loads is known.
 ALL_OTHERS = ""
 NO_SIGNS = ServerSigns()
-# Programs and subjects in use at an entry within minutes, with room; each costs some 200 bytes.
+# Parts of prompts whose holders are remembered; the one used longest ago is forgotten first.
 REMEMBERED_PARTS = 20_000
 HOLDERS_PER_PART = 4
 # Servers of a service up to which a choice looks at each of them. Beyond, it looks at those that
@@ -178,8 +178,7 @@
         self._records: list[BackendRecord] = []
         self._evacuated_zones: frozenset[str] = frozenset()
         self._others_by_entry: dict[str, _OtherLoad] = {}
-        # Their sum, kept up: summed up anew for each server, a choice among 33 servers with 24
-        # other entries took some 800 look-ups.
+        # Their sum, kept up: a choice would else look up each server in the load of each entry.
         self._elsewhere_by_server: Counter[str] = Counter()
         self._pace_by_service: dict[str, ServicePace] = {}
         self._servers_by_service: dict[str, list[BackendRecord]] = {}
--- a/libs/decisions/tarragonhall_decisions/_cold_servers.py
+++ b/libs/decisions/tarragonhall_decisions/_cold_servers.py
@@ -33,7 +33,7 @@
 # Seconds for which a server counts as cold that returned without having said whether it is: its
 # next announcement and the way to the entries.
 DOUBT_S = 2.5
-# Cold servers whose users are kept at hand; each costs some 100 bytes.
+# Shares of this entry, by server and view, that are kept at hand.
 KEPT_SHARES = 4_096
 
 
--- a/libs/relay/tarragonhall_relay/_turns.py
+++ b/libs/relay/tarragonhall_relay/_turns.py
@@ -23,8 +23,8 @@
 
 log = structlog.get_logger(__name__)
 
-# Recent turns of the programs whose calls come through this entry. A turn is 5 kB here, and a
-# program has tens of them; without the copy each turn would carry its whole past over the network.
+# Bytes of recent turns kept at an entry for the programs whose calls come through it. Without them
+# each turn would read its whole past from the stores.
 CACHE_BYTES = 12 * 1024 * 1024
 # Reading content from memory takes milliseconds; another store member can be asked after this. A
 # store without power is asked last from then on, until it answers again.
--- a/libs/state/tarragonhall_state/_follower.py
+++ b/libs/state/tarragonhall_state/_follower.py
@@ -20,10 +20,8 @@
     apply_view_delta,
 )
 
-# A change must be in force everywhere within 5 s. A process may act on settings that were current
-# when it last asked; with a lease of 4 s it stops 1 s before the bound, whatever was lost. Its
-# heartbeats are a second apart and an election takes up to 2 s: with 3 s, entries refused callers
-# as stale after the leader was killed, although nothing had changed.
+# Seconds for which a process may act on settings that were current when it last asked. Below the
+# 5 s within which a change must be in force, above a heartbeat and an election.
 FRESHNESS_LEASE_SECONDS = 4.0
 
 
