Enforce token budgets on routes that retain no turns

Change: a call that carries a budget reserves its tokens at the stores and releases what it did not use, on every route. Without retention neither its texts nor a place in a chain are stored. Both sorts of routes draw on the budget of the same program.

--- a/libs/relay/tarragonhall_relay/_call_turn.py
+++ b/libs/relay/tarragonhall_relay/_call_turn.py
@@ -1,4 +1,8 @@
-"""The turn of one call, from the reservation of its tokens until it is stored or released."""
+"""The turn of one call, from the reservation of its tokens until it is stored or released.
+
+A call on a route that retains no turns still draws on the token budget of its program. Only the
+number of tokens is stored for it, not its texts.
+"""
 
 from __future__ import annotations
 
@@ -33,7 +37,7 @@
 
     @property
     def is_open(self) -> bool:
-        """Return whether the call is a turn that may run."""
+        """Return whether the call is a turn that may run and is to be stored."""
         return self._open_turn is not None
 
     @property
@@ -44,7 +48,7 @@
     def reject_exhausted(self, call: AdmittedCall) -> Rejection | None:
         """Return the rejection of a turn that does not fit into its program's known budget."""
         key = _key_of(call)
-        if not call.route.retained or key.token_budget is None:
+        if key.token_budget is None:
             return None
         now = self._state.monotonic()
         if self._state.exhausted_programs.exceeds_budget(
@@ -54,8 +58,8 @@
         return None
 
     def reserve(self, call: AdmittedCall, now: float) -> Rejection | None:
-        """Reserve the turn's tokens and read its history if the route retains turns."""
-        if not call.route.retained:
+        """Reserve the call's tokens, and read its history if the route retains turns."""
+        if not call.route.retained and call.facts.token_budget is None:
             return None
         self._key = _key_of(call)
         left_s = call.deadline.at - now
@@ -77,7 +81,8 @@
                 self._key = None
                 message = f"there is no turn {call.facts.previous_turn!r}"
                 return Rejection(404, RefusalCode.NOT_FOUND.value, message)
-        self._open_turn = result
+        if call.route.retained:
+            self._open_turn = result
         return None
 
     def _note_exhausted(self, spent: int) -> None:
@@ -130,7 +135,7 @@
         call.facts.attempt_id,
         call.org_id or "",
         call.facts.program_id,
-        call.facts.previous_turn,
+        call.facts.previous_turn if call.route.retained else None,
         call.facts.token_budget,
         call.facts.max_tokens,
         int(call.route.retention_s * 1000),
--- a/libs/relay/tests/relay_doubles.py
+++ b/libs/relay/tests/relay_doubles.py
@@ -89,11 +89,13 @@
         self.history = b""
         self.reserve_result = None
         self.fail_persist = False
+        self.reserved = []
         self.persisted = []
         self.released = []
         self.on_persist = lambda: None
 
     def reserve(self, key, _timeout_s):
+        self.reserved.append(key)
         if isinstance(self.reserve_result, BudgetSpent | UnknownTurn):
             return self.reserve_result
         if self.reserve_result is not None:
@@ -213,6 +215,7 @@
     Route("buy", "shop", "/buy/", CallType.NON_IDEMPOTENT, (), 3_000),
     Route("quick", "shop", "/quick/", CallType.IDEMPOTENT, (), 200),
     Route("talk", "shop", "/talk/", CallType.STREAMING, (), 3_000, retained=True, retention_s=60.0),
+    Route("tell", "shop", "/tell/", CallType.STREAMING, (), 3_000, retention_s=60.0),
 )
 
 
--- a/libs/relay/tests/turns_tests.py
+++ b/libs/relay/tests/turns_tests.py
@@ -85,3 +85,40 @@
     relay.backend(refuses)
     assert relay.call("/talk/", budget="9", most="5")[0] == 503
     assert relay.turn_store.released == [("a-1", 0)]
+
+
+def test_budget_holds_on_a_route_without_retention(relay):
+    # The tokens of routes that retain no turns were not counted, so that a program that loops
+    # there could use any number of them.
+    backend = relay.backend(
+        lambda _b, received: received.connection.sendall(stream(received, event(1), event(2)))
+    )
+    status, _headers, body = relay.call(
+        "/tell/", body=b"all of it", program="p-1", previous="x", budget="100", most="9"
+    )
+    assert (status, body) == (200, event(1) + event(2))
+    key = relay.turn_store.reserved[0]
+    assert (key.program_id, key.token_budget, key.max_tokens) == ("p-1", 100, 9)
+    assert key.previous_turn is None
+    wait_until(lambda: relay.turn_store.released == [("a-1", 2)])
+    assert relay.turn_store.persisted == []
+    relay.turn_store.reserve_result = BudgetSpent(95)
+    assert relay.call("/tell/", "a-2", program="p-1", budget="100", most="9")[0] == 402
+    assert [one.body for one in backend.received] == [b"all of it"]
+
+
+def test_exhausted_budget_is_rejected_on_both_sorts_of_routes(relay):
+    # A program's turns on routes with and without retention draw on one budget.
+    relay.backend(answers())
+    relay.turn_store.reserve_result = BudgetSpent(95)
+    assert relay.call("/talk/", program="p-1", budget="100", most="9")[0] == 402
+    relay.turn_store.reserve_result = None
+    reserved = len(relay.turn_store.reserved)
+    assert relay.call("/tell/", "a-2", program="p-1", budget="100", most="9")[0] == 402
+    assert len(relay.turn_store.reserved) == reserved
+
+
+def test_call_without_retention_and_budget_asks_no_store(relay):
+    relay.backend(lambda _b, received: received.connection.sendall(stream(received, event(1))))
+    assert relay.call("/tell/", program="p-1", most="9")[0] == 200
+    assert relay.turn_store.reserved == []
