Do not read a request from a connection that is being closed

Cause: an idle connection is checked for unread bytes and then shut down. A request that arrived in between was still read from the socket's buffer and relayed to a server, although no response could be sent.

Change: bytes that are received after the shutdown are dropped unread.

Result: the test failed before (the request reached the server) and passes now.

--- a/libs/relay/tarragonhall_relay/_client.py
+++ b/libs/relay/tarragonhall_relay/_client.py
@@ -76,6 +76,7 @@
     __slots__ = (
         "_connection",
         "_http",
+        "_is_shut_down",
         "_limits",
         "_listener",
         "_pending_throw",
@@ -90,6 +91,7 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self._listener = None
         self._pending_throw = None
+        self._is_shut_down = False
         # Whether the head of the current response was sent, and whether it is the last response.
         self.response_started = False
         self.closing = False
@@ -195,10 +197,11 @@
     def close_if_idle(self) -> None:
         """Shut the connection down unless a request is running or has begun to arrive.
 
-        A request that arrives at the same moment is not read, so its client knows that it did not
+        A request that arrives at the same moment is dropped unread, so that it certainly does not
         run.
         """
         if not self.request_pending and is_open_and_idle(self._connection):
+            self._is_shut_down = True
             with contextlib.suppress(OSError):
                 self._connection.shutdown(socket.SHUT_RDWR)
 
@@ -290,9 +293,11 @@
         """Return the next bytes, empty at the end of the connection, None on timeout."""
         with eventlet.Timeout(timeout_s, False):
             try:
-                return self._connection.recv(READ_BYTES)
+                data = self._connection.recv(READ_BYTES)
             except OSError as error:
                 raise ClientDisconnectedError(str(error)) from error
+            # Bytes that arrived before the shutdown can still be read, but no longer answered.
+            return b"" if self._is_shut_down else data
         return None
 
     def _write(self, data: bytes | None) -> None:
--- a/libs/relay/tests/clients_tests.py
+++ b/libs/relay/tests/clients_tests.py
@@ -168,3 +168,18 @@
         added[0](0)
     finally:
         hubs.get_hub = real
+
+
+def test_request_that_arrives_as_its_idle_connection_is_closed_is_not_read(relay, monkeypatch):
+    # The request arrives between the check for unread bytes and the shutdown. It was relayed to a
+    # server, and its response could not be sent.
+    backend = relay.backend(answers())
+    monkeypatch.setattr("tarragonhall_relay._client.is_open_and_idle", lambda _connection: True)
+    connection = relay.connect()
+    wait_until(lambda: relay.role._clients)
+    client = next(iter(relay.role._clients))
+    connection.sendall(request("/look/", method="GET"))
+    client.close_if_idle()
+    assert read_all(connection) == b""
+    wait_until(lambda: not relay.role._clients)
+    assert backend.received == []
