Split the choice of servers and let entries tell details of their load

Cause: the parts for deployments with competing callers and uneven servers need one place where a server is chosen and one message between entries that carries memory, pace, waiting calls and capacity.

Load messages get an optional detail whose tables are additive, so that collectors sum it as they sum running calls; an earlier version ignores it. Nothing uses them yet.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -5,11 +5,7 @@
 from tarragonhall_model import lazy_exports
 
 _NAMES_BY_MODULE = {
-    "_backend_choice": (
-        "BackendChooser",
-        "CallRequirements",
-        "PromptPart",
-    ),
+    "_backend_choice": ("BackendChooser",),
     "_bucket": (
         "Bucket",
         "SLICE_VALID_S",
@@ -19,6 +15,10 @@
         "should_move",
         "select_releases",
     ),
+    "_call_requirements": (
+        "CallRequirements",
+        "PromptPart",
+    ),
     "_cold_servers": (
         "ColdServers",
         "ColdSlack",
@@ -40,10 +40,15 @@
         "FairQueue",
         "QueuedCall",
     ),
+    "_features": (
+        "EntryCapacity",
+        "Features",
+    ),
     "_home_regions": (
         "home_zones",
         "stays_in_regions",
     ),
+    "_load_detail": ("is_empty",),
     "_load_digest": (
         "LoadDigest",
         "AddressedLoad",
--- a/libs/decisions/tarragonhall_decisions/_load_digest.py
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -18,12 +18,15 @@
 from tarragonhall_model import (
     EntryLoad,
     EntryRecord,
+    LoadDetail,
     LoadElsewhere,
     ServerSigns,
     ZoneLoad,
     fingerprint,
 )
 
+from tarragonhall_decisions._load_detail import is_empty, subtract_detail, sum_details
+
 # Up to this many entries, each sends its load to all others, which is faster than through a
 # collector.
 MAX_DIRECT_ENTRIES = 16
@@ -55,6 +58,10 @@
     signs: ServerSigns
     entries: int
     received_at: float
+    detail: LoadDetail | None = None
+
+
+NO_LOAD = _Load({}, NO_SIGNS, 0, float("-inf"))
 
 
 class LoadDigest:
@@ -97,17 +104,22 @@
 
     def on_entry_load(self, message: EntryLoad, now: float) -> None:
         """Store the load of an entry of the own zone."""
-        load = _Load(message.running_by_server, message.signs, 1, now)
+        load = _Load(message.running_by_server, message.signs, 1, now, message.detail)
         self._load_by_entry[message.entry_id] = load
 
     def on_zone_load(self, message: ZoneLoad, now: float) -> None:
         """Store the sum of another zone from one of its collectors."""
-        load = _Load(message.running_by_server, message.signs, message.entries, now)
+        load = _Load(message.running_by_server, message.signs, message.entries, now, message.detail)
         self._load_by_zone[message.availability_zone] = load
 
-    def announce(self, own: dict[str, int], signs: ServerSigns = NO_SIGNS) -> list[AddressedLoad]:
+    def announce(
+        self,
+        own: dict[str, int],
+        signs: ServerSigns = NO_SIGNS,
+        detail: LoadDetail | None = None,
+    ) -> list[AddressedLoad]:
         """Return the messages with this entry's own load."""
-        message = EntryLoad(self._own_record.entry_id, own, signs)
+        message = EntryLoad(self._own_record.entry_id, own, signs, detail)
         recipients = self._entries if self.is_direct() else self._own_collectors()
         return [
             AddressedLoad(one.address, message)
@@ -116,28 +128,32 @@
         ]
 
     def elsewhere(
-        self, own: dict[str, int], now: float, signs: ServerSigns = NO_SIGNS
+        self,
+        own: dict[str, int],
+        now: float,
+        signs: ServerSigns = NO_SIGNS,
+        detail: LoadDetail | None = None,
     ) -> LoadElsewhere:
         """Return what all others have running, as a collector knows it."""
-        zone = self._zone_sum(own, signs, now)
-        return _excluding(self._total(zone, now), own, signs)
+        load = _Load(own, signs, 1, now, detail)
+        return _excluding(self._total(self._zone_sum(load, now), now), load)
 
     def digests(
-        self, own: dict[str, int], now: float, signs: ServerSigns = NO_SIGNS
+        self,
+        own: dict[str, int],
+        now: float,
+        signs: ServerSigns = NO_SIGNS,
+        detail: LoadDetail | None = None,
     ) -> list[AddressedLoad]:
         """Return what a collector sends: its zone's sum, and the others' load to each entry."""
-        zone = self._zone_sum(own, signs, now)
+        zone = self._zone_sum(_Load(own, signs, 1, now, detail), now)
         messages = self._to_other_zones(zone) if self._is_zone_sum_due(now) else []
         total = self._total(zone, now)
         for entry in self._entries:
             if entry.availability_zone != self._own_record.availability_zone:
                 continue
-            load = self._load_by_entry.get(entry.entry_id)
-            running = load.running_by_server if load is not None else {}
-            signs_of_entry = load.signs if load is not None else NO_SIGNS
-            messages.append(
-                AddressedLoad(entry.address, _excluding(total, running, signs_of_entry))
-            )
+            load = self._load_by_entry.get(entry.entry_id, NO_LOAD)
+            messages.append(AddressedLoad(entry.address, _excluding(total, load)))
         return messages
 
     def _is_zone_sum_due(self, now: float) -> bool:
@@ -154,6 +170,7 @@
             zone.entries,
             zone.running_by_server,
             zone.signs,
+            zone.detail,
         )
         ids = [one.entry_id for one in self._own_collectors()]
         rank = ids.index(self._own_record.entry_id)
@@ -166,8 +183,8 @@
     def _own_collectors(self) -> list[EntryRecord]:
         return self._collectors_by_zone.get(self._own_record.availability_zone, [])
 
-    def _zone_sum(self, own: dict[str, int], signs: ServerSigns, now: float) -> _Load:
-        return _sum(_Load(own, signs, 1, now), _valid(self._load_by_entry, now), now)
+    def _zone_sum(self, own: _Load, now: float) -> _Load:
+        return _sum(own, _valid(self._load_by_entry, now), now)
 
     def _total(self, zone: _Load, now: float) -> _Load:
         return _sum(zone, _valid(self._load_by_zone, now), now)
@@ -191,9 +208,16 @@
         ),
         sum(one.entries for one in loads),
         now,
+        _sum_of_details(loads),
     )
 
 
+def _sum_of_details(loads: list[_Load]) -> LoadDetail | None:
+    if all(one.detail is None for one in loads):
+        return None
+    return sum_details(one.detail for one in loads)
+
+
 def _sum_counts(parts: Iterable[dict[str, int]]) -> dict[str, int]:
     total: Counter[str] = Counter()
     for one in parts:
@@ -201,15 +225,19 @@
     return dict(total)
 
 
-def _excluding(total: _Load, own: dict[str, int], signs: ServerSigns) -> LoadElsewhere:
+def _excluding(total: _Load, part: _Load) -> LoadElsewhere:
     """Return a sum without the part of one entry."""
+    detail = None
+    if total.detail is not None:
+        detail = subtract_detail(total.detail, part.detail)
     return LoadElsewhere(
         max(0, total.entries - 1),
-        _subtract_counts(total.running_by_server, own),
+        _subtract_counts(total.running_by_server, part.running_by_server),
         ServerSigns(
-            _subtract_counts(total.signs.silent_by_server, signs.silent_by_server),
-            _subtract_counts(total.signs.answered_by_server, signs.answered_by_server),
+            _subtract_counts(total.signs.silent_by_server, part.signs.silent_by_server),
+            _subtract_counts(total.signs.answered_by_server, part.signs.answered_by_server),
         ),
+        detail if detail is not None and not is_empty(detail) else None,
     )
 
 
--- a/libs/decisions/tests/backend_choice_tests.py
+++ b/libs/decisions/tests/backend_choice_tests.py
@@ -6,12 +6,9 @@
 import random
 
 from tarragonhall_decisions import BackendChooser, CallRequirements, PromptPart
-from tarragonhall_decisions._backend_choice import (
-    AVOID_S,
-    MAX_AVOID_S,
-    OTHER_LOAD_VALID_S,
-    OVERCOMMIT,
-)
+from tarragonhall_decisions._backend_choice import OVERCOMMIT
+from tarragonhall_decisions._other_loads import OTHER_LOAD_VALID_S
+from tarragonhall_decisions._server_load import AVOID_S, MAX_AVOID_S
 from tarragonhall_decisions._service_run_times import RATIO_HALF_LIFE_S
 from tarragonhall_model import BackendRecord
 
--- a/libs/decisions/tests/load_digest_tests.py
+++ b/libs/decisions/tests/load_digest_tests.py
@@ -8,10 +8,14 @@
 from tarragonhall_model import (
     EntryLoad,
     EntryRecord,
+    LoadDetail,
     LoadElsewhere,
     ServerSigns,
     ZoneLoad,
+    decode,
     encode,
+    from_plain,
+    to_plain,
 )
 
 
@@ -147,3 +151,37 @@
     elsewhere = digests[collector].elsewhere({"s": 2}, 0.1, ServerSigns({"s": 2}))
     assert elsewhere.running_by_server == {"s": 1}
     assert elsewhere.signs == ServerSigns({"s": 1}, {"s": 4})
+
+
+def test_details_of_all_other_entries_reach_each_entry():
+    # A detail that is lost in a sum, or counted twice, lets an entry send calls to a full server.
+    entries = Entries(MAX_DIRECT_ENTRIES + 8, 3)
+    details = {one.address: LoadDetail(tokens_by_server={"s": 10}) for one in entries.records}
+    for address, digest in entries.digest_by_address.items():
+        entries.deliver(digest.announce({}, detail=details[address]), 0.0)
+    for _ in range(2):
+        for address, digest in entries.digest_by_address.items():
+            if digest.is_collector():
+                messages = digest.digests({}, 0.0, detail=details[address])
+                digest._zones_sent_at = float("-inf")
+                entries.deliver(messages, 0.0)
+    others = len(entries.records) - 1
+    for message in entries.elsewhere_by_address.values():
+        assert message.detail.tokens_by_server == {"s": 10 * others}
+
+
+def test_load_of_an_earlier_version_without_detail_is_understood():
+    # During a rolling upgrade both versions run side by side.
+    plain = to_plain(EntryLoad("e-1", {"s": 1}))
+    del plain[1]["detail"]
+    assert from_plain(plain) == EntryLoad("e-1", {"s": 1})
+    assert decode(encode(EntryLoad("e-1", {}, detail=LoadDetail({"s": 5})))).detail == LoadDetail(
+        {"s": 5}
+    )
+
+
+def test_detail_costs_nothing_where_no_part_is_switched_on():
+    entries = Entries(MAX_DIRECT_ENTRIES + 8, 3)
+    entries.round(0.0)
+    entries.round(1.0)
+    assert all(one.detail is None for one in entries.elsewhere_by_address.values())
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -75,6 +75,7 @@
     """A group of equivalent backend servers; `engine` is set for model engines.
 
     A server that has just started handles `cold_calls_per_s` while it warms up; 0 means no limit.
+    `uneven` says that its servers differ in speed, so that their pace is learnt.
     """
 
     name: str
@@ -82,6 +83,7 @@
     max_connections: int = 0
     engine: EngineProfile | None = None
     cold_calls_per_s: float = 0.0
+    uneven: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -273,13 +275,41 @@
     answered_by_server: dict[str, int] = field(default_factory=dict)
 
 
+@record
+class LoadDetail:
+    """What an entry tells the others beyond its running calls, for the parts that are switched on.
+
+    Each table is additive over entries, so that collectors can add and subtract them. A class of
+    calls is `service/urgency`, and an organisation's calls of a service are `service/organisation`.
+    `tokens_by_server` is engine memory that running calls hold until their end. The pace of a
+    server is `pace_sum_by_server` over `pace_weight_by_server`, 1.0 for a server at the mean speed
+    of its service. `started_by_class` are the calls that got a slot within the last second, and
+    `wait_ms_by_class` the sum of their waits. `capacity_by_zone` is what the entries of a zone can
+    handle, in cores.
+    """
+
+    tokens_by_server: dict[str, int] = field(default_factory=dict)
+    pace_sum_by_server: dict[str, float] = field(default_factory=dict)
+    pace_weight_by_server: dict[str, float] = field(default_factory=dict)
+    waiting_by_class: dict[str, int] = field(default_factory=dict)
+    running_by_class: dict[str, int] = field(default_factory=dict)
+    started_by_class: dict[str, int] = field(default_factory=dict)
+    wait_ms_by_class: dict[str, int] = field(default_factory=dict)
+    calls_by_organisation: dict[str, int] = field(default_factory=dict)
+    capacity_by_zone: dict[str, float] = field(default_factory=dict)
+
+
 @record
 class EntryLoad:
-    """Sent by an entry to the others: its running calls by backend server."""
+    """Sent by an entry to the others: its running calls by backend server.
+
+    `detail` is None where no part that needs it is switched on, or from an earlier version.
+    """
 
     entry_id: str
     running_by_server: dict[str, int]
     signs: ServerSigns = ServerSigns()
+    detail: LoadDetail | None = None
 
 
 @record
@@ -304,6 +334,7 @@
     entries: int
     running_by_server: dict[str, int]
     signs: ServerSigns = ServerSigns()
+    detail: LoadDetail | None = None
 
 
 @record
@@ -315,6 +346,7 @@
     entries: int
     running_by_server: dict[str, int]
     signs: ServerSigns = ServerSigns()
+    detail: LoadDetail | None = None
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -8,13 +8,14 @@
 
 import eventlet
 import structlog
-from tarragonhall_decisions import AddressedLoad, BackendTable, LoadDigest
+from tarragonhall_decisions import AddressedLoad, BackendTable, LoadDigest, is_empty
 from tarragonhall_model import (
     BackendsChanged,
     EntryLoad,
     FollowBackends,
     Fresh,
     LinkError,
+    LoadDetail,
     LoadElsewhere,
     OrganisationPolicy,
     ProgramSpent,
@@ -146,7 +147,11 @@
         self._follower = follower
         self._digest = LoadDigest(context.entry_record())
         self._epoch = -1
-        self._last_sent: tuple[dict[str, int], ServerSigns] = ({}, ServerSigns())
+        self._last_sent: tuple[dict[str, int], ServerSigns, LoadDetail | None] = (
+            {},
+            ServerSigns(),
+            None,
+        )
         self._stopped = False
         context.hub.handle(EntryLoad, self._on_load)
         context.hub.handle(ZoneLoad, self._on_zone_load)
@@ -169,12 +174,16 @@
             eventlet.sleep(LOAD_INTERVAL_SECONDS)
             rounds += 1
             self._follow_view()
+            now = self._context.monotonic()
             load = self._state.chooser.own_load()
-            signs = self._state.chooser.own_signs(self._context.monotonic())
-            if (load, signs) == self._last_sent and (not load or rounds % LOAD_REPEAT_ROUNDS):
+            signs = self._state.chooser.own_signs(now)
+            detail = self._own_detail(now)
+            is_unchanged = (load, signs, detail) == self._last_sent
+            is_idle = not load and detail is None
+            if is_unchanged and (is_idle or rounds % LOAD_REPEAT_ROUNDS):
                 continue
-            self._last_sent = (load, signs)
-            self._send_all(self._digest.announce(load, signs))
+            self._last_sent = (load, signs, detail)
+            self._send_all(self._digest.announce(load, signs, detail))
 
     def _digest_loop(self) -> None:
         while not self._stopped:
@@ -185,9 +194,19 @@
             now = self._context.monotonic()
             load = self._state.chooser.own_load()
             signs = self._state.chooser.own_signs(now)
-            elsewhere = self._digest.elsewhere(load, now, signs)
+            detail = self._own_detail(now)
+            elsewhere = self._digest.elsewhere(load, now, signs, detail)
             self._state.chooser.on_load_elsewhere(elsewhere, now)
-            self._send_all(self._digest.digests(load, now, signs))
+            self._send_all(self._digest.digests(load, now, signs, detail))
+
+    def _own_detail(self, now: float) -> LoadDetail | None:
+        """Return what the parts that are switched on tell the other entries, None for nothing."""
+        if not self._state.load_reporters:
+            return None
+        detail = LoadDetail()
+        for reporter in self._state.load_reporters:
+            reporter.report_load(detail, now)
+        return None if is_empty(detail) else detail
 
     def _follow_view(self) -> None:
         view = self._follower.view
@@ -239,7 +258,7 @@
         now = self._context.monotonic()
         if self._digest.is_direct():
             self._state.chooser.on_entry_load(
-                message.entry_id, message.running_by_server, now, message.signs
+                message.entry_id, message.running_by_server, now, message.signs, message.detail
             )
             return
         self._digest.on_entry_load(message, now)
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -14,6 +14,7 @@
     ColdServers,
     ColdSlack,
     CrashSuspects,
+    Features,
     RateSlack,
 )
 from tarragonhall_model import ClientLimits
@@ -64,6 +65,7 @@
     cold_slack: ColdSlack = ColdSlack()
     rate_lease_s: float = LEASE_S
     region_by_zone: Mapping[str, str] = field(default_factory=dict)
+    features: Features = Features()
 
 
 class RelayRole:
@@ -115,6 +117,7 @@
             region_by_zone=settings.region_by_zone,
             store_zones=self._follower.store_zones,
             cold_slack=settings.cold_slack,
+            features=settings.features,
         )
         self._follower.attach(self.state)
         self._backend_follower = BackendFollower(context, self.state)
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -5,15 +5,17 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from tarragonhall_decisions import (
     BackendChooser,
     ColdSlack,
     CrashSuspects,
     ExhaustedPrograms,
+    Features,
     RetryBudget,
 )
-from tarragonhall_model import ProgramSpent
+from tarragonhall_model import LoadDetail, ProgramSpent
 from tarragonhall_rates import Rates
 from tarragonhall_wire import Metrics
 
@@ -24,13 +26,20 @@
 from tarragonhall_relay._turn_store import TurnStoreClient
 
 
+class LoadReporter(Protocol):
+    """A part that tells the other entries about this entry's load."""
+
+    def report_load(self, detail: LoadDetail, now: float) -> None:
+        """Add to the tables of `detail`, which belong to this entry; `now` in seconds."""
+
+
 @dataclass(slots=True)
 class RelayState:
     """The components that a call uses.
 
     `table` is None until the first relay document has arrived. `is_fresh` returns whether control
     has confirmed recently that it is the latest. `store_zones` returns the availability zones of
-    the stores.
+    the stores. `load_reporters` are the parts that are switched on and add to the load messages.
     """
 
     dialect: Dialect
@@ -52,6 +61,8 @@
     cold_slack: ColdSlack = ColdSlack()
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     exhausted_programs: ExhaustedPrograms = field(default_factory=ExhaustedPrograms)
+    features: Features = Features()
+    load_reporters: list[LoadReporter] = field(default_factory=list)
     table: RouteTable | None = None
     draining: bool = False
     calls_in_flight: int = 0
