Send servers that start together in few messages and only changes to entries

Cause: with 3,000 servers that start within seconds each change was forwarded to each member in a request of its own, each entry that missed one change got the whole table (450 KB, collected and encoded for it alone), and each entry applied every batch of 20 ms by visiting all servers.

Change: members forward changes in batches; an entry that follows a member gets what changed since its version, an earlier version of it the whole table as before; the table and equal messages are collected and encoded once for all links; applying changes takes a tenth of an entry's time at most. A member waits until the others told their entries, not until these have forwarded their own news, so that members do not wait for each other.

--- a/libs/control/tarragonhall_control/_backend_service.py
+++ b/libs/control/tarragonhall_control/_backend_service.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+
 import eventlet
 import structlog
 from eventlet.event import Event
@@ -31,18 +33,38 @@
 # A leaving server gets its response after the other members had this long to notify their entries.
 # Below the server's request timeout of 1 s; the server stays up for 2 s after the response.
 FORWARD_TIMEOUT_SECONDS = 0.4
-# Changes within this time share one message to each entry. Without it, when all servers start at
-# once, each entry would get a message per server from each member.
+# Changes within this time share one message to each entry and member. Without it, when all servers
+# start at once, each entry would get a message per server from each member.
 BATCH_SECONDS = 0.02
+# The warm-up times in a table grow old by as much, which stays within their tolerance.
+TABLE_VALID_SECONDS = 0.2
+
+
+@dataclass(slots=True)
+class _Batch:
+    """Changes that are sent together, and events for when that is done.
+
+    `adopted_ids` are those that another member reported; they are not sent back to the members.
+    """
+
+    record_by_id: dict[str, BackendRecord] = field(default_factory=dict)
+    adopted_ids: set[str] = field(default_factory=set)
+    entries_notified: Event = field(default_factory=Event)
+    members_notified: Event = field(default_factory=Event)
+
+    def own_records(self) -> list[BackendRecord]:
+        """Return the changes that this member was the first to learn."""
+        return [one for key, one in self.record_by_id.items() if key not in self.adopted_ids]
 
 
 class BackendService:
     """The backend registry of one control member and the entries that follow it."""
 
     __slots__ = (
-        "_changes_sent",
+        "_batch",
+        "_known_reply",
+        "_known_reply_at",
         "_member",
-        "_pending_by_id",
         "_registry",
         "_requested_at_by_link",
         "_sent_version",
@@ -53,9 +75,10 @@
         self._member = member
         self._registry = Registry()
         self._requested_at_by_link: dict[Link, float] = {}
-        # The batch of changes to send next; `_changes_sent` fires once it is sent.
-        self._pending_by_id: dict[str, BackendRecord] = {}
-        self._changes_sent = Event()
+        self._batch: _Batch | None = None
+        # The latest reply with the whole table, which many entries request at once.
+        self._known_reply: BackendsKnown | None = None
+        self._known_reply_at = float("-inf")
         self._sent_version = 0
         self._stopped = False
 
@@ -75,19 +98,16 @@
         """Process a server's announcement; return once the reachable entries were notified."""
         changed = self._registry.on_announcement(record, self._member.context.monotonic())
         if changed is not None:
-            self._queue_change(changed)
-            self._forward_to_members(changed)
-            self._changes_sent.wait()
+            self._queue_change(changed).members_notified.wait()
 
     def leave(self, server_id: str, born_ms: int | None) -> None:
         """Process a server's shutdown notice; return once the reachable entries were notified."""
         now = self._member.context.monotonic()
         gone = self._registry.mark_gone(server_id, born_ms, now)
-        self._queue_change(gone)
-        self._forward_to_members(gone)
-        self._changes_sent.wait()
+        self._queue_change(gone).members_notified.wait()
 
-    def _queue_change(self, record: BackendRecord) -> None:
+    def _queue_change(self, record: BackendRecord, adopted: bool = False) -> _Batch:
+        """Add a change to the next batch and return the batch."""
         log.info(
             "backend.changed",
             server=record.server_id,
@@ -98,15 +118,28 @@
             gone=record.gone,
             heard=record.heard,
         )
-        if not self._pending_by_id:
-            self._changes_sent = Event()
-            eventlet.spawn_after(BATCH_SECONDS, self._send_changes)
-        self._pending_by_id[record.server_id] = record
-
-    def _send_changes(self) -> None:
-        """Send the batch of changes to each entry in one message."""
-        records = list(self._pending_by_id.values())
-        self._pending_by_id.clear()
+        batch = self._batch
+        if batch is None:
+            batch = self._batch = _Batch()
+            eventlet.spawn_after(BATCH_SECONDS, self._send_batch)
+        batch.record_by_id[record.server_id] = record
+        if adopted:
+            batch.adopted_ids.add(record.server_id)
+        else:
+            batch.adopted_ids.discard(record.server_id)
+        return batch
+
+    def _send_batch(self) -> None:
+        """Send the batch of changes to each entry and each member in one message."""
+        batch, self._batch = self._batch, None
+        self._notify_entries(list(batch.record_by_id.values()))
+        batch.entries_notified.send()
+        own = batch.own_records()
+        if own:
+            self._forward_to_members(own)
+        batch.members_notified.send()
+
+    def _notify_entries(self, records: list[BackendRecord]) -> None:
         message = BackendsChanged(self._registry.version, records, self._sent_version)
         self._sent_version = self._registry.version
         for link in list(self._requested_at_by_link):
@@ -115,43 +148,58 @@
             except LinkError:
                 # The reply to the follower's next request brings the whole table.
                 self._requested_at_by_link.pop(link, None)
-        self._changes_sent.send()
 
-    def _forward_to_members(self, record: BackendRecord) -> None:
-        """Forward a change to the other members: an entry may have no link to this one."""
+    def _forward_to_members(self, records: list[BackendRecord]) -> None:
+        """Forward changes to the other members: an entry may have no link to this one."""
         waiting = []
         for address in self._member.other_addresses():
-            waiting.append(eventlet.spawn(self._forward_to, address, record))
+            waiting.append(eventlet.spawn(self._forward_to, address, records))
         with eventlet.Timeout(FORWARD_TIMEOUT_SECONDS, False):
             for one in waiting:
                 one.wait()
 
-    def _forward_to(self, address: str, record: BackendRecord) -> None:
+    def _forward_to(self, address: str, records: list[BackendRecord]) -> None:
         try:
             link = self._member.context.hub.link_to(address)
-            link.request(AdoptBackend(record), FORWARD_TIMEOUT_SECONDS)
+            link.request(AdoptBackend(records[0], records[1:]), FORWARD_TIMEOUT_SECONDS)
         except LinkError as error:
             log.debug("backend.share_failed", address=address, error=str(error))
 
     def _on_adopt(self, _link: Link, message: AdoptBackend) -> BackendAdopted:
         now = self._member.context.monotonic()
-        record = message.record
-        if record.gone:
-            changed = self._registry.mark_gone(record.server_id, record.born_ms or None, now)
-        else:
-            changed = self._registry.on_announcement(record, now)
-        if changed is not None:
-            self._queue_change(changed)
-            self._changes_sent.wait()
+        batch: _Batch | None = None
+        for record in (message.record, *message.more):
+            if record.gone:
+                changed = self._registry.mark_gone(record.server_id, record.born_ms or None, now)
+            else:
+                changed = self._registry.on_announcement(record, now)
+            if changed is not None:
+                batch = self._queue_change(changed, adopted=True)
+        if batch is not None:
+            # Waiting for the other members too would make members wait for each other.
+            batch.entries_notified.wait()
         return BackendAdopted()
 
     def _on_follow(self, link: Link, message: FollowBackends) -> BackendsKnown:
         now = self._member.context.monotonic()
         known = link in self._requested_at_by_link
         self._requested_at_by_link[link] = now
-        if known and message.version == self._registry.version:
-            return BackendsKnown(message.version, complete=False)
-        return BackendsKnown(self._registry.version, True, self._registry.records(now))
+        version = self._registry.version
+        if known and message.version == version:
+            return BackendsKnown(version, complete=False)
+        if known and message.takes_changes and 0 <= message.version < version:
+            changes = self._registry.changes_since(message.version, now)
+            return BackendsKnown(version, False, changes)
+        return self._whole_table(now)
+
+    def _whole_table(self, now: float) -> BackendsKnown:
+        """Return all records; they are collected once for entries that request them together."""
+        reply = self._known_reply
+        is_stale = now - self._known_reply_at > TABLE_VALID_SECONDS
+        if reply is None or is_stale or reply.version != self._registry.version:
+            reply = BackendsKnown(self._registry.version, True, self._registry.records(now))
+            self._known_reply, self._known_reply_at = reply, now
+        return reply
 
     def _on_link_down(self, link: Link) -> None:
         self._requested_at_by_link.pop(link, None)
--- a/libs/control/tests/relay_tests.py
+++ b/libs/control/tests/relay_tests.py
@@ -8,6 +8,7 @@
 import eventlet
 import pytest
 from tarragonhall_control import NoLeaderError
+from tarragonhall_control._backend_service import FORWARD_TIMEOUT_SECONDS
 from tarragonhall_model import (
     BackendRecord,
     BackendsChanged,
@@ -103,6 +104,61 @@
     assert link.request(FollowBackends(reply.version), 1.0).records == [received[-1]]
 
 
+def test_servers_that_start_together_reach_entries_of_another_member_in_few_messages(start_group):
+    # Thousands of servers start within seconds, also after a power loss. One message for each of
+    # them between members and to each entry would delay elections and heartbeats.
+    group = start_group("one", "two", "three")
+    context, _client = group.client("entry-1")
+    received = []
+    context.hub.handle(BackendsChanged, lambda _link, message: received.append(message.records))
+    link = context.hub.wait_for_link(group.address_by_name["three"], 2.0)
+    version = link.request(FollowBackends(takes_changes=True), 1.0).version
+    records = [
+        dataclasses.replace(SERVER, server_id=f"i-{number}", address=f"10.0.0.{number}:80")
+        for number in range(200)
+    ]
+    one = group.role_by_name["one"].backends
+    announcing = [eventlet.spawn(one.announce, record) for record in records]
+    for thread in announcing:
+        thread.wait()
+    assert sorted(one.server_id for part in received for one in part) == sorted(
+        one.server_id for one in records
+    )
+    assert len(received) < 20
+    reply = link.request(FollowBackends(version, takes_changes=True), 1.0)
+    assert (reply.complete, len(reply.records)) == (False, 200)
+    one.announce(dataclasses.replace(records[7], sequence=9, draining=True))
+    reply = link.request(FollowBackends(reply.version, takes_changes=True), 1.0)
+    assert (reply.complete, [r.server_id for r in reply.records]) == (False, ["i-7"])
+
+
+def test_an_entry_of_an_earlier_version_gets_the_whole_table(start_group):
+    # It would take a partial table for the whole one or ignore it.
+    group = start_group("one")
+    context, _client = group.client("entry-1")
+    context.hub.handle(BackendsChanged, lambda _link, _message: None)
+    link = context.hub.wait_for_link(group.address_by_name["one"], 2.0)
+    version = link.request(FollowBackends(), 1.0).version
+    group.role_by_name["one"].backends.announce(SERVER)
+    reply = link.request(FollowBackends(version), 1.0)
+    assert (reply.complete, reply.records) == (True, [SERVER])
+
+
+def test_members_that_learn_of_servers_from_each_other_do_not_wait_for_each_other(start_group):
+    # Each member forwards its own news and waits until the others have told their entries. If these
+    # waited for their own forwarding in turn, announcements would end by a timeout.
+    group = start_group("one", "two", "three")
+    started = group.role_by_name["one"].backends._member.context.monotonic()
+    waiting = []
+    for number, role in enumerate(list(group.role_by_name.values()) * 20):
+        record = dataclasses.replace(SERVER, server_id=f"i-{number}", address=f"a:{number}")
+        waiting.append(eventlet.spawn(role.backends.announce, record))
+    for thread in waiting:
+        thread.wait()
+    took_s = group.role_by_name["one"].backends._member.context.monotonic() - started
+    assert took_s < FORWARD_TIMEOUT_SECONDS
+
+
 def test_control_member_with_lost_disk_is_healed(start_group):
     group = start_group("one", "two", "three")
     for name in list(group.role_by_name):
--- a/libs/decisions/tarragonhall_decisions/_registry.py
+++ b/libs/decisions/tarragonhall_decisions/_registry.py
@@ -46,8 +46,11 @@
 
 @dataclass(slots=True)
 class _Announced:
+    """A server's latest record, when it came, and the registry's version that last changed it."""
+
     record: BackendRecord
     received_at: float
+    version: int = 0
 
 
 class Registry:
@@ -87,6 +90,18 @@
         known.received_at = now
         return self._changed(known.record)
 
+    def changes_since(self, version: int, now: float) -> list[BackendRecord]:
+        """Return the records that changed after a version, for a follower that has the others.
+
+        Servers that were forgotten since are not among them: they had been gone or silent for long,
+        and followers were told so.
+        """
+        return [
+            replace(known.record, warmup_ms=_warmup_left(known, now))
+            for known in self._known_by_id.values()
+            if known.version > version
+        ]
+
     def tick(self, now: float) -> list[BackendRecord]:
         """Return servers that became unreachable since the last tick; forget those long gone."""
         unreachable = []
@@ -112,6 +127,7 @@
 
     def _changed(self, record: BackendRecord) -> BackendRecord:
         self.version += 1
+        self._known_by_id[record.server_id].version = self.version
         return record
 
 
--- a/libs/decisions/tests/registry_tests.py
+++ b/libs/decisions/tests/registry_tests.py
@@ -161,3 +161,31 @@
         record = replace(SERVER, server_id=f"i-{n}", address=f"a:{n}")
         assert table.update_source("c-1", [record]) == {f"i-{n}"}
     assert Counting.lookups < 10_000
+
+
+def test_a_follower_that_missed_changes_gets_just_those():
+    # With thousands of servers that start within seconds, whole tables for each entry would fill
+    # the links and the memory of a member.
+    registry = Registry()
+    for number in range(3):
+        registry.on_announcement(replace(SERVER, server_id=f"i-{number}"), 0.0)
+    version = registry.version
+    registry.on_announcement(replace(SERVER, server_id="i-1", sequence=5, draining=True), 1.0)
+    registry.on_announcement(replace(SERVER, server_id="i-2", sequence=5), 1.0)
+    assert [one.server_id for one in registry.changes_since(version, 1.0)] == ["i-1"]
+    assert registry.changes_since(registry.version, 1.0) == []
+
+
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(0, 5), st.booleans()), max_size=30))
+def test_changes_since_any_version_lead_to_the_same_table(steps):
+    registry, table = Registry(), BackendTable()
+    version = 0
+    for number, sequence, follow in steps:
+        record = replace(SERVER, server_id=f"i-{number}", address=f"a:{number}", sequence=sequence)
+        registry.on_announcement(replace(record, draining=sequence == 5), 0.0)
+        if follow:
+            table.update_source("one", registry.changes_since(version, 0.0))
+            version = registry.version
+    table.update_source("one", registry.changes_since(version, 0.0))
+    known = {one.server_id: one.draining for one in registry.records(0.0)}
+    assert {key: one.draining for key, one in table.by_id.items()} == known
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -186,15 +186,19 @@
 
     Reply: `BackendsKnown`; changes follow as `BackendsChanged`. Repeated about once a second;
     `version` is that of the last reply or notification, and the reply is empty if nothing has
-    changed since.
+    changed since. `takes_changes` is false for an earlier version, which needs the whole table.
     """
 
     version: int = -1
+    takes_changes: bool = False
 
 
 @record
 class BackendsKnown:
-    """All backend servers known to a control member, or none if `version` is unchanged."""
+    """The backend servers known to a control member.
+
+    All of them if `complete`, else those that changed since the version in the request.
+    """
 
     version: int
     complete: bool
@@ -212,14 +216,18 @@
 
 @record
 class AdoptBackend:
-    """A control member reports a changed backend server; the others notify their followers."""
+    """A control member reports changed backend servers; the others notify their followers.
+
+    A member of an earlier version ignores `more`; entries hear of those from the other members.
+    """
 
     record: BackendRecord
+    more: list[BackendRecord] = field(default_factory=list)
 
 
 @record
 class BackendAdopted:
-    """The receiver has recorded the change of a backend server."""
+    """The receiver has recorded the changes of backend servers."""
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -43,6 +43,9 @@
 LINK_TIMEOUT_SECONDS = 0.5
 # Seconds for which changes of servers are collected before they apply to the choice of servers.
 UPDATE_BATCH_SECONDS = 0.02
+# Part of the time that applying changes may take. Each update visits every server, and thousands of
+# servers that start within seconds would leave no time for calls.
+MAX_UPDATE_SHARE = 0.1
 # Interval at which new control members are looked for.
 MEMBER_POLL_SECONDS = 0.25
 # Calls run for some hundred milliseconds, so at this interval the other entries know of most of
@@ -281,6 +284,7 @@
         "_stopped",
         "_table",
         "_update_scheduled",
+        "_update_took_s",
         "_version_by_source",
     )
 
@@ -291,6 +295,7 @@
         self._followed: set[str] = set()
         self._version_by_source: dict[str, int] = {}
         self._update_scheduled = False
+        self._update_took_s = 0.0
         self._stopped = False
         context.hub.handle(BackendsChanged, self._on_changed)
         context.hub.on_link_open(self._on_link_up)
@@ -330,13 +335,18 @@
         version = self._version_by_source.get(address, -1)
         try:
             link = self._context.hub.wait_for_link(address, LINK_TIMEOUT_SECONDS)
-            reply = link.request(FollowBackends(version), FOLLOW_TIMEOUT_SECONDS)
+            reply = link.request(
+                FollowBackends(version, takes_changes=True), FOLLOW_TIMEOUT_SECONDS
+            )
         except LinkError as error:
             log.debug("backends.unheard", address=address, error=str(error))
             return False
         if reply.complete:
             self._version_by_source[address] = reply.version
             self._apply(self._table.replace_source(address, reply.records))
+        elif reply.records:
+            self._version_by_source[address] = reply.version
+            self._apply(self._table.update_source(address, reply.records))
         return True
 
     def _on_changed(self, link: Link, update: BackendsChanged) -> None:
@@ -365,7 +375,8 @@
                 )
         if not self._update_scheduled:
             self._update_scheduled = True
-            eventlet.spawn_after(UPDATE_BATCH_SECONDS, self._update_servers)
+            pause_s = max(UPDATE_BATCH_SECONDS, self._update_took_s / MAX_UPDATE_SHARE)
+            eventlet.spawn_after(pause_s, self._update_servers)
 
     def _update_servers(self) -> None:
         """Pass all servers to the chooser, once for a batch of changes: it visits each server."""
@@ -373,3 +384,4 @@
         self._table.forget_gone()
         now = self._context.monotonic()
         self._state.chooser.set_servers(list(self._table.by_id.values()), now)
+        self._update_took_s = self._context.monotonic() - now
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -37,9 +37,37 @@
 
 ONE_WAY, REQUEST, REPLY, FAILURE, PING = range(5)
 
+# The first byte of an array of five items in CBOR.
+ENVELOPE_HEAD = b"\x85"
+
 Handler = Callable[["Link", object], object]
 
 
+class _LastEncoded:
+    """The encoding of the message that was sent last.
+
+    The same message often goes to many links in a row, to all followers of a member for example.
+    """
+
+    __slots__ = ("_data", "_kind", "_message")
+
+    def __init__(self) -> None:
+        self._message: object = None
+        self._data = b""
+        self._kind = ""
+
+    def encode(self, message: object) -> tuple[bytes, str]:
+        """Return the encoding of a message, which must not change any more, and its kind."""
+        if message is not self._message:
+            plain = to_plain(message)
+            self._data, self._kind = cbor2.dumps(plain), message_kind(plain)
+            self._message = message
+        return self._data, self._kind
+
+
+_last_encoded = _LastEncoded()
+
+
 class Link:
     """One connection. Messages stay in order in each direction; a closed link never reopens."""
 
@@ -86,7 +114,7 @@
 
     def send(self, message: object) -> None:
         """Queue a one-way message; whether it arrives is unknown."""
-        self._enqueue(ONE_WAY, 0, to_plain(message))
+        self._enqueue_message(ONE_WAY, 0, message)
 
     def request(self, message: object, timeout_s: float) -> object:
         """Send a request and wait for the reply."""
@@ -94,7 +122,7 @@
         waiter = Event()
         self._pending[correlation] = waiter
         try:
-            self._enqueue(REQUEST, correlation, to_plain(message))
+            self._enqueue_message(REQUEST, correlation, message)
             with eventlet.Timeout(timeout_s, False):
                 return waiter.wait()
             raise RequestTimeoutError(f"{self.peer.instance}: no reply in {timeout_s} s")
@@ -126,14 +154,27 @@
         finally:
             self.close()
 
+    def _enqueue_message(self, kind: int, correlation: int, message: object) -> None:
+        self._check_open()
+        encoded, name = _last_encoded.encode(message)
+        stamp = self._clock.now()
+        head = [cbor2.dumps(part) for part in (kind, correlation, stamp.wall_ms, stamp.counter)]
+        self._queue_data(b"".join([ENVELOPE_HEAD, *head, encoded]), name)
+
     def _enqueue(self, kind: int, correlation: int, plain: object) -> None:
+        self._check_open()
+        stamp = self._clock.now()
+        data = cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter, plain])
+        self._queue_data(data, message_kind(plain))
+
+    def _check_open(self) -> None:
         if self.closed:
             raise LinkClosedError(f"link to {self.peer.instance} is closed")
         if len(self._send_queue) >= SEND_QUEUE_MESSAGES:
             raise LinkOverloadedError(f"send queue to {self.peer.instance} is full")
-        stamp = self._clock.now()
-        data = cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter, plain])
-        self._traffic.count(message_kind(plain), len(data), self.peer.availability_zone)
+
+    def _queue_data(self, data: bytes, kind: str) -> None:
+        self._traffic.count(kind, len(data), self.peer.availability_zone)
         self._send_queue.append(data)
         self._last_sent = time.monotonic()
         self._wake_writer()
@@ -220,7 +261,7 @@
     def _reply(self, correlation: int, message: object) -> None:
         try:
             reply = self._handler(self, message)
-            self._enqueue(REPLY, correlation, to_plain(reply))
+            self._enqueue_message(REPLY, correlation, reply)
         except LinkClosedError:
             return
         except Exception as error:  # noqa: BLE001 - the peer must not wait for its timeout
--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -62,6 +62,28 @@
     assert received == list(range(200))
 
 
+def test_one_message_to_several_links_arrives_everywhere_and_between_others(start):
+    # The encoding is kept from one link to the next; a mix-up would deliver another message.
+    one = start("one")
+    received = {}
+    links = []
+    for name in ("two", "three", "four"):
+        peer = start(name)
+        received[name] = []
+        peer.hub.handle(Chunk, lambda _link, chunk, to=received[name]: to.append(chunk))
+        peer.hub.handle(QueryLiving, echo)
+        links.append(one.hub.wait_for_link(peer.link_address, 2))
+    first, second = Chunk("prog-1/1/1", 1, "x"), Chunk("prog-1/1/1", 2, "y")
+    for link in links:
+        link.send(first)
+    links[0].send(second)
+    for link in links:
+        link.send(first)
+        link.request(QueryLiving([]), 2)
+    assert received["two"] == [first, second, first]
+    assert received["three"] == received["four"] == [first, first]
+
+
 def test_a_link_that_becomes_silent_without_a_reset_is_closed_and_redialled(start):
     # A firewall between two instances drops the connection's state: packets vanish without a reset.
     # Callers would wait for the whole timeout of each call on the dead connection, while new
