--- a/libs/control/tarragonhall_control/_backend_service.py
+++ b/libs/control/tarragonhall_control/_backend_service.py
@@ -20,6 +20,7 @@
     BackendsKnown,
     FollowBackends,
     LinkError,
+    pack_records,
 )
 from tarragonhall_wire import Link
 
@@ -38,6 +39,8 @@
 BATCH_SECONDS = 0.02
 # The warm-up times in a table grow old by as much, which stays within their tolerance.
 TABLE_VALID_SECONDS = 0.2
+# Records from which a reply is packed.
+MIN_PACKED_RECORDS = 64
 
 
 @dataclass(slots=True)
@@ -189,7 +192,9 @@
             return BackendsKnown(version, complete=False)
         if known and message.takes_changes and 0 <= message.version < version:
             changes = self._registry.changes_since(message.version, now)
-            return BackendsKnown(version, False, changes)
+            return _reply_with(version, False, changes)
+        if not message.takes_changes:
+            return BackendsKnown(version, True, self._registry.records(now))
         return self._whole_table(now)
 
     def _whole_table(self, now: float) -> BackendsKnown:
@@ -197,7 +202,7 @@
         reply = self._known_reply
         is_stale = now - self._known_reply_at > TABLE_VALID_SECONDS
         if reply is None or is_stale or reply.version != self._registry.version:
-            reply = BackendsKnown(self._registry.version, True, self._registry.records(now))
+            reply = _reply_with(self._registry.version, True, self._registry.records(now))
             self._known_reply, self._known_reply_at = reply, now
         return reply
 
@@ -213,3 +218,9 @@
             for link, requested_at in list(self._requested_at_by_link.items()):
                 if now - requested_at > FOLLOWER_TIMEOUT_SECONDS:
                     del self._requested_at_by_link[link]
+
+
+def _reply_with(version: int, complete: bool, records: list[BackendRecord]) -> BackendsKnown:
+    if len(records) < MIN_PACKED_RECORDS:
+        return BackendsKnown(version, complete, records)
+    return BackendsKnown(version, complete, packed=pack_records(records))
--- a/libs/control/tests/relay_tests.py
+++ b/libs/control/tests/relay_tests.py
@@ -16,6 +16,7 @@
     EntryRecord,
     FollowBackends,
     RelayDocument,
+    encode,
 )
 from tarragonhall_state import Follower
 
@@ -126,7 +127,8 @@
     )
     assert len(received) < 20
     reply = link.request(FollowBackends(version, takes_changes=True), 1.0)
-    assert (reply.complete, len(reply.records)) == (False, 200)
+    assert (reply.complete, len(reply.unpacked())) == (False, 200)
+    assert len(encode(reply)) < 40 * 200
     one.announce(dataclasses.replace(records[7], sequence=9, draining=True))
     reply = link.request(FollowBackends(reply.version, takes_changes=True), 1.0)
     assert (reply.complete, [r.server_id for r in reply.records]) == (False, ["i-7"])
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -184,6 +184,8 @@
     SuspectCall,
     WeightedService,
     ZoneLoad,
+    pack_records,
+    unpack_records,
 )
 from tarragonhall_model._timeline import (
     QueryTimeline,
@@ -378,6 +380,7 @@
     "mutable_record",
     "new_id",
     "new_secret",
+    "pack_records",
     "parse_json",
     "record",
     "rendezvous",
@@ -385,5 +388,6 @@
     "shard_of",
     "to_plain",
     "unknown_name",
+    "unpack_records",
     "view_delta",
 ]
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -8,11 +8,18 @@
 from __future__ import annotations
 
 import enum
+import zlib
 from dataclasses import dataclass, field
 
-from tarragonhall_model._codec import record
+import cbor2
+
+from tarragonhall_model._codec import encode, from_plain, record
+from tarragonhall_model._errors import CodecError
 from tarragonhall_model._policy import Rate
 
+# Fast; records that repeat their field names still shrink to a tenth.
+PACK_LEVEL = 1
+
 
 class CallType(enum.Enum):
     """Whether a call may be repeated. Only idempotent calls may run more than once."""
@@ -197,12 +204,37 @@
 class BackendsKnown:
     """The backend servers known to a control member.
 
-    All of them if `complete`, else those that changed since the version in the request.
+    All of them if `complete`, else those that changed since the version in the request. Many are in
+    `packed` in place of `records`; `unpacked` returns them in both cases.
     """
 
     version: int
     complete: bool
     records: list[BackendRecord] = field(default_factory=list)
+    packed: bytes = b""
+
+    def unpacked(self) -> list[BackendRecord]:
+        """Return the records; raise `CodecError` if the packed ones cannot be read."""
+        return unpack_records(self.packed) if self.packed else self.records
+
+
+def pack_records(records: list[BackendRecord]) -> bytes:
+    """Encode and compress many records.
+
+    Thousands of records in the send queues of hundreds of links would fill a member's memory.
+    """
+    return zlib.compress(encode(records), PACK_LEVEL)
+
+
+def unpack_records(packed: bytes) -> list[BackendRecord]:
+    """Return the records of `pack_records`; raise `CodecError` for anything else."""
+    try:
+        plain = cbor2.loads(zlib.decompress(packed))
+    except (zlib.error, cbor2.CBORDecodeError, ValueError, EOFError) as error:
+        raise CodecError(f"not packed records: {error}") from error
+    if not isinstance(plain, list):
+        raise CodecError("expected a list of packed records")
+    return [from_plain(one) for one in plain]
 
 
 @record
--- a/libs/model/tests/codec_tests.py
+++ b/libs/model/tests/codec_tests.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from tarragonhall_model import (
     AttemptId,
+    BackendRecord,
     Budget,
     CallKind,
     CallSpec,
@@ -19,6 +20,8 @@
     encode,
     from_plain,
     mutable_record,
+    pack_records,
+    unpack_records,
 )
 
 text = st.text(max_size=20)
@@ -79,3 +82,12 @@
     shelf = Shelf({3: Turn("a", "b")})
     shelf.size = 7
     assert decode(encode(shelf)) == Shelf({3: Turn("a", "b")}, 7)
+
+
+def test_packed_records_that_are_damaged_are_refused():
+    # A table that was cut on its way must not count as an empty one.
+    packed = pack_records([BackendRecord("i-1", "desk", "a:1", "z", 6, 1, 1)])
+    assert unpack_records(packed)[0].server_id == "i-1"
+    for damaged in (packed[:-4], b"", b"\x00" + packed, pack_records({})):
+        with pytest.raises(CodecError):
+            unpack_records(damaged)
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -11,6 +11,7 @@
 from tarragonhall_decisions import AddressedLoad, BackendTable, LoadDigest, is_empty
 from tarragonhall_model import (
     BackendsChanged,
+    CodecError,
     EntryLoad,
     FollowBackends,
     Fresh,
@@ -341,12 +342,17 @@
         except LinkError as error:
             log.debug("backends.unheard", address=address, error=str(error))
             return False
+        try:
+            records = reply.unpacked()
+        except CodecError as error:
+            log.warning("backends.undecodable", address=address, error=str(error))
+            return False
         if reply.complete:
             self._version_by_source[address] = reply.version
-            self._apply(self._table.replace_source(address, reply.records))
-        elif reply.records:
+            self._apply(self._table.replace_source(address, records))
+        elif records:
             self._version_by_source[address] = reply.version
-            self._apply(self._table.update_source(address, reply.records))
+            self._apply(self._table.update_source(address, records))
         return True
 
     def _on_changed(self, link: Link, update: BackendsChanged) -> None:
