Resume streams at another server within the same response

A stream of a route with `resumable` that lost its server ended, and its program lost a whole turn. Such a stream now goes on behind the last event that reached the caller: head and proof of the first server stay, ids are checked to follow, an unfinished event is dropped, tokens count once for each event. A caller's own `Last-Event-Id` is passed on and events are expected behind it.

`_resumption` decides from the attempts, the time left and what is known of the server. Where the route allows no further server, the one that broke the stream is asked again; only if it does not accept a connection, or another server has its address, is it gone and another one asked. A silent server is checked by a connection and left if it is gone; a reachable one is left only where attempts allow it and the silence exceeds reading the prompt again.

Other routes are relayed as before. The records of a call's attempts move to `_server_records`, the events to `_stream_relay`.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -92,6 +92,15 @@
         "BackendTable",
         "Registry",
     ),
+    "_resumption": (
+        "BreakCause",
+        "BrokenStream",
+        "NextStep",
+        "SilenceLimits",
+        "after_break",
+        "first_event_silence",
+        "gap_silence",
+    ),
     "_retry": (
         "Failure",
         "Abandon",
--- a/libs/decisions/tarragonhall_decisions/_unresponsive_servers.py
+++ b/libs/decisions/tarragonhall_decisions/_unresponsive_servers.py
@@ -100,7 +100,7 @@
         if sent_at is None:
             return
         server.answered_at.append(now)
-        mean_s = self._mean_answer_s(server.service)
+        mean_s = self.mean_answer_s(server.service)
         self._mean_answer_s_by_service[server.service] = mean_s + ANSWER_SMOOTHING * (
             now - sent_at - mean_s
         )
@@ -185,8 +185,9 @@
         waiting = sum(1 for at in server.sent_at_by_call.values() if now - at > overdue_s)
         return waiting + len(server.lost_at)
 
-    def _mean_answer_s(self, service: str) -> float:
+    def mean_answer_s(self, service: str) -> float:
+        """Return the usual time until a service's servers begin to answer, in seconds."""
         return self._mean_answer_s_by_service.get(service, INITIAL_ANSWER_S)
 
     def _overdue_s(self, service: str) -> float:
-        return max(MIN_OVERDUE_S, OVERDUE_FACTOR * self._mean_answer_s(service))
+        return max(MIN_OVERDUE_S, OVERDUE_FACTOR * self.mean_answer_s(service))
--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -6,13 +6,16 @@
 
 import eventlet
 import structlog
+from tarragonhall_decisions import BreakCause
 from tarragonhall_model import BackendRecord, CallType
 
 from tarragonhall_relay._admission import AdmittedCall
 from tarragonhall_relay._backend import MAX_EXTRA_RESPONSES, BackendConnection
 from tarragonhall_relay._client import HOP_HEADERS
 from tarragonhall_relay._dialect import DispatchFacts, Headers, ResponseFacts
-from tarragonhall_relay._errors import BackendError, ResponseTimeoutError
+from tarragonhall_relay._errors import BackendError, ResponseTimeoutError, SilentServerError
+from tarragonhall_relay._events import EventError
+from tarragonhall_relay._silence import SilenceWatch
 from tarragonhall_relay._state import RelayState
 
 log = structlog.get_logger(__name__)
@@ -34,13 +37,16 @@
 
 @dataclass(slots=True, frozen=True)
 class MayHaveRun:
-    """The call may have run on this server, and there is no response that can be relayed.
+    """The call may have run on this server, and there is no whole response that can be relayed.
 
     `timed_out` means that the relay stopped waiting; this is no evidence of a fault in the call.
+    `server_gone` means that the server can no longer be reached.
     """
 
     reason: str
     timed_out: bool = False
+    server_gone: bool = False
+    cause: BreakCause = BreakCause.CUT
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +68,21 @@
     facts: ResponseFacts
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptOptions:
+    """What is special about one attempt.
+
+    `urgency` is the call's rank for a model engine; None for plain services. `answer_timeout_s`
+    bounds the wait for the response; None waits until the call's deadline. `last_event_id` asks for
+    the rest of a stream. `watch` checks the server while it is silent; None does not.
+    """
+
+    urgency: int | None = None
+    answer_timeout_s: float | None = None
+    last_event_id: int | None = None
+    watch: SilenceWatch | None = None
+
+
 Outcome = NotRun | MayHaveRun | CompleteResponse | OpenStream
 
 
@@ -70,14 +91,12 @@
     call: AdmittedCall,
     server: BackendRecord,
     body: bytes,
-    urgency: int | None,
-    answer_timeout_s: float | None = None,
+    options: AttemptOptions,
 ) -> Outcome:
     """Send a call to a server and read its response, or the head of its stream.
 
-    `answer_timeout_s` bounds the wait for the response; None waits until the call's deadline.
-    `urgency` is the call's rank for a model engine; None for plain services. The connection is
-    closed unless the outcome is an open stream or the response was read to its end.
+    The connection is closed unless the outcome is an open stream or the response was read to its
+    end.
     """
     try:
         connection = state.pool.acquire(server)
@@ -86,12 +105,11 @@
         return NotRun(str(error))
     keep_open = False
     try:
-        _send(state, call, server, body, urgency, connection)
-        timeout_error = (
-            ResponseTimeoutError(answer_timeout_s) if answer_timeout_s is not None else None
-        )
-        with eventlet.Timeout(answer_timeout_s, timeout_error):
-            outcome, facts = _read_response(state, call, connection)
+        _send(state, call, server, body, options, connection)
+        timeout_s = options.answer_timeout_s
+        timeout_error = ResponseTimeoutError(timeout_s) if timeout_s is not None else None
+        with eventlet.Timeout(timeout_s, timeout_error):
+            outcome, facts = _read_response(state, call, connection, options.watch)
         if isinstance(outcome, OpenStream):
             keep_open = True
         elif isinstance(outcome, CompleteResponse | NotRun):
@@ -99,7 +117,9 @@
             state.pool.release(connection, facts.keep_alive_s)
         return outcome
     except ResponseTimeoutError as error:
-        return MayHaveRun(str(error), timed_out=True)
+        return MayHaveRun(str(error), timed_out=True, cause=BreakCause.SILENT)
+    except SilentServerError as error:
+        return broken_stream(error)
     except BackendError as error:
         if not error.sent:
             return NotRun(str(error))
@@ -110,24 +130,40 @@
             connection.close()
 
 
+def broken_stream(error: BackendError | EventError) -> MayHaveRun:
+    """Return the outcome of a stream that an error has ended."""
+    match error:
+        case SilentServerError(server_gone=gone):
+            return MayHaveRun(str(error), timed_out=True, server_gone=gone, cause=BreakCause.SILENT)
+        case EventError():
+            return MayHaveRun(str(error), cause=BreakCause.INVALID)
+        case _:
+            return MayHaveRun(str(error))
+
+
 def _send(
     state: RelayState,
     call: AdmittedCall,
     server: BackendRecord,
     body: bytes,
-    urgency: int | None,
+    options: AttemptOptions,
     connection: BackendConnection,
 ) -> None:
     left_ms = call.deadline.left_ms(state.monotonic())
-    dispatch = DispatchFacts(call.org_id, server.server_id, left_ms, urgency)
+    dispatch = DispatchFacts(
+        call.org_id, server.server_id, left_ms, options.urgency, options.last_event_id
+    )
     headers = state.dialect.write_call(call.request.headers, dispatch)
     connection.send(call.request.method, call.request.target, headers, body)
 
 
 def _read_response(
-    state: RelayState, call: AdmittedCall, connection: BackendConnection
+    state: RelayState,
+    call: AdmittedCall,
+    connection: BackendConnection,
+    watch: SilenceWatch | None,
 ) -> tuple[Outcome, ResponseFacts]:
-    head, facts = _read_own_head(state, call, connection)
+    head, facts = _read_own_head(state, call, connection, watch)
     headers = [(name, value) for name, value in head.headers if name not in HOP_HEADERS]
     status = head.status_code
     if facts.not_executed or status == STATUS_MISDIRECTED:
@@ -145,10 +181,15 @@
     return CompleteResponse(status, headers, body), facts
 
 
-def _read_own_head(state: RelayState, call: AdmittedCall, connection: BackendConnection):
+def _read_own_head(
+    state: RelayState,
+    call: AdmittedCall,
+    connection: BackendConnection,
+    watch: SilenceWatch | None,
+):
     """Return the head of this call's own response, skipping those of other calls."""
     for _ in range(MAX_EXTRA_RESPONSES):
-        head = connection.read_head()
+        head = connection.read_head() if watch is None else watch.read(connection.read_head)
         facts = state.dialect.read_response(list(head.headers))
         if facts.attempt_id in (None, call.facts.attempt_id):
             return head, facts
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -189,6 +189,20 @@
         connection.usable_until = time.monotonic() + min(keep_s, MAX_KEEP_ALIVE_S)
         idle.append(connection)
 
+    def can_connect(self, record: BackendRecord) -> bool:
+        """Return whether a server accepts a new connection, which is kept as an idle one."""
+        try:
+            connection = self._open(record)
+        except BackendError:
+            return False
+        idle = self._idle_by_server.setdefault(record.server_id, [])
+        if len(idle) >= MAX_IDLE_PER_SERVER:
+            connection.close()
+            return True
+        connection.usable_until = time.monotonic() + DEFAULT_KEEP_ALIVE_S
+        idle.append(connection)
+        return True
+
     def close_expired(self) -> None:
         """Close the connections whose idle time is over."""
         now = time.monotonic()
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -2,14 +2,14 @@
 
 A call runs at most once for each attempt of the client. The guarantee need not outlive this
 process, so nothing is committed to the stores for it. A call is sent to another server only if a
-server said, or a failed connection proves, that it did not run, or if its route is idempotent.
+server said, or a failed connection proves, that it did not run, or if its route is idempotent or
+resumable. A resumable stream goes on at another server within the same response.
 """
 
 from __future__ import annotations
 
 import eventlet
-import structlog
-from tarragonhall_decisions import CallRequirements
+from tarragonhall_decisions import BreakCause, NextStep
 from tarragonhall_model import BackendRecord, CallType
 
 from tarragonhall_relay._admission import (
@@ -20,14 +20,17 @@
     take_rate_token,
 )
 from tarragonhall_relay._attempt import (
+    AttemptOptions,
     CompleteResponse,
     MayHaveRun,
     NotRun,
     OpenStream,
     Outcome,
+    broken_stream,
     try_server,
 )
-from tarragonhall_relay._call_slot import MAX_READY_WAIT_S, CallSlot, wait_until
+from tarragonhall_relay._call_resumption import CallResumption
+from tarragonhall_relay._call_slot import FULL_RETRY_S, MAX_READY_WAIT_S, CallSlot, wait_until
 from tarragonhall_relay._call_turn import CallTurn, count_tokens
 from tarragonhall_relay._client import ClientConnection, ClientRequest, error_body
 from tarragonhall_relay._dialect import Headers
@@ -37,11 +40,11 @@
     DeadlineExceededError,
     IncompleteResponseError,
 )
-from tarragonhall_relay._events import EventError, EventReader
+from tarragonhall_relay._events import EventError
 from tarragonhall_relay._report import CallReport
+from tarragonhall_relay._server_records import ServerRecords
 from tarragonhall_relay._state import RelayState
-
-log = structlog.get_logger(__name__)
+from tarragonhall_relay._stream_relay import StreamRelay
 
 
 class RelayedCall:
@@ -51,10 +54,13 @@
         "_admitted",
         "_arrived_at",
         "_client",
+        "_records",
         "_report",
         "_request",
+        "_resumption",
         "_slot",
         "_state",
+        "_stream",
         "_turn",
     )
 
@@ -71,7 +77,11 @@
         self._arrived_at = arrived_at
         self._admitted: AdmittedCall | None = None
         self._slot: CallSlot | None = None
+        self._records: ServerRecords | None = None
         self._report = CallReport(state, arrived_at)
+        self._stream = StreamRelay(client, self._report)
+        # None on routes whose streams cannot be resumed.
+        self._resumption: CallResumption | None = None
         self._turn = CallTurn(state)
 
     def run(self) -> None:
@@ -88,6 +98,9 @@
             return
         self._admitted = admitted
         self._slot = CallSlot(self._state, admitted, self._arrived_at)
+        self._records = ServerRecords(self._state, admitted, self._slot)
+        if admitted.route.resumable and admitted.route.call_type is CallType.STREAMING:
+            self._resumption = CallResumption(self._state, admitted, self._stream)
         left_s = admitted.deadline.at - self._state.monotonic()
         self._client.watch_for_close()
         try:
@@ -133,34 +146,62 @@
     def _serve(self) -> Rejection | None:
         """Try servers until one responds; return a rejection if none ran the call."""
         body = self._request.body
+        step = NextStep.MOVE
         while True:
-            server = self._slot.acquire(self._turn.last_server, self._turn.prompt_size(body))
-            if isinstance(server, Rejection):
-                return self._end_unplaced(server)
+            if step is NextStep.MOVE:
+                server = self._slot.acquire(self._turn.last_server, self._turn.prompt_size(body))
+                if isinstance(server, Rejection):
+                    return self._end_unplaced(server)
             outcome = self._try(server)
             match outcome:
+                case CompleteResponse(status=status) if self._client.response_started:
+                    reason = f"the server responded {status} in the middle of the stream"
+                    outcome = MayHaveRun(reason, cause=BreakCause.FAILED)
                 case CompleteResponse():
-                    self._slot.note_response()
-                    self._record_call_time(server)
-                    self._note_success(server)
-                    self._slot.release()
-                    self._client.respond(outcome.status, outcome.headers, outcome.body)
-                    self._report.end(self._admitted, outcome.status, "answered")
+                    self._respond(server, outcome)
                     return None
                 case OpenStream():
-                    self._relay_stream(server, outcome)
-                    self._report.end(self._admitted, outcome.status, "answered")
-                    return None
-                case NotRun():
-                    self._note_not_run(server, outcome)
-                case MayHaveRun(reason=reason, timed_out=timed_out):
-                    self._note_failure(server, reason, timed_out)
-                    if not self._may_run_again():
-                        self._fail(reason)
+                    outcome = self._relay_stream(server, outcome)
+                    if outcome is None:
                         return None
+                case NotRun():
+                    self._records.not_run(server, outcome)
+                    step = self._after_not_run(server, outcome, step)
+                    continue
+            self._records.failed(server, outcome)
+            step = self._after_break(server, outcome)
+            if step is NextStep.END:
+                self._fail(outcome.reason)
+                return None
+
+    def _after_not_run(self, server: BackendRecord, outcome: NotRun, step: NextStep) -> NextStep:
+        """Return how the call goes on after a server that did not run it."""
+        if step is not NextStep.SAME_SERVER:
+            return NextStep.MOVE
+        if outcome.full:
+            eventlet.sleep(FULL_RETRY_S * self._state.rng.uniform(0.7, 1.3))
+            return NextStep.SAME_SERVER
+        self._resumption.on_unreachable(server)
+        return NextStep.MOVE
+
+    def _after_break(self, server: BackendRecord, failure: MayHaveRun) -> NextStep:
+        """Return how the call goes on after a server that may have run it."""
+        if self._resumption is not None:
+            return self._resumption.after_break(server, failure)
+        return NextStep.MOVE if self._may_run_again() else NextStep.END
+
+    def _respond(self, server: BackendRecord, response: CompleteResponse) -> None:
+        self._slot.note_response()
+        self._records.call_ended(server)
+        self._records.succeeded(server)
+        self._slot.release()
+        self._client.respond(response.status, response.headers, response.body)
+        self._report.end(self._admitted, response.status, "answered")
 
     def _end_unplaced(self, rejection: Rejection) -> Rejection | None:
         """Return the rejection of a call that got no server; None if a response was sent here."""
+        if self._client.response_started:
+            raise IncompleteResponseError(f"no server for the rest: {rejection.message}")
         if self._slot.may_have_run_on:
             # One of the servers may have run it, but a rejection says that none did.
             self._fail("one server failed after it had the call, and no other one accepted it")
@@ -173,9 +214,13 @@
         self._report.attempts += 1
         self._report.server_id = server.server_id
         self._report.step("sent_ms")
-        return try_server(
-            self._state, call, server, body, self._urgency(), self._answer_timeout_s(server)
+        options = AttemptOptions(
+            self._urgency(),
+            self._answer_timeout_s(server),
+            self._stream.last_event_id if self._resumption is not None else None,
+            self._resumption.watch_head(server) if self._resumption is not None else None,
         )
+        return try_server(self._state, call, server, body, options)
 
     def _urgency(self) -> int | None:
         """Return the call's rank for a model engine; None for plain services."""
@@ -183,53 +228,41 @@
             return None
         return self._slot.rank()
 
-    def _relay_stream(self, server: BackendRecord, stream: OpenStream) -> None:
-        """Relay events as they arrive; the end is sent only once the turn is stored."""
-        connection = stream.connection
+    def _relay_stream(self, server: BackendRecord, stream: OpenStream) -> MayHaveRun | None:
+        """Relay events as they arrive; the end is sent only once the turn is stored.
+
+        Returns why the server's response broke off; None if the call has ended.
+        """
+        watch = None
+        if self._resumption is not None:
+            self._resumption.begun(server)
+            watch = self._resumption.watch_events(server)
         complete = False
         try:
-            self._report.step("head_ms")
-            self._client.begin(stream.status, stream.headers)
-            output = self._relay_events(stream)
+            self._stream.forward(stream, watch, self._turn.is_open, self._slot.note_response)
             self._report.step("whole_ms")
-            self._record_stream_time(server)
+            if self._stream.runs == 1:
+                self._records.stream_ended(server)
             self._slot.release()
             self._turn.persist(
-                self._request.body, output, self._generated_tokens(), server.server_id
+                self._request.body,
+                self._stream.output,
+                self._generated_tokens(),
+                server.server_id,
             )
             self._client.finish()
             complete = True
         except (BackendError, EventError) as error:
-            self._note_failure(server, str(error))
-            raise IncompleteResponseError(str(error)) from error
+            return broken_stream(error)
         finally:
             if complete:
-                self._state.pool.release(connection, stream.facts.keep_alive_s)
-                self._note_success(server)
+                self._state.pool.release(stream.connection, stream.facts.keep_alive_s)
+                self._records.succeeded(server)
             else:
-                connection.close()
-
-    def _relay_events(self, stream: OpenStream) -> bytes:
-        reader = EventReader()
-        output: list[bytes] = []
-        retains = self._turn.is_open
-        while True:
-            data = stream.connection.read()
-            if data is None:
-                break
-            events = reader.feed(data)
-            if not events:
-                continue
-            if not self._report.events:
-                self._report.step("first_ms")
-                self._slot.note_response()
-            self._client.send(b"".join(event.raw for event in events))
-            self._report.events += len(events)
-            if retains:
-                output.extend(event.data + b"\n" for event in events)
-        if not reader.is_complete():
-            raise EventError("the stream ended in the middle of an event")
-        return b"".join(output)
+                # The server stops before another one is asked for the rest.
+                stream.connection.close()
+        self._report.end(self._admitted, stream.status, "answered")
+        return None
 
     def _generated_tokens(self) -> int:
         service = self._state.table.service_by_name.get(self._slot.service)
@@ -241,38 +274,6 @@
             return False
         return len(self._slot.may_have_run_on) < route.max_attempts
 
-    def _record_call_time(self, server: BackendRecord) -> None:
-        """Record how long a plain call ran, for the choice of servers."""
-        self._state.retry_budget.on_success()
-        now = self._state.monotonic()
-        kind = self._admitted.route.name
-        run_ms = self._slot.held_ms(now)
-        self._state.chooser.run_times(server.service).call_ended(
-            server.server_id, kind, run_ms, now
-        )
-
-    def _record_stream_time(self, server: BackendRecord) -> None:
-        """Record how long a stream held its slot, for the choice of servers."""
-        run_ms = self._slot.held_ms(self._state.monotonic())
-        self._state.chooser.run_times(server.service).stream_ended(run_ms)
-
-    def _note_success(self, server: BackendRecord) -> None:
-        requirements = CallRequirements(server.service, self._admitted.facts.parts)
-        self._state.chooser.answered(server.server_id, requirements)
-        self._state.crash_suspects.on_response(self._admitted.fingerprint)
-
-    def _note_not_run(self, server: BackendRecord, outcome: NotRun) -> None:
-        if outcome.full:
-            self._slot.note_response()
-        self._slot.note_not_run(reachable=outcome.full)
-        self._state.metrics.count("relay.not_run")
-        log.info(
-            "call.not_run",
-            id=self._admitted.facts.attempt_id,
-            server=server.server_id,
-            reason=outcome.reason,
-        )
-
     def _answer_timeout_s(self, server: BackendRecord) -> float | None:
         """Return the seconds after which an idempotent call is sent to another server, or None.
 
@@ -291,23 +292,6 @@
         left_s = self._admitted.deadline.at - self._state.monotonic()
         return self._state.chooser.run_times(server.service).answer_timeout_s(route.name, left_s)
 
-    def _note_failure(self, server: BackendRecord, reason: str, timed_out: bool = False) -> None:
-        self._slot.note_failure()
-        if timed_out:
-            self._state.retry_budget.take()
-        else:
-            self._state.crash_suspects.on_broken_run(
-                self._admitted.fingerprint, self._state.monotonic()
-            )
-            self._state.report_suspect(self._admitted.fingerprint)
-        self._state.metrics.count("relay.may_have_run")
-        log.info(
-            "call.may_have_run",
-            id=self._admitted.facts.attempt_id,
-            server=server.server_id,
-            reason=reason,
-        )
-
     def _reject(self, rejection: Rejection) -> None:
         extra: Headers = []
         if rejection.retry_after_s is not None:
@@ -319,6 +303,8 @@
 
     def _fail(self, reason: str) -> None:
         """Respond that the call may have run and that its result is not known."""
+        if self._client.response_started:
+            raise IncompleteResponseError(reason)
         self._respond_error(502, "server_failed", reason)
         self._report.end(self._admitted, 502, reason)
 
--- /dev/null
+++ b/libs/relay/tarragonhall_relay/_call_resumption.py
@@ -0,0 +1,97 @@
+"""What one call on a resumable route needs to go on at a server after a broken stream."""
+
+from __future__ import annotations
+
+import structlog
+from tarragonhall_decisions import (
+    BreakCause,
+    BrokenStream,
+    NextStep,
+    after_break,
+    first_event_silence,
+    gap_silence,
+)
+from tarragonhall_model import BackendRecord
+
+from tarragonhall_relay._admission import AdmittedCall
+from tarragonhall_relay._attempt import MayHaveRun
+from tarragonhall_relay._silence import SilenceWatch
+from tarragonhall_relay._state import RelayState
+from tarragonhall_relay._stream_relay import StreamRelay
+
+log = structlog.get_logger(__name__)
+
+
+class CallResumption:
+    """The servers that ran a call, those of them that are gone, and why the last one broke off."""
+
+    __slots__ = ("_broken", "_call", "_gone", "_ran_on", "_state", "_stream")
+
+    def __init__(self, state: RelayState, call: AdmittedCall, stream: StreamRelay) -> None:
+        self._state = state
+        self._call = call
+        self._stream = stream
+        self._ran_on: set[str] = set()
+        self._gone: set[str] = set()
+        self._broken: tuple[str, BreakCause] | None = None
+        if call.facts.last_event_id is not None:
+            stream.expect_after(call.facts.last_event_id)
+
+    def watch_head(self, server: BackendRecord) -> SilenceWatch:
+        """Return the watch over a server that has not begun to respond."""
+        return SilenceWatch(
+            self._state.server_checks,
+            server,
+            first_event_silence(self._call.route.objective_ms),
+            lambda: server.server_id in self._state.chooser.unresponsive.costs(self._now()),
+        )
+
+    def watch_events(self, server: BackendRecord) -> SilenceWatch:
+        """Return the watch over a server in the middle of its stream."""
+        servers = len((self._ran_on | {server.server_id}) - self._gone)
+        may_move = servers < self._call.route.max_attempts
+        restart_s = self._state.chooser.unresponsive.mean_answer_s(server.service)
+        limits = gap_silence(self._call.route.gap_objective_ms, may_move, restart_s)
+        return SilenceWatch(self._state.server_checks, server, limits)
+
+    def begun(self, server: BackendRecord) -> None:
+        """Record that a server has begun to send the stream, or its rest."""
+        if self._broken is None:
+            return
+        (from_server, cause), self._broken = self._broken, None
+        self._state.metrics.count("relay.resumed", labels=(("reason", cause.value),))
+        log.info(
+            "call.resumed",
+            id=self._call.facts.attempt_id,
+            from_server=from_server,
+            server=server.server_id,
+            after_event=self._stream.last_event_id,
+            reason=cause.value,
+        )
+
+    def after_break(self, server: BackendRecord, failure: MayHaveRun) -> NextStep:
+        """Return how the call goes on after a server that ran it broke off."""
+        self._ran_on.add(server.server_id)
+        self._broken = (server.server_id, failure.cause)
+        if failure.server_gone:
+            self._gone.add(server.server_id)
+        # Its other connections may be broken as well, and a new one shows whether it is gone.
+        self._state.pool.close_idle(server.server_id)
+        now = self._now()
+        return after_break(
+            BrokenStream(
+                servers=len(self._ran_on - self._gone),
+                max_servers=self._call.route.max_attempts,
+                server_gone=failure.server_gone,
+                resumable=self._stream.is_resumable,
+                suspect=self._state.crash_suspects.is_quarantined(self._call.fingerprint, now),
+                left_s=self._call.deadline.at - now,
+            )
+        )
+
+    def on_unreachable(self, server: BackendRecord) -> None:
+        """Record that a server is gone: it refused a connection, or another has its address."""
+        self._gone.add(server.server_id)
+
+    def _now(self) -> float:
+        return self._state.monotonic()
--- a/libs/relay/tarragonhall_relay/_dialect.py
+++ b/libs/relay/tarragonhall_relay/_dialect.py
@@ -21,6 +21,7 @@
 
     `attempt_id` is the client's id of this attempt. `max_tokens` limits what the call may
     generate, `token_budget` what its whole program may. `object_key` names what the call is about.
+    A call with `last_event_id` asks for the rest of a stream behind that event.
     """
 
     attempt_id: str = ""
@@ -33,16 +34,22 @@
     parts: tuple[PromptPart, ...] = ()
     previous_turn: str | None = None
     object_key: str = ""
+    last_event_id: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
 class DispatchFacts:
-    """Facts that the relay sends to the backend server in addition to the client's headers."""
+    """Facts that the relay sends to the backend server in addition to the client's headers.
+
+    With `last_event_id` the server is asked for the events behind it; None forwards what the client
+    has sent.
+    """
 
     org_id: str | None
     server_id: str
     deadline_ms: int
     urgency: int | None = None
+    last_event_id: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/libs/relay/tarragonhall_relay/_errors.py
+++ b/libs/relay/tarragonhall_relay/_errors.py
@@ -43,5 +43,14 @@
         super().__init__(f"no response within {after_s:.3f} s", sent=True)
 
 
+class SilentServerError(BackendError):
+    """A stream has had no bytes for too long; `server_gone` if its server cannot be reached."""
+
+    def __init__(self, silent_s: float, server_gone: bool) -> None:
+        state = "cannot be reached" if server_gone else "is slow"
+        super().__init__(f"no events for {silent_s:.3f} s and the server {state}", sent=True)
+        self.server_gone = server_gone
+
+
 class IncompleteResponseError(TarragonhallError):
     """The response failed after its head was sent: only closing the connection tells the client."""
--- a/libs/relay/tarragonhall_relay/_events.py
+++ b/libs/relay/tarragonhall_relay/_events.py
@@ -28,15 +28,25 @@
 
 
 class EventReader:
-    """Splits the bytes of a stream into events and checks their order."""
+    """Splits the bytes of a stream into events and checks their order.
 
-    __slots__ = ("_buffer", "_last_id", "count")
+    `last_id` is the id of the last event; None before the first one. The first event must follow
+    it if it is given. `is_resumable` says whether a server can be asked for the rest of the stream,
+    which takes an id for each event.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_buffer", "count", "is_resumable", "last_id")
+
+    def __init__(self, last_id: int | None = None) -> None:
         self._buffer = b""
-        self._last_id: int | None = None
+        self.last_id = last_id
+        self.is_resumable = True
         self.count = 0
 
+    def drop_unfinished(self) -> None:
+        """Drop the part of an event that a server did not finish."""
+        self._buffer = b""
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that are now complete; raise `EventError` if one is out of order."""
         self._buffer += data
@@ -73,13 +83,14 @@
 
     def _check_order(self, event_id: bytes | None) -> None:
         if event_id is None:
+            self.is_resumable = False
             return
         if not event_id.isdigit():
             raise EventError(f"the event id {event_id!r} is not a number")
         number = int(event_id)
-        if self._last_id is not None and number != self._last_id + 1:
-            raise EventError(f"event {number} follows event {self._last_id}")
-        self._last_id = number
+        if self.last_id is not None and number != self.last_id + 1:
+            raise EventError(f"event {number} follows event {self.last_id}")
+        self.last_id = number
 
 
 def _end_of_event(buffer: bytes) -> int:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -31,6 +31,7 @@
     IncompleteResponseError,
 )
 from tarragonhall_relay._followers import BackendFollower, PeerUpdates, RelayFollower
+from tarragonhall_relay._silence import ServerChecks
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._sockets import set_options
 from tarragonhall_relay._state import RelayState
@@ -99,11 +100,13 @@
         self._follower = RelayFollower(context)
         cold = ColdServers(context.instance)
         chooser = BackendChooser(context.availability_zone, context.rng, cold)
+        pool = BackendPool(context.hub.traffic)
         self.state = RelayState(
             dialect=dialect,
             chooser=chooser,
             slots=SlotAllocator(chooser, context.rng, context.monotonic),
-            pool=BackendPool(context.hub.traffic),
+            pool=pool,
+            server_checks=ServerChecks(pool, context.monotonic),
             turn_store=TurnStoreClient(context, self._follower.store_addresses),
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
             crash_suspects=CrashSuspects(),
--- /dev/null
+++ b/libs/relay/tarragonhall_relay/_server_records.py
@@ -0,0 +1,76 @@
+"""What the attempts of one call tell about the servers, for later choices and for operators."""
+
+from __future__ import annotations
+
+import structlog
+from tarragonhall_decisions import CallRequirements
+from tarragonhall_model import BackendRecord
+
+from tarragonhall_relay._admission import AdmittedCall
+from tarragonhall_relay._attempt import MayHaveRun, NotRun
+from tarragonhall_relay._call_slot import CallSlot
+from tarragonhall_relay._state import RelayState
+
+log = structlog.get_logger(__name__)
+
+
+class ServerRecords:
+    """Records how the attempts of one call ended."""
+
+    __slots__ = ("_call", "_slot", "_state")
+
+    def __init__(self, state: RelayState, call: AdmittedCall, slot: CallSlot) -> None:
+        self._state = state
+        self._call = call
+        self._slot = slot
+
+    def call_ended(self, server: BackendRecord) -> None:
+        """Record how long a plain call ran."""
+        self._state.retry_budget.on_success()
+        now = self._state.monotonic()
+        run_ms = self._slot.held_ms(now)
+        self._state.chooser.run_times(server.service).call_ended(
+            server.server_id, self._call.route.name, run_ms, now
+        )
+
+    def stream_ended(self, server: BackendRecord) -> None:
+        """Record how long a stream held its slot."""
+        run_ms = self._slot.held_ms(self._state.monotonic())
+        self._state.chooser.run_times(server.service).stream_ended(run_ms)
+
+    def succeeded(self, server: BackendRecord) -> None:
+        """Record a whole response."""
+        requirements = CallRequirements(server.service, self._call.facts.parts)
+        self._state.chooser.answered(server.server_id, requirements)
+        self._state.crash_suspects.on_response(self._call.fingerprint)
+
+    def not_run(self, server: BackendRecord, outcome: NotRun) -> None:
+        """Record that a server did not run the call."""
+        if outcome.full:
+            self._slot.note_response()
+        self._slot.note_not_run(reachable=outcome.full)
+        self._state.metrics.count("relay.not_run")
+        log.info(
+            "call.not_run",
+            id=self._call.facts.attempt_id,
+            server=server.server_id,
+            reason=outcome.reason,
+        )
+
+    def failed(self, server: BackendRecord, failure: MayHaveRun) -> None:
+        """Record that a server may have run the call and gave no whole response."""
+        self._slot.note_failure()
+        if failure.timed_out:
+            self._state.retry_budget.take()
+        else:
+            self._state.crash_suspects.on_broken_run(
+                self._call.fingerprint, self._state.monotonic()
+            )
+            self._state.report_suspect(self._call.fingerprint)
+        self._state.metrics.count("relay.may_have_run")
+        log.info(
+            "call.may_have_run",
+            id=self._call.facts.attempt_id,
+            server=server.server_id,
+            reason=failure.reason,
+        )
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -22,6 +22,7 @@
 from tarragonhall_relay._backend import BackendPool
 from tarragonhall_relay._dialect import Dialect
 from tarragonhall_relay._routes import RouteTable
+from tarragonhall_relay._silence import ServerChecks
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._turn_store import TurnStoreClient
 
@@ -46,6 +47,7 @@
     chooser: BackendChooser
     slots: SlotAllocator
     pool: BackendPool
+    server_checks: ServerChecks
     turn_store: TurnStoreClient
     rates: Rates
     crash_suspects: CrashSuspects
--- /dev/null
+++ b/libs/relay/tarragonhall_relay/_stream_relay.py
@@ -0,0 +1,85 @@
+"""The events of one call's response, from one server or from several in turn.
+
+The client gets the head and proof of the first server, and each event once and in order, whichever
+server sent it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tarragonhall_relay._attempt import OpenStream
+from tarragonhall_relay._client import ClientConnection
+from tarragonhall_relay._events import EventError, EventReader
+from tarragonhall_relay._report import CallReport
+from tarragonhall_relay._silence import SilenceWatch
+
+
+class StreamRelay:
+    """Forwards events as they arrive; `output` is the data of all of them, if it is kept."""
+
+    __slots__ = ("_client", "_output", "_reader", "_report", "runs")
+
+    def __init__(self, client: ClientConnection, report: CallReport) -> None:
+        self._client = client
+        self._report = report
+        self._reader = EventReader()
+        self._output: list[bytes] = []
+        # Servers whose stream has begun.
+        self.runs = 0
+
+    def expect_after(self, last_id: int) -> None:
+        """Expect the first event to follow the one with this id, which the client has."""
+        self._reader = EventReader(last_id)
+
+    @property
+    def last_event_id(self) -> int | None:
+        """Return the id of the last event that the client has; None before the first."""
+        return self._reader.last_id
+
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether another server can be asked for the rest."""
+        return self._reader.is_resumable
+
+    @property
+    def output(self) -> bytes:
+        """Return the data of the events."""
+        return b"".join(self._output)
+
+    def forward(
+        self,
+        stream: OpenStream,
+        watch: SilenceWatch | None,
+        keeps_output: bool,
+        on_first_event: Callable[[], None],
+    ) -> None:
+        """Forward the events of one server until the end of its response.
+
+        Raises `BackendError` or `EventError` if the response has no proper end.
+        """
+        self.runs += 1
+        self._reader.drop_unfinished()
+        if not self._client.response_started:
+            self._report.step("head_ms")
+            self._client.begin(stream.status, stream.headers)
+        read = stream.connection.read
+        is_first = True
+        while True:
+            data = read() if watch is None else watch.read(read)
+            if data is None:
+                break
+            events = self._reader.feed(data)
+            if not events:
+                continue
+            if is_first:
+                is_first = False
+                on_first_event()
+            if not self._report.events:
+                self._report.step("first_ms")
+            self._client.send(b"".join(event.raw for event in events))
+            self._report.events += len(events)
+            if keeps_output:
+                self._output.extend(event.data + b"\n" for event in events)
+        if not self._reader.is_complete():
+            raise EventError("the stream ended in the middle of an event")
--- a/libs/relay/tests/relay_doubles.py
+++ b/libs/relay/tests/relay_doubles.py
@@ -38,6 +38,7 @@
 
 WAIT_SECONDS = 5.0
 KEY = "key-1"
+LAST_EVENT = b"last-event-id"
 
 
 def wait_until(condition, seconds: float = WAIT_SECONDS) -> None:
@@ -61,6 +62,7 @@
             token_budget=int(budget) if budget else None,
             max_tokens=int(by_name.get(b"most", "0")),
             previous_turn=by_name.get(b"previous"),
+            last_event_id=int(by_name[LAST_EVENT]) if LAST_EVENT in by_name else None,
         )
 
     def write_call(self, headers, dispatch):
@@ -69,6 +71,9 @@
         written.append((b"deadline", str(dispatch.deadline_ms).encode()))
         if dispatch.org_id is not None:
             written.append((b"org", dispatch.org_id.encode()))
+        if dispatch.last_event_id is not None:
+            written = [(name, value) for name, value in written if name != LAST_EVENT]
+            written.append((LAST_EVENT, str(dispatch.last_event_id).encode()))
         return written
 
     def read_response(self, headers):
@@ -216,6 +221,29 @@
     Route("quick", "shop", "/quick/", CallType.IDEMPOTENT, (), 200),
     Route("talk", "shop", "/talk/", CallType.STREAMING, (), 3_000, retained=True, retention_s=60.0),
     Route("tell", "shop", "/tell/", CallType.STREAMING, (), 3_000, retention_s=60.0),
+    Route(
+        "play",
+        "shop",
+        "/play/",
+        CallType.STREAMING,
+        (),
+        3_000,
+        objective_ms=100,
+        resumable=True,
+        gap_objective_ms=100,
+    ),
+    Route(
+        "pair",
+        "shop",
+        "/pair/",
+        CallType.STREAMING,
+        (),
+        3_000,
+        objective_ms=100,
+        max_attempts=2,
+        resumable=True,
+        gap_objective_ms=100,
+    ),
 )
 
 
