Bound what an entry holds for clients that read slowly

A response was written by the thread of its call, so that a server's slot was held for as long as the client took to read, and nothing bounded what waited for all clients together.

Bytes that a client does not take at once now wait in its `ClientWriter`, and a green thread writes them. Slot and connection of the server are released once its response is read.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -60,6 +60,12 @@
         "ModelDemand",
         "ModelOrders",
     ),
+    "_slow_readers": (
+        "ReaderLimits",
+        "SlowReader",
+        "reader_limits_for",
+        "readers_to_end",
+    ),
     "_service_queue": (
         "ServiceQueue",
         "Tier",
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -237,33 +237,33 @@
         if self._resumption is not None:
             self._resumption.begun(server)
             watch = self._resumption.watch_events(server)
-        complete = False
+        ended = False
         try:
             self._stream.forward(stream, watch, self._turn.is_open, self._slot.note_response)
-            self._report.step("whole_ms")
-            if self._stream.runs == 1:
-                self._records.stream_ended(server)
-            self._slot.release()
-            self._turn.persist(
-                self._request.body,
-                self._stream.output,
-                self._generated_tokens(),
-                server.server_id,
-            )
-            self._client.finish()
-            complete = True
+            ended = True
         except (BackendError, EventError) as error:
             return broken_stream(error)
         finally:
-            if complete:
-                self._state.pool.release(stream.connection, stream.facts.keep_alive_s)
-                self._records.succeeded(server)
-            else:
+            if not ended:
                 # The server stops before another one is asked for the rest.
                 stream.connection.close()
-        self._report.end(self._admitted, stream.status, "answered")
+        self._end_stream(server, stream)
         return None
 
+    def _end_stream(self, server: BackendRecord, stream: OpenStream) -> None:
+        """End the response once the turn is stored; the server is free while the client reads."""
+        self._report.step("whole_ms")
+        if self._stream.runs == 1:
+            self._records.stream_ended(server)
+        self._slot.release()
+        self._state.pool.release(stream.connection, stream.facts.keep_alive_s)
+        self._records.succeeded(server)
+        self._turn.persist(
+            self._request.body, self._stream.output, self._generated_tokens(), server.server_id
+        )
+        self._client.finish()
+        self._report.end(self._admitted, stream.status, "answered")
+
     def _generated_tokens(self) -> int:
         service = self._state.table.service_by_name.get(self._slot.service)
         return count_tokens(self._report.events, service)
--- a/libs/relay/tarragonhall_relay/_client.py
+++ b/libs/relay/tarragonhall_relay/_client.py
@@ -18,6 +18,7 @@
 from eventlet.green import socket
 from tarragonhall_model import ClientLimits
 
+from tarragonhall_relay._client_writer import ClientWriter, WaitingBytes
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BadRequestError, ClientDisconnectedError
 from tarragonhall_relay._routes import host_of
@@ -26,8 +27,6 @@
 READ_BYTES = 64 * 1024
 # A body arrives at once or within a few round trips; a client that pauses for longer has stopped.
 BODY_READ_TIMEOUT_S = 5.0
-# A client that accepts no bytes for so long has stopped reading, and others need its slot.
-WRITE_TIMEOUT_S = 10.0
 # After the last response, input is read and discarded for this long. Closing with unread bytes
 # resets the connection, and the client could lose a response that is still in transit.
 LINGER_S = 0.5
@@ -80,13 +79,15 @@
         "_limits",
         "_listener",
         "_pending_throw",
+        "_writer",
         "closing",
         "request_pending",
         "response_started",
     )
 
-    def __init__(self, connection, limits: ClientLimits) -> None:
+    def __init__(self, connection, limits: ClientLimits, waiting: WaitingBytes) -> None:
         self._connection = connection
+        self._writer = ClientWriter(connection, waiting)
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self._listener = None
@@ -152,7 +153,7 @@
             self._pending_throw = None
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete response."""
+        """Write a complete response, and wait until the client has taken it."""
         if _has_no_body(status):
             body = b""
             framing: Headers = []
@@ -167,6 +168,7 @@
         data += self._http.send(h11.EndOfMessage())
         self.response_started = True
         self._write(data)
+        self._writer.flush()
 
     def begin(self, status: int, headers: Headers) -> None:
         """Write the head of a response whose length is not known yet."""
@@ -182,8 +184,12 @@
         self._write(self._http.send(h11.Data(data=data)))
 
     def finish(self) -> None:
-        """End the response; it looks complete to the client only from now on."""
+        """End the response, and wait until the client has taken it.
+
+        It looks complete to the client only from now on.
+        """
         self._write(self._http.send(h11.EndOfMessage()))
+        self._writer.flush()
 
     def next_cycle(self) -> bool:
         """Prepare for the next request; return whether the connection stays open."""
@@ -208,6 +214,7 @@
     def close(self, linger: bool) -> None:
         """Close; with `linger` read on for a moment, so that the last response arrives."""
         self.stop_watching()
+        self._writer.stop()
         with contextlib.suppress(OSError):
             if linger:
                 self._connection.shutdown(socket.SHUT_WR)
@@ -219,6 +226,7 @@
     def abort(self) -> None:
         """Close at once, so that an unfinished response does not look complete."""
         self.stop_watching()
+        self._writer.stop()
         self._connection.close()
 
     def _connection_headers(self) -> Headers:
@@ -301,15 +309,8 @@
         return None
 
     def _write(self, data: bytes | None) -> None:
-        if not data:
-            return
-        try:
-            with eventlet.Timeout(
-                WRITE_TIMEOUT_S, ClientDisconnectedError("does not read its response")
-            ):
-                self._connection.sendall(data)
-        except OSError as error:
-            raise ClientDisconnectedError(str(error)) from error
+        if data:
+            self._writer.write(data)
 
     def _is_closed(self) -> bool:
         try:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -16,6 +16,7 @@
     CrashSuspects,
     Features,
     RateSlack,
+    ReaderLimits,
 )
 from tarragonhall_model import ClientLimits
 from tarragonhall_rates import Rates
@@ -24,6 +25,7 @@
 from tarragonhall_relay._backend import BackendPool
 from tarragonhall_relay._call import RelayedCall
 from tarragonhall_relay._client import ClientConnection, error_body
+from tarragonhall_relay._client_writer import WaitingBytes
 from tarragonhall_relay._dialect import Dialect
 from tarragonhall_relay._errors import (
     BadRequestError,
@@ -41,7 +43,7 @@
 
 BACKLOG = 1_024
 ACCEPT_RETRY_SECONDS = 0.05
-# Interval at which expired idle connections are closed.
+# Interval at which expired idle connections are closed and gauges are set.
 SWEEP_INTERVAL_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.02
 # The balancer checks readiness once a second and removes a process after two failures. Until then
@@ -58,7 +60,8 @@
 
     `rate_lease_s` must be the same on all entries: it is how long an owner of rates may act after
     control has confirmed it, and how long its successor waits. `region_by_zone` gives the region of
-    each availability zone, for calls that must stay in their home regions.
+    each availability zone, for calls that must stay in their home regions. `reader_limits` bound
+    what is held for clients that read slowly.
     """
 
     listen: str
@@ -67,6 +70,7 @@
     rate_lease_s: float = LEASE_S
     region_by_zone: Mapping[str, str] = field(default_factory=dict)
     features: Features = Features()
+    reader_limits: ReaderLimits = ReaderLimits()
 
 
 class RelayRole:
@@ -107,6 +111,7 @@
             slots=SlotAllocator(chooser, context.rng, context.monotonic),
             pool=pool,
             server_checks=ServerChecks(pool, context.monotonic),
+            waiting_bytes=WaitingBytes(settings.reader_limits, context.metrics, context.monotonic),
             turn_store=TurnStoreClient(context, self._follower.store_addresses),
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
             crash_suspects=CrashSuspects(),
@@ -223,7 +228,7 @@
         return table.config.limits if table is not None else ClientLimits()
 
     def _serve(self, connection) -> None:
-        client = ClientConnection(connection, self._limits())
+        client = ClientConnection(connection, self._limits(), self.state.waiting_bytes)
         self._clients.add(client)
         linger = False
         try:
@@ -274,3 +279,4 @@
         while not self._stopped:
             eventlet.sleep(SWEEP_INTERVAL_SECONDS)
             self.state.pool.close_expired()
+            self.state.waiting_bytes.report()
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -20,6 +20,7 @@
 from tarragonhall_wire import Metrics
 
 from tarragonhall_relay._backend import BackendPool
+from tarragonhall_relay._client_writer import WaitingBytes
 from tarragonhall_relay._dialect import Dialect
 from tarragonhall_relay._routes import RouteTable
 from tarragonhall_relay._silence import ServerChecks
@@ -48,6 +49,7 @@
     slots: SlotAllocator
     pool: BackendPool
     server_checks: ServerChecks
+    waiting_bytes: WaitingBytes
     turn_store: TurnStoreClient
     rates: Rates
     crash_suspects: CrashSuspects
