Ask a living server once more only, and prove that a silent one is gone

Three broken runs quarantine a request, so that a caller could no longer send its call again after two further runs at a server that resets connections. A server that lives is asked for the rest once. A silent server counts as gone if it refuses a connection or if two connections in a row get no answer: one can be lost while the link of the entry is full.

--- a/libs/decisions/tarragonhall_decisions/_resumption.py
+++ b/libs/decisions/tarragonhall_decisions/_resumption.py
@@ -29,6 +29,9 @@
 MOVE_FACTOR = 4.0
 # Multiple of the usual time to the first event that a silence must exceed for such a move.
 RESTART_FACTOR = 2.0
+# Broken runs after which a server that lives is not asked again. Three in a row quarantine the
+# request, and its caller could not send it again either.
+MAX_RUNS_AT_LIVING_SERVERS = 2
 
 
 class BreakCause(enum.Enum):
@@ -55,11 +58,13 @@
 class BrokenStream:
     """A stream without its end.
 
-    `servers` may have run it and may still exist; the last one is among them unless `server_gone`.
+    It broke off in each of `runs` runs. `servers` may have run it and may still exist; the last one
+    is among them unless `server_gone`.
     `resumable` says whether it is known at which event the rest begins. `suspect` says that the
     request seems to crash its servers.
     """
 
+    runs: int
     servers: int
     max_servers: int
     server_gone: bool
@@ -85,7 +90,7 @@
         return NextStep.END
     if stream.server_gone or stream.servers < stream.max_servers:
         return NextStep.MOVE
-    return NextStep.SAME_SERVER
+    return NextStep.SAME_SERVER if stream.runs < MAX_RUNS_AT_LIVING_SERVERS else NextStep.END
 
 
 def first_event_silence(objective_ms: int) -> SilenceLimits:
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import time
 
 import eventlet
@@ -32,6 +33,14 @@
 MAX_EXTRA_RESPONSES = 3
 
 
+class Reachability(enum.Enum):
+    """How a server reacts to a new connection. One that refuses it has ended."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+
 class BackendConnection:
     """One connection to one backend server."""
 
@@ -189,19 +198,22 @@
         connection.usable_until = time.monotonic() + min(keep_s, MAX_KEEP_ALIVE_S)
         idle.append(connection)
 
-    def can_connect(self, record: BackendRecord) -> bool:
-        """Return whether a server accepts a new connection, which is kept as an idle one."""
+    def check(self, record: BackendRecord) -> Reachability:
+        """Try a new connection to a server; it is kept as an idle one."""
         try:
             connection = self._open(record)
-        except BackendError:
-            return False
+        except BackendError as error:
+            self.close_idle(record.server_id)
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Reachability.REFUSED
+            return Reachability.NO_ANSWER
         idle = self._idle_by_server.setdefault(record.server_id, [])
         if len(idle) >= MAX_IDLE_PER_SERVER:
             connection.close()
-            return True
-        connection.usable_until = time.monotonic() + DEFAULT_KEEP_ALIVE_S
-        idle.append(connection)
-        return True
+        else:
+            connection.usable_until = time.monotonic() + DEFAULT_KEEP_ALIVE_S
+            idle.append(connection)
+        return Reachability.ACCEPTED
 
     def close_expired(self) -> None:
         """Close the connections whose idle time is over."""
--- a/libs/relay/tarragonhall_relay/_call_resumption.py
+++ b/libs/relay/tarragonhall_relay/_call_resumption.py
@@ -25,7 +25,7 @@
 class CallResumption:
     """The servers that ran a call, those of them that are gone, and why the last one broke off."""
 
-    __slots__ = ("_broken", "_call", "_gone", "_ran_on", "_state", "_stream")
+    __slots__ = ("_broken", "_call", "_gone", "_ran_on", "_runs", "_state", "_stream")
 
     def __init__(self, state: RelayState, call: AdmittedCall, stream: StreamRelay) -> None:
         self._state = state
@@ -33,6 +33,7 @@
         self._stream = stream
         self._ran_on: set[str] = set()
         self._gone: set[str] = set()
+        self._runs = 0
         self._broken: tuple[str, BreakCause] | None = None
         if call.facts.last_event_id is not None:
             stream.expect_after(call.facts.last_event_id)
@@ -71,6 +72,7 @@
 
     def after_break(self, server: BackendRecord, failure: MayHaveRun) -> NextStep:
         """Return how the call goes on after a server that ran it broke off."""
+        self._runs += 1
         self._ran_on.add(server.server_id)
         self._broken = (server.server_id, failure.cause)
         if failure.server_gone:
@@ -80,6 +82,7 @@
         now = self._now()
         return after_break(
             BrokenStream(
+                runs=self._runs,
                 servers=len(self._ran_on - self._gone),
                 max_servers=self._call.route.max_attempts,
                 server_gone=failure.server_gone,
--- a/libs/relay/tarragonhall_relay/_silence.py
+++ b/libs/relay/tarragonhall_relay/_silence.py
@@ -13,11 +13,15 @@
 from tarragonhall_decisions import SilenceLimits
 from tarragonhall_model import BackendRecord
 
-from tarragonhall_relay._backend import BackendPool
+from tarragonhall_relay._backend import BackendPool, Reachability
 from tarragonhall_relay._errors import SilentServerError
 
 # Seconds for which a check counts for the other streams of the server, which are silent as well.
 CHECK_VALID_S = 0.3
+# Checks in a row without an answer after which a server is gone. One can be lost in a link that is
+# full for a moment, and the next one follows after this many seconds.
+MAX_UNANSWERED = 2
+CHECK_AGAIN_S = 0.05
 
 Result = TypeVar("Result")
 
@@ -32,19 +36,20 @@
         self._monotonic = monotonic
         self._reached_at_by_id: dict[str, float] = {}
 
-    def can_reach(self, record: BackendRecord) -> bool:
-        """Return whether a server accepts connections; wait for up to the connect timeout."""
+    def check(self, record: BackendRecord) -> Reachability:
+        """Return how a server reacts to a connection; wait for up to the connect timeout."""
         now = self._monotonic()
         if now - self._reached_at_by_id.get(record.server_id, float("-inf")) < CHECK_VALID_S:
-            return True
-        if not self._pool.can_connect(record):
-            self._pool.close_idle(record.server_id)
-            return False
-        self._reached_at_by_id = {
-            server_id: at for server_id, at in self._reached_at_by_id.items() if now - at < 1.0
-        }
-        self._reached_at_by_id[record.server_id] = now
-        return True
+            return Reachability.ACCEPTED
+        result = self._pool.check(record)
+        if result is Reachability.ACCEPTED:
+            self._reached_at_by_id = {
+                server_id: at
+                for server_id, at in self._reached_at_by_id.items()
+                if now - at < CHECK_VALID_S
+            }
+            self._reached_at_by_id[record.server_id] = now
+        return result
 
 
 class SilenceWatch:
@@ -70,10 +75,11 @@
     def read(self, read: Callable[[], Result]) -> Result:
         """Return the result of `read`, which blocks until bytes arrive.
 
-        Raises `SilentServerError` if the server is gone or has been silent for too long. The server
-        is checked again each time that the silence has doubled.
+        Raises `SilentServerError` if the server is gone or has been silent for too long. A server
+        that accepts connections is checked again each time that the silence has doubled.
         """
         silent_s = 0.0
+        unanswered = 0
         pause_s = self._limits.check_after_s
         while True:
             with eventlet.Timeout(pause_s, False):
@@ -84,6 +90,14 @@
                 raise SilentServerError(silent_s, server_gone=False)
             if not self._is_suspect():
                 continue
-            if not self._checks.can_reach(self._record):
+            match self._checks.check(self._record):
+                case Reachability.ACCEPTED:
+                    unanswered = 0
+                    pause_s = silent_s
+                case Reachability.NO_ANSWER:
+                    unanswered += 1
+                    pause_s = CHECK_AGAIN_S
+                case Reachability.REFUSED:
+                    unanswered = MAX_UNANSWERED
+            if unanswered >= MAX_UNANSWERED:
                 raise SilentServerError(silent_s, server_gone=True)
-            pause_s = silent_s
--- a/libs/relay/tests/resumption_tests.py
+++ b/libs/relay/tests/resumption_tests.py
@@ -14,6 +14,7 @@
     stream,
     wait_until,
 )
+from tarragonhall_relay._backend import BackendPool, Reachability
 
 EVENTS = [event(number, f"word {number}") for number in range(1, 6)]
 
@@ -159,6 +160,31 @@
     assert sorted(len(one.received) for one in servers) == [1, 1]
 
 
+def test_silent_server_whose_connections_get_no_answer_is_left(relay, monkeypatch):
+    # A machine loses its power or its link: nothing refuses a connection. One check without an
+    # answer proves nothing, since the entry's own link may be full for a moment.
+    checks = []
+
+    def check(record):
+        checks.append(record.server_id)
+        return Reachability.NO_ANSWER
+
+    def script(_backend, received):
+        if received.header("last-event-id") is None:
+            received.connection.sendall(stream(received, *EVENTS[:2], end=False))
+            eventlet.sleep(2)
+            return None
+        return sends_rest(_backend, received)
+
+    monkeypatch.setattr(BackendPool, "check", lambda _pool, record: check(record))
+    servers = start_servers(relay, script)
+    started = relay.context.monotonic()
+    assert relay.call("/play/")[2] == b"".join(EVENTS)
+    assert relay.context.monotonic() - started < 1.0
+    assert sorted(len(one.received) for one in servers) == [1, 1]
+    assert len(checks) == 2
+
+
 def test_silent_server_that_is_reachable_keeps_its_stream(relay):
     # The server is slow for a moment, and the route allows no second one.
     def script(_backend, received):
