--- a/libs/relay/tests/resumption_tests.py
+++ b/libs/relay/tests/resumption_tests.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 from relay_doubles import (
+    Relay,
     answer,
     event,
     parse,
@@ -366,6 +367,33 @@
     assert draining.wait()
 
 
+def test_caller_of_an_entry_that_ends_during_a_resumption_goes_on_at_another(relay):
+    # The entry ends after the first server crashed and before the second one responds. What it sent
+    # must look incomplete, and the caller asks another entry for the rest.
+    crashing = breaks_after(*EVENTS[:2])
+
+    def script(backend, received):
+        if received.header("last-event-id") is None:
+            return crashing(backend, received)
+        if received.header("attempt") == "a-1":
+            return eventlet.sleep(0.3)
+        return sends_rest(backend, received)
+
+    servers = start_servers(relay, script)
+    other = Relay()
+    other.state.chooser.set_servers([one.record() for one in servers], 0.0)
+    connection = relay.connect()
+    connection.sendall(request("/play/"))
+    wait_until(lambda: sum(len(one.received) for one in servers) > 1)
+    relay.role.stop()
+    raw = read_all(connection)
+    assert parse(raw)[2] is None
+    assert (raw.count(b"id: 2"), raw.count(b"id: 3")) == (1, 0)
+    rest = other.call("/play/", attempt="a-2", **{"last-event-id": "2"})[2]
+    other.stop()
+    assert rest == b"".join(EVENTS[2:])
+
+
 def test_stream_of_a_route_that_is_not_resumable_ends(relay):
     # The switch is off: the stream breaks off, and no other server or connection is used.
     servers = start_servers(relay, breaks_after(*EVENTS[:2]))
