Leave a server that closes every connection, and do not blame the call

Where a route allows one server, a stream that broke was asked for at that server a second time and then ended. Machines whose program is down accept connections and close them, so that such streams ended although the server was gone. After the second break the server's health check is asked: a server that does not respond is gone, and another one gets the call.

Breaks at one server now count once for a call.

--- a/libs/decisions/tarragonhall_decisions/_resumption.py
+++ b/libs/decisions/tarragonhall_decisions/_resumption.py
@@ -29,9 +29,8 @@
 MOVE_FACTOR = 4.0
 # Multiple of the usual time to the first event that a silence must exceed for such a move.
 RESTART_FACTOR = 2.0
-# Broken runs after which a server that lives is not asked again. Three in a row quarantine the
-# request, and its caller could not send it again either.
-MAX_RUNS_AT_LIVING_SERVERS = 2
+# Broken runs from which on a server is not asked again before it has responded to a check.
+MIN_RUNS_TO_CHECK = 2
 
 
 class BreakCause(enum.Enum):
@@ -47,10 +46,13 @@
     """What to do with a stream that broke off.
 
     `SAME_SERVER` asks the last server for the rest; if it cannot be reached, it is gone.
+    `CHECK_SERVER` asks whether that server responds to anything: if so, the stream ends, else the
+    server is gone.
     """
 
     MOVE = "move"
     SAME_SERVER = "same_server"
+    CHECK_SERVER = "check_server"
     END = "end"
 
 
@@ -90,7 +92,9 @@
         return NextStep.END
     if stream.server_gone or stream.servers < stream.max_servers:
         return NextStep.MOVE
-    return NextStep.SAME_SERVER if stream.runs < MAX_RUNS_AT_LIVING_SERVERS else NextStep.END
+    if stream.runs < MIN_RUNS_TO_CHECK:
+        return NextStep.SAME_SERVER
+    return NextStep.CHECK_SERVER
 
 
 def first_event_silence(objective_ms: int) -> SilenceLimits:
--- a/libs/decisions/tarragonhall_decisions/_slow_readers.py
+++ b/libs/decisions/tarragonhall_decisions/_slow_readers.py
@@ -14,8 +14,8 @@
 
 # Pace that is assumed of a client that has read nothing yet, in bytes a second.
 MIN_PACE = 1.0
-# Part of a machine's memory that may wait for clients; requests, responses on their way and the
-# process itself need the rest.
+# Part of a machine's memory that may wait for clients. A call holds a copy of its response besides,
+# and requests and the process itself need the rest.
 MEMORY_FRACTION = 0.25
 
 
--- a/libs/decisions/tests/resumption_tests.py
+++ b/libs/decisions/tests/resumption_tests.py
@@ -35,9 +35,9 @@
         # Load: the same on routes that allow two servers, whether the first one lives or not.
         ({"max_servers": 2}, NextStep.MOVE),
         ({"max_servers": 2, "servers": 1, "server_gone": True}, NextStep.MOVE),
-        # Load: servers that break off each of their streams and live on.
-        ({"runs": 2}, NextStep.END),
-        ({"runs": 2, "max_servers": 2, "servers": 2}, NextStep.END),
+        # Load: servers that accept connections and close them, since their program is down.
+        ({"runs": 2}, NextStep.CHECK_SERVER),
+        ({"runs": 2, "max_servers": 2, "servers": 2}, NextStep.CHECK_SERVER),
         # Load: a request that crashes each server that runs it.
         ({"servers": 0, "server_gone": True, "suspect": True}, NextStep.END),
         # Load: servers that crash when their callers have no time left.
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -184,7 +184,7 @@
                 connection.reused = True
                 return connection
             connection.close()
-        return self._open(record)
+        return self.open(record)
 
     def release(self, connection: BackendConnection, keep_alive_s: float | None) -> None:
         """Make a connection available for reuse, or close it if it cannot be reused."""
@@ -201,7 +201,7 @@
     def check(self, record: BackendRecord) -> Reachability:
         """Try a new connection to a server; it is kept as an idle one."""
         try:
-            connection = self._open(record)
+            connection = self.open(record)
         except BackendError as error:
             self.close_idle(record.server_id)
             if isinstance(error.__cause__, ConnectionRefusedError):
@@ -233,7 +233,8 @@
         for connection in self._idle_by_server.pop(server_id, []):
             connection.close()
 
-    def _open(self, record: BackendRecord) -> BackendConnection:
+    def open(self, record: BackendRecord) -> BackendConnection:
+        """Return a new connection; raise `BackendError`, with `sent` false, if there is none."""
         host, _, port = record.address.rpartition(":")
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
--- a/libs/relay/tarragonhall_relay/_call_resumption.py
+++ b/libs/relay/tarragonhall_relay/_call_resumption.py
@@ -79,19 +79,33 @@
             self._gone.add(server.server_id)
         # Its other connections may be broken as well, and a new one shows whether it is gone.
         self._state.pool.close_idle(server.server_id)
+        step = after_break(self._broken_stream(failure.server_gone))
+        if step is not NextStep.CHECK_SERVER:
+            return step
+        if self._responds(server):
+            return NextStep.END
+        self._gone.add(server.server_id)
+        return after_break(self._broken_stream(server_gone=True))
+
+    def _broken_stream(self, server_gone: bool) -> BrokenStream:
         now = self._now()
-        return after_break(
-            BrokenStream(
-                runs=self._runs,
-                servers=len(self._ran_on - self._gone),
-                max_servers=self._call.route.max_attempts,
-                server_gone=failure.server_gone,
-                resumable=self._stream.is_resumable,
-                suspect=self._state.crash_suspects.is_quarantined(self._call.fingerprint, now),
-                left_s=self._call.deadline.at - now,
-            )
+        return BrokenStream(
+            runs=self._runs,
+            servers=len(self._ran_on - self._gone),
+            max_servers=self._call.route.max_attempts,
+            server_gone=server_gone,
+            resumable=self._stream.is_resumable,
+            suspect=self._state.crash_suspects.is_quarantined(self._call.fingerprint, now),
+            left_s=self._call.deadline.at - now,
         )
 
+    def _responds(self, server: BackendRecord) -> bool:
+        """Return whether a server responds to its health check, or to nothing."""
+        service = self._state.table.service_by_name.get(server.service)
+        if service is None or not service.health_path:
+            return True
+        return self._state.server_checks.responds(server, service.health_path)
+
     def on_unreachable(self, server: BackendRecord) -> None:
         """Record that a server is gone: it refused a connection, or another has its address."""
         self._gone.add(server.server_id)
--- a/libs/relay/tarragonhall_relay/_server_records.py
+++ b/libs/relay/tarragonhall_relay/_server_records.py
@@ -59,10 +59,12 @@
 
     def failed(self, server: BackendRecord, failure: MayHaveRun) -> None:
         """Record that a server may have run the call and gave no whole response."""
+        is_first = server.server_id not in self._slot.may_have_run_on
         self._slot.note_failure()
         if failure.timed_out:
             self._state.retry_budget.take()
-        else:
+        elif is_first:
+            # A server that broke off twice took the call again, so the call did not crash it.
             self._state.crash_suspects.on_broken_run(
                 self._call.fingerprint, self._state.monotonic()
             )
--- a/libs/relay/tarragonhall_relay/_silence.py
+++ b/libs/relay/tarragonhall_relay/_silence.py
@@ -14,7 +14,7 @@
 from tarragonhall_model import BackendRecord
 
 from tarragonhall_relay._backend import BackendPool, Reachability
-from tarragonhall_relay._errors import SilentServerError
+from tarragonhall_relay._errors import BackendError, SilentServerError
 
 # Seconds for which a check counts for the other streams of the server, which are silent as well.
 CHECK_VALID_S = 0.3
@@ -22,12 +22,14 @@
 # full for a moment, and the next one follows after this many seconds.
 MAX_UNANSWERED = 2
 CHECK_AGAIN_S = 0.05
+# A server that has not closed the connection of a health check by then is at work on it.
+RESPONSE_TIMEOUT_S = 0.1
 
 Result = TypeVar("Result")
 
 
 class ServerChecks:
-    """Checks by new connections whether silent servers can be reached."""
+    """Checks whether servers that are silent or broke off can be reached."""
 
     __slots__ = ("_monotonic", "_pool", "_reached_at_by_id")
 
@@ -51,6 +53,21 @@
             self._reached_at_by_id[record.server_id] = now
         return result
 
+    def responds(self, record: BackendRecord, path: str) -> bool:
+        """Return whether a server responds to a health check; True if it is only slow."""
+        connection = None
+        try:
+            connection = self._pool.open(record)
+            connection.send("GET", path.encode(), [(b"host", record.address.encode())], b"")
+            with eventlet.Timeout(RESPONSE_TIMEOUT_S, False):
+                connection.read_head()
+        except BackendError:
+            return False
+        finally:
+            if connection is not None:
+                connection.close()
+        return True
+
 
 class SilenceWatch:
     """The wait for the bytes of one stream from one server.
--- a/libs/relay/tests/relay_doubles.py
+++ b/libs/relay/tests/relay_doubles.py
@@ -38,6 +38,7 @@
 
 WAIT_SECONDS = 5.0
 KEY = "key-1"
+HEALTH_PATH = "/health"
 LAST_EVENT = b"last-event-id"
 
 
@@ -273,7 +274,7 @@
             dataclasses.replace(route, services=(WeightedService("desk", 1.0),)) for route in ROUTES
         )
         organisations = (RelayOrganisation("org-1", (KEY,)),)
-        services = (Service("desk"),)
+        services = (Service("desk", HEALTH_PATH),)
         config = RelayConfig(1, routes, services, organisations=organisations, **options)
         self.state.table = RouteTable(config)
 
--- a/libs/relay/tests/resumption_tests.py
+++ b/libs/relay/tests/resumption_tests.py
@@ -107,6 +107,47 @@
     assert sorted(len(one.received) for one in servers) == [0, 2]
 
 
+def is_health_check(received) -> bool:
+    return received.head.startswith(b"GET /health ")
+
+
+def test_server_that_closes_every_connection_is_left(relay):
+    # The program of a server is down, and its machine accepts connections and closes them.
+    down = []
+
+    def script(backend, received):
+        if not down:
+            down.append(backend.server_id)
+        if backend.server_id in down:
+            return "close"
+        return sends_rest(backend, received)
+
+    servers = start_servers(relay, script)
+    assert relay.call("/play/")[2] == b"".join(EVENTS)
+    requests = [one for server in servers for one in server.received]
+    assert [is_health_check(one) for one in requests].count(True) == 1
+    assert len(requests) == 4
+
+
+def test_server_that_breaks_off_twice_and_responds_to_checks_ends_the_stream(relay):
+    # A server resets some of its streams and lives on. The route allows no second server, and the
+    # caller must be able to send its call again: servers that live were not crashed by it.
+    def script(_backend, received):
+        if is_health_check(received):
+            received.connection.sendall(answer(received))
+            return None
+        return "close"
+
+    servers = start_servers(relay, script)
+    for number in range(2):
+        assert relay.call("/play/", attempt=f"a-{number}")[0] == 502
+    requests = [one for server in servers for one in server.received]
+    assert len([one for one in requests if not is_health_check(one)]) == 4
+    for one in servers:
+        one.script = sends_rest
+    assert relay.call("/play/", attempt="a-9")[2] == b"".join(EVENTS)
+
+
 def test_route_that_allows_two_servers_moves_from_a_living_one(relay):
     # Both servers are alive. The first connection must be closed before the second one is asked, or
     # both would work on the call.
