Leave a server that leaves and refuses the rest of a stream

A server that was asked again and refuses the call as full was asked until the deadline. One that leaves accepts no call any more, so another one is asked.

--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -178,10 +178,10 @@
         """Return how the call goes on after a server that did not run it."""
         if step is not NextStep.SAME_SERVER:
             return NextStep.MOVE
-        if outcome.full:
+        if outcome.full and self._resumption.is_in_service(server):
             eventlet.sleep(FULL_RETRY_S * self._state.rng.uniform(0.7, 1.3))
             return NextStep.SAME_SERVER
-        self._resumption.on_unreachable(server)
+        self._resumption.on_gone(server)
         return NextStep.MOVE
 
     def _after_break(self, server: BackendRecord, failure: MayHaveRun) -> NextStep:
--- a/libs/relay/tarragonhall_relay/_call_resumption.py
+++ b/libs/relay/tarragonhall_relay/_call_resumption.py
@@ -106,8 +106,12 @@
             return True
         return self._state.server_checks.responds(server, service.health_path)
 
-    def on_unreachable(self, server: BackendRecord) -> None:
-        """Record that a server is gone: it refused a connection, or another has its address."""
+    def is_in_service(self, server: BackendRecord) -> bool:
+        """Return whether a server may get calls; one that leaves takes none before it ends."""
+        return server.server_id in self._state.chooser.known.by_id
+
+    def on_gone(self, server: BackendRecord) -> None:
+        """Record that a server refused a connection, lost its address to another one, or leaves."""
         self._gone.add(server.server_id)
 
     def _now(self) -> float:
--- a/libs/relay/tests/resumption_tests.py
+++ b/libs/relay/tests/resumption_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import eventlet
 import pytest
 from relay_doubles import (
@@ -292,6 +294,28 @@
     assert sorted(len(one.received) for one in servers) == [0, 3]
 
 
+def test_server_that_is_asked_again_and_leaves_is_left(relay):
+    # The server that broke the stream leaves and takes no calls any more, which it refuses as full.
+    breaking = breaks_after(*EVENTS[:2], crashes=False)
+
+    def script(backend, received):
+        if received.header("last-event-id") is None:
+            return breaking(backend, received)
+        if not leaving:
+            leaving.append(backend.server_id)
+            records = [
+                dataclasses.replace(one.record(), draining=one is backend) for one in servers
+            ]
+            relay.state.chooser.set_servers(records, relay.context.monotonic())
+            return refuses(backend, received)
+        return sends_rest(backend, received)
+
+    leaving = []
+    servers = start_servers(relay, script)
+    assert relay.call("/play/")[2] == b"".join(EVENTS)
+    assert sorted(len(one.received) for one in servers) == [1, 2]
+
+
 @pytest.mark.parametrize("rest", [(EVENTS[3],), (EVENTS[1], EVENTS[2]), (event(9),)])
 def test_rest_that_does_not_follow_is_not_forwarded(relay, rest):
     # A server sends the rest from another event than asked, so that one is missing or comes twice.
