Keep the idle connections of a server that broke off a stream

All of them were closed to prove with a new one that the server is gone. Those of a server that ended are closed anyway and are not reused; those of a server that lives had to be opened again, which is dear on some deployments.

--- a/libs/relay/tarragonhall_relay/_call_resumption.py
+++ b/libs/relay/tarragonhall_relay/_call_resumption.py
@@ -77,8 +77,6 @@
         self._broken = (server.server_id, failure.cause)
         if failure.server_gone:
             self._gone.add(server.server_id)
-        # Its other connections may be broken as well, and a new one shows whether it is gone.
-        self._state.pool.close_idle(server.server_id)
         step = after_break(self._broken_stream(failure.server_gone))
         if step is not NextStep.CHECK_SERVER:
             return step
