--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -60,6 +60,12 @@
         "ModelDemand",
         "ModelOrders",
     ),
+    "_slow_readers": (
+        "ReaderLimits",
+        "SlowReader",
+        "reader_limits_for",
+        "readers_to_end",
+    ),
     "_service_queue": (
         "ServiceQueue",
         "Tier",
@@ -92,6 +98,15 @@
         "BackendTable",
         "Registry",
     ),
+    "_resumption": (
+        "BreakCause",
+        "BrokenStream",
+        "NextStep",
+        "SilenceLimits",
+        "after_break",
+        "first_event_silence",
+        "gap_silence",
+    ),
     "_retry": (
         "Failure",
         "Abandon",
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import time
 
 import eventlet
@@ -32,6 +33,14 @@
 MAX_EXTRA_RESPONSES = 3
 
 
+class Reachability(enum.Enum):
+    """How a server reacts to a new connection. One that refuses it has ended."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+
 class BackendConnection:
     """One connection to one backend server."""
 
@@ -175,7 +184,7 @@
                 connection.reused = True
                 return connection
             connection.close()
-        return self._open(record)
+        return self.open(record)
 
     def release(self, connection: BackendConnection, keep_alive_s: float | None) -> None:
         """Make a connection available for reuse, or close it if it cannot be reused."""
@@ -189,6 +198,23 @@
         connection.usable_until = time.monotonic() + min(keep_s, MAX_KEEP_ALIVE_S)
         idle.append(connection)
 
+    def check(self, record: BackendRecord) -> Reachability:
+        """Try a new connection to a server; it is kept as an idle one."""
+        try:
+            connection = self.open(record)
+        except BackendError as error:
+            self.close_idle(record.server_id)
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Reachability.REFUSED
+            return Reachability.NO_ANSWER
+        idle = self._idle_by_server.setdefault(record.server_id, [])
+        if len(idle) >= MAX_IDLE_PER_SERVER:
+            connection.close()
+        else:
+            connection.usable_until = time.monotonic() + DEFAULT_KEEP_ALIVE_S
+            idle.append(connection)
+        return Reachability.ACCEPTED
+
     def close_expired(self) -> None:
         """Close the connections whose idle time is over."""
         now = time.monotonic()
@@ -207,7 +233,8 @@
         for connection in self._idle_by_server.pop(server_id, []):
             connection.close()
 
-    def _open(self, record: BackendRecord) -> BackendConnection:
+    def open(self, record: BackendRecord) -> BackendConnection:
+        """Return a new connection; raise `BackendError`, with `sent` false, if there is none."""
         host, _, port = record.address.rpartition(":")
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -20,8 +20,10 @@
 from tarragonhall_wire import Metrics
 
 from tarragonhall_relay._backend import BackendPool
+from tarragonhall_relay._client_writer import WaitingBytes
 from tarragonhall_relay._dialect import Dialect
 from tarragonhall_relay._routes import RouteTable
+from tarragonhall_relay._silence import ServerChecks
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._turn_store import TurnStoreClient
 
@@ -46,6 +48,8 @@
     chooser: BackendChooser
     slots: SlotAllocator
     pool: BackendPool
+    server_checks: ServerChecks
+    waiting_bytes: WaitingBytes
     turn_store: TurnStoreClient
     rates: Rates
     crash_suspects: CrashSuspects
