Keep descriptors registered for input and drop cancelled timers in the event loop

Eventlet's hub adds a descriptor to epoll before each read that has to wait and removes it after, and wakes up when a cancelled timer would have been due; nearly every read and request has a timeout that is cancelled. The processes now run on an epoll hub that keeps a descriptor registered until input arrives that nobody waits for, and drops cancelled timers before it sleeps.

All tests run on this loop.

--- a/conftest.py
+++ b/conftest.py
@@ -18,6 +18,10 @@
 import pytest  # noqa: E402
 from hypothesis import find, settings  # noqa: E402
 from hypothesis import strategies as st  # noqa: E402
+from tarragonhall_wire import use_event_loop  # noqa: E402
+
+# Before any test starts a green thread, so that all run on the event loop of the processes.
+use_event_loop()
 
 KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 FIELDS = 4
--- a/libs/wire/tarragonhall_wire/__init__.py
+++ b/libs/wire/tarragonhall_wire/__init__.py
@@ -4,6 +4,7 @@
 
 from tarragonhall_wire._context import ProcessContext, Role, make_context
 from tarragonhall_wire._control_client import ControlClient
+from tarragonhall_wire._event_loop import EventLoop, use_event_loop
 from tarragonhall_wire._handshake import HandshakeError, Peer
 from tarragonhall_wire._http import HttpRequest, HttpResponse, HttpServer, sse_event
 from tarragonhall_wire._hub import Hub, split_address
@@ -16,6 +17,7 @@
 
 __all__ = [
     "ControlClient",
+    "EventLoop",
     "HandshakeError",
     "HttpRequest",
     "HttpResponse",
@@ -38,4 +40,5 @@
     "report_traffic_loop",
     "split_address",
     "sse_event",
+    "use_event_loop",
 ]
