Wake processes less often at rest

An idle entry woke 119 times a second and an idle store 160 to 220 times; each wake-up of a cold process costs about a tenth of a millisecond. Log lines are written when there are some, not 20 times a second; one loop sends the heartbeats of all links, not one for each; stores look for retired members only while some are being retired; new control members are looked for each second. What is sent on the wire is unchanged.

--- a/benchmarks/roles_bench.py
+++ b/benchmarks/roles_bench.py
@@ -1,10 +1,12 @@
 """Measure the processor time of each role on loopback: at rest, and under a steady load.
 
 Starts control members, entries and stores as the platform does, each a process of its own, with
-servers and clients in this process: `roles_bench.py [--tree FOLDER] [--profile FOLDER]`. Prints
-milliseconds of a core a second for each role at rest and under load (user and system time from the
-kernel's counters), and milliseconds of all roles for each call. `--profile` writes the profile of
-one process of each role, for `python -m pstats`; figures of such a run are inflated.
+servers and clients in this process:
+`roles_bench.py [--tree FOLDER] [--net NUMBER] [--rate CALLS] [--profile SCRIPT]`.
+Prints milliseconds of a core a second for each role at rest and under load (user and system time
+from the kernel's counters), and milliseconds of all roles for each call. Two trees are compared by
+two runs at the same time, each with its own net. With `--profile`, each process is started through
+a script that gets the file for its result, and the command.
 """
 
 from __future__ import annotations
@@ -116,12 +118,14 @@
         return (int(parts[11]) + int(parts[12])) * 1000 / TICKS_A_SECOND
 
 
-def start_nodes(tree: Path, folder: Path, profile: Path | None, contracts: str) -> list[Node]:
+def start_nodes(
+    tree: Path, folder: Path, profile: Path | None, contracts: str, net: int
+) -> list[Node]:
     """Start all processes."""
-    seeds = [f"127.0.1.{number + 1}" for number in range(CONTROLS)]
+    seeds = [f"127.{net}.1.{number + 1}" for number in range(CONTROLS)]
     plan = [("control", ip) for ip in seeds]
-    plan += [("entry", f"127.0.2.{number + 1}") for number in range(ENTRIES)]
-    plan += [("store", f"127.0.3.{number + 1}") for number in range(STORES)]
+    plan += [("entry", f"127.{net}.2.{number + 1}") for number in range(ENTRIES)]
+    plan += [("store", f"127.{net}.3.{number + 1}") for number in range(STORES)]
     nodes = []
     for number, (role, ip) in enumerate(plan):
         path = folder / f"{role}-{number}.toml"
@@ -176,9 +180,9 @@
         connection.sendall(b"0\r\n\r\n")
 
 
-def run_server(number: int) -> None:
+def run_server(number: int, net: int) -> None:
     """Serve and announce one server, for ever."""
-    address = f"127.0.4.{number + 1}"
+    address = f"127.{net}.4.{number + 1}"
     listener = eventlet.listen((address, 8080))
 
     def accept_loop() -> None:
@@ -202,7 +206,7 @@
             "seq": sequence,
             "born": 1_700_000_000_000,
         }
-        control = f"127.0.1.{(number + sequence // 20) % CONTROLS + 1}:8188"
+        control = f"127.{net}.1.{(number + sequence // 20) % CONTROLS + 1}:8188"
         try:
             put(f"http://{control}/api/replicas/i-{number}", body)
         except OSError:
@@ -302,11 +306,12 @@
         "--rate", type=float, default=CALLS_A_SECOND, help="calls a second an entry"
     )
     parser.add_argument("--contracts", default="", help="switches, quoted and with commas")
+    parser.add_argument("--net", type=int, default=9, help="second byte of the loopback addresses")
     options = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="roles-", dir="/dev/shm"))
-    nodes = start_nodes(options.tree, folder, options.profile, options.contracts)
+    nodes = start_nodes(options.tree, folder, options.profile, options.contracts, options.net)
     try:
-        run(nodes, options.rate)
+        run(nodes, options.rate, options.net)
     finally:
         for node in nodes:
             node.process.send_signal(signal.SIGTERM)
@@ -317,14 +322,14 @@
                 node.process.kill()
 
 
-def run(nodes: list[Node], calls_a_second: float) -> None:
+def run(nodes: list[Node], calls_a_second: float, net: int) -> None:
     """Measure at rest and under load."""
     for number in range(SERVERS):
-        eventlet.spawn_n(run_server, number)
+        eventlet.spawn_n(run_server, number, net)
     while True:
         eventlet.sleep(0.3)
         try:
-            put("http://127.0.1.1:8188/api/config", DOCUMENT)
+            put(f"http://127.{net}.1.1:8188/api/config", DOCUMENT)
             break
         except OSError:
             continue
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -43,8 +43,9 @@
 LINK_TIMEOUT_SECONDS = 0.5
 # Seconds for which changes of servers are collected before they apply to the choice of servers.
 UPDATE_BATCH_SECONDS = 0.02
-# Interval at which new control members are looked for.
-MEMBER_POLL_SECONDS = 0.25
+# Interval at which new control members are looked for. Until then the others, which forward all
+# changes, are followed.
+MEMBER_POLL_SECONDS = 1.0
 # Calls run for some hundred milliseconds, so at this interval the other entries know of most of
 # them. Unchanged load is repeated every second round, before it expires at the others.
 LOAD_INTERVAL_SECONDS = 0.4
--- a/libs/store/tarragonhall_store/_role.py
+++ b/libs/store/tarragonhall_store/_role.py
@@ -43,6 +43,7 @@
         "_joiner",
         "_limits",
         "_record",
+        "_reports_retired",
         "_service",
         "_settings",
         "_stopped",
@@ -62,6 +63,7 @@
         self._client = client
         self._limits = limits or STORE_LIMITS
         self._stopped = False
+        self._reports_retired = False
         self.state = TurnState()
         self.member: GroupMember | None = None
         self._joiner: Joiner | None = None
@@ -113,7 +115,7 @@
             bootstrap_members,
             self.state,
             self._context,
-            GroupHooks(self._service.on_role),
+            GroupHooks(self._service.on_role, self._after_step),
             self._limits,
         )
         self._service.attach(self.member)
@@ -130,7 +132,6 @@
         )
         self.member.start()
         self._joiner.start()
-        eventlet.spawn_n(self._report_retired_loop)
 
     def _bootstrap_members(self) -> dict[str, str]:
         """Wait for control's choice of the bootstrap members.
@@ -159,20 +160,30 @@
     def _retiring_ids(self) -> frozenset[str]:
         return frozenset(self._view().retiring_stores)
 
+    def _after_step(self) -> None:
+        """Start to report retired members once some are to be retired; nothing runs before."""
+        if self._reports_retired or not self._view().retiring_stores:
+            return
+        self._reports_retired = True
+        eventlet.spawn_n(self._report_retired_loop)
+
     def _report_retired_loop(self) -> None:
         """As leader, report to control the retiring members that have left the group."""
         reported: set[str] = set()
-        while not self._stopped:
+        while not self._stopped and self._retiring_ids():
+            self._report_retired_members(reported)
             eventlet.sleep(POLL_SECONDS)
-            if not self.member.is_leader():
-                continue
-            status = self.member.loop.replica.status()
-            members = {member.member_id for member in status.members}
-            for store_id in self._retiring_ids() - members - reported:
-                if not self._is_committed(status):
-                    continue
-                if self._report_retired(store_id):
-                    reported.add(store_id)
+        self._reports_retired = False
+
+    def _report_retired_members(self, reported: set[str]) -> None:
+        """Report the members that have left since; `reported` holds those told already."""
+        if not self.member.is_leader():
+            return
+        status = self.member.loop.replica.status()
+        members = {member.member_id for member in status.members}
+        for store_id in self._retiring_ids() - members - reported:
+            if self._is_committed(status) and self._report_retired(store_id):
+                reported.add(store_id)
 
     def _is_committed(self, status) -> bool:
         """Return whether the member list in force is committed, because the whole log is."""
--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Callable
 
 import eventlet
@@ -10,7 +11,7 @@
 from tarragonhall_model import LinkClosedError, LinkError, QueryTimeline
 
 from tarragonhall_wire._handshake import HandshakeError, Peer, client_handshake, server_handshake
-from tarragonhall_wire._link import Link
+from tarragonhall_wire._link import HEARTBEAT_SECONDS, Link
 from tarragonhall_wire._timeline import Timeline
 from tarragonhall_wire._traffic import Traffic
 from tarragonhall_wire._websocket import WebSocket, accept, connect
@@ -46,6 +47,7 @@
         "_dial_targets",
         "_dialled_by_address",
         "_handler_by_class",
+        "_heartbeats_started",
         "_link_closed_callbacks",
         "_link_open_callbacks",
         "_listener",
@@ -82,6 +84,7 @@
         self._listener = None
         self._acceptor = None
         self._stopped = False
+        self._heartbeats_started = False
         self.handle(QueryTimeline, lambda _link, query: timeline.find(query))
 
     def handle(self, message_class: type, handler: Callable[[Link, object], object]) -> None:
@@ -204,7 +207,18 @@
         if self._accepted_by_address.get(peer.address) is link:
             del self._accepted_by_address[peer.address]
 
+    def _heartbeat_loop(self) -> None:
+        """Send the heartbeats of all links: one wake-up a second, however many links there are."""
+        while not self._stopped:
+            eventlet.sleep(HEARTBEAT_SECONDS)
+            now = time.monotonic()
+            for link in self.links():
+                link.send_heartbeat(now)
+
     def _run_link(self, link: Link) -> None:
+        if not self._heartbeats_started:
+            self._heartbeats_started = True
+            eventlet.spawn_n(self._heartbeat_loop)
         log.info("link.up", peer=link.peer.instance)
         for callback in self._link_open_callbacks:
             callback(link)
--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -10,8 +10,7 @@
 import collections
 from collections.abc import Callable
 
-import eventlet
-from eventlet import patcher
+from eventlet import hubs, patcher
 
 # The patched modules would wait in the event loop, for ever if the reader is gone.
 os = patcher.original("os")
@@ -20,24 +19,36 @@
 # A pipe that is ready for writing accepts this much without blocking (PIPE_BUF in POSIX).
 CHUNK_BYTES = 4096
 QUEUE_BYTES = 256 * 1024
+# Seconds from a line to its write; while nothing is logged, nothing runs.
 FLUSH_SECONDS = 0.05
 
 
 class LineWriter:
     """A bounded queue of lines for one file descriptor."""
 
-    __slots__ = ("_descriptor", "_lines", "_on_dropped", "_size", "dropped")
+    __slots__ = (
+        "_descriptor",
+        "_flush_scheduled",
+        "_lines",
+        "_on_dropped",
+        "_size",
+        "_started",
+        "dropped",
+    )
 
     def __init__(self, descriptor: int, on_dropped: Callable[[], None] = lambda: None) -> None:
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
         self._size = 0
         self._on_dropped = on_dropped
+        self._started = False
+        self._flush_scheduled = False
         self.dropped = 0
 
     def start(self) -> None:
-        """Start writing in a green thread."""
-        eventlet.spawn_n(self._flush_loop)
+        """Write lines in the event loop from now on."""
+        self._started = True
+        self._schedule_flush()
 
     def write(self, line: bytes) -> None:
         """Queue a line; drop and count it if the queue is full."""
@@ -47,6 +58,7 @@
             return
         self._lines.append(line)
         self._size += len(line)
+        self._schedule_flush()
 
     def flush(self) -> None:
         """Write as much as the pipe accepts without blocking."""
@@ -79,7 +91,15 @@
     def _has_room(self) -> bool:
         return bool(select.select([], [self._descriptor], [], 0)[1])
 
-    def _flush_loop(self) -> None:
-        while True:
-            self.flush()
-            eventlet.sleep(FLUSH_SECONDS)
+    def _schedule_flush(self) -> None:
+        """Have queued lines written a little later, so that those of one moment share a write."""
+        if not self._started or self._flush_scheduled or not self._lines:
+            return
+        self._flush_scheduled = True
+        hubs.get_hub().schedule_call_global(FLUSH_SECONDS, self._flush_and_reschedule)
+
+    def _flush_and_reschedule(self) -> None:
+        # Called by the event loop itself; nothing here waits.
+        self._flush_scheduled = False
+        self.flush()
+        self._schedule_flush()
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -116,7 +116,6 @@
     def run(self) -> None:
         """Read until the link closes. Call once, in a green thread of its own."""
         eventlet.spawn_n(self._write_loop)
-        eventlet.spawn_n(self._heartbeat_loop)
         try:
             self._read_loop()
         except LinkClosedError:
@@ -126,6 +125,25 @@
         finally:
             self.close()
 
+    def send_heartbeat(self, now: float) -> None:
+        """Ping a peer to which nothing was sent lately, and close a link that is silent.
+
+        To be called every `HEARTBEAT_SECONDS` with the monotonic time.
+        """
+        if self.closed:
+            return
+        if now - self._last_received > RECEIVE_TIMEOUT_SECONDS:
+            log.warning("link.silent", peer=self.peer.instance)
+            self.close()
+            return
+        if now - self._last_sent < HEARTBEAT_SECONDS / 2:
+            # A message sent recently serves as a heartbeat.
+            return
+        try:
+            self._enqueue(PING, 0, None)
+        except LinkOverloadedError:
+            return
+
     def _enqueue(self, kind: int, correlation: int, plain: object) -> None:
         if self.closed:
             raise LinkClosedError(f"link to {self.peer.instance} is closed")
@@ -159,24 +177,6 @@
             self._writer_waits = False
             self._wake.release()
 
-    def _heartbeat_loop(self) -> None:
-        while not self.closed:
-            eventlet.sleep(HEARTBEAT_SECONDS)
-            if self.closed:
-                return
-            now = time.monotonic()
-            if now - self._last_received > RECEIVE_TIMEOUT_SECONDS:
-                log.warning("link.silent", peer=self.peer.instance)
-                self.close()
-                return
-            if now - self._last_sent < HEARTBEAT_SECONDS / 2:
-                # A message sent recently serves as a heartbeat.
-                continue
-            try:
-                self._enqueue(PING, 0, None)
-            except LinkOverloadedError:
-                continue
-
     def _read_loop(self) -> None:
         while not self.closed:
             data = self._socket.recv()
