Relay whole chunks of a stream without parsing and framing them twice

Each event of a stream passed through the HTTP library's state machine four times, and through a timer for its write. Whole chunks are now cut from the server's bytes directly where the library stands at the start of a chunk; anything else, and all after it, goes to the library and its checks. Chunks to clients of HTTP/1.1 are written directly, and a timer is set only if the socket does not take all bytes at once.

--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import time
 
 import eventlet
@@ -28,6 +29,11 @@
 MAX_IDLE_PER_SERVER = 12
 REQUEST_KIND = "server.request"
 RESPONSE_KIND = "server.answer"
+END_OF_HEAD = b"\r\n\r\n"
+# The head of a chunk without extensions, at most 4 GB long.
+CHUNK_HEAD = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
+CHUNKED = (b"transfer-encoding", b"chunked")
+STATUSES_WITHOUT_BODY = (204, 304)
 # Responses to other calls that are skipped before a connection counts as broken.
 MAX_EXTRA_RESPONSES = 3
 
@@ -37,8 +43,10 @@
 
     __slots__ = (
         "_connection",
+        "_cuts_chunks",
         "_http",
         "_request",
+        "_rest",
         "_traffic",
         "_zone",
         "reused",
@@ -52,6 +60,9 @@
         self._zone = record.availability_zone
         self._http = _new_http()
         self._request: h11.Request | None = None
+        # Received bytes that `h11` has not got, and whether whole chunks are cut from them.
+        self._rest = b""
+        self._cuts_chunks = False
         self.server_id = record.server_id
         self.reused = False
         self.usable_until = 0.0
@@ -77,6 +88,7 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
+                self._cuts_chunks = self._is_at_first_chunk(event)
                 return event
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -84,6 +96,9 @@
 
     def read(self) -> bytes | None:
         """Return the next bytes of the body, None at its end; raise `BackendError` if it is cut."""
+        data = self._next_chunks()
+        if data:
+            return data
         event = self._next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -139,20 +154,60 @@
             self._connection.shutdown(socket.SHUT_RDWR)
         self._connection.close()
 
+    def _is_at_first_chunk(self, head: h11.Response) -> bool:
+        """Return whether the body starts with a chunk of which `h11` has not got a byte."""
+        if self._request.method == b"HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
+            return False
+        return CHUNKED in head.headers and not self._http.trailing_data[0]
+
+    def _next_chunks(self) -> bytes:
+        """Return the data of the whole chunks that arrive next, nothing if `h11` is to go on.
+
+        A stream's events arrive in whole chunks, hundreds a second. What does not start with a
+        whole one (the last chunk, a part of one, anything invalid) goes to `h11` and its checks,
+        and so does all that follows.
+        """
+        if not self._cuts_chunks:
+            return b""
+        try:
+            received = self._rest or self._receive()
+        except OSError as error:
+            raise BackendError(f"the connection failed: {error}", sent=True) from error
+        data, self._rest = cut_chunks(received)
+        if not data:
+            self._cuts_chunks = False
+            if not received:
+                self._http.receive_data(b"")
+        return data
+
     def _next_event(self) -> object:
         try:
             while True:
+                if self._rest:
+                    rest, self._rest = self._rest, b""
+                    self._http.receive_data(rest)
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                received = self._connection.recv(READ_BYTES)
-                self._traffic.count(RESPONSE_KIND, len(received), self._zone)
+                received = self._receive()
+                if self._http.their_state is h11.SEND_RESPONSE:
+                    head, end, self._rest = received.partition(END_OF_HEAD)
+                    received = head + end
                 self._http.receive_data(received)
+                if self._http.their_state is h11.SEND_RESPONSE and self._rest:
+                    event = self._http.next_event()
+                    if event is not h11.NEED_DATA:
+                        return event
         except OSError as error:
             raise BackendError(f"the connection failed: {error}", sent=True) from error
         except h11.RemoteProtocolError as error:
             raise BackendError(f"sent an invalid response: {error}", sent=True) from error
 
+    def _receive(self) -> bytes:
+        received = self._connection.recv(READ_BYTES)
+        self._traffic.count(RESPONSE_KIND, len(received), self._zone)
+        return received
+
 
 class BackendPool:
     """The idle connections of one entry; the one used last is reused first."""
@@ -223,5 +278,19 @@
         return BackendConnection(connection, record, self._traffic)
 
 
+def cut_chunks(received: bytes) -> tuple[bytes, bytes]:
+    """Return the data of the whole chunks at the start of received bytes, and the rest."""
+    parts = []
+    start = 0
+    while (head := CHUNK_HEAD.match(received, start)) is not None:
+        size = int(head[1], 16)
+        end = head.end() + size
+        if not size or received[end : end + 2] != b"\r\n":
+            break
+        parts.append(received[head.end() : end])
+        start = end + 2
+    return b"".join(parts), received[start:]
+
+
 def _new_http() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/libs/relay/tarragonhall_relay/_client.py
+++ b/libs/relay/tarragonhall_relay/_client.py
@@ -75,7 +75,9 @@
 
     __slots__ = (
         "_connection",
+        "_cuts_chunks",
         "_http",
+        "_is_chunk_reader",
         "_is_shut_down",
         "_limits",
         "_listener",
@@ -92,6 +94,9 @@
         self._listener = None
         self._pending_throw = None
         self._is_shut_down = False
+        # Whether parts of the current response are written as chunks, which `h11` would do alike.
+        self._cuts_chunks = False
+        self._is_chunk_reader = False
         # Whether the head of the current response was sent, and whether it is the last response.
         self.response_started = False
         self.closing = False
@@ -116,6 +121,7 @@
                 interim = h11.InformationalResponse(status_code=100, headers=[])
                 self._write(self._http.send(interim))
             body = self._read_body(head)
+            self._is_chunk_reader = head.http_version == b"1.1" and head.method != b"HEAD"
         except h11.RemoteProtocolError as error:
             raise BadRequestError(error.error_status_hint, str(error)) from error
         host = next((value for name, value in head.headers if name == b"host"), b"")
@@ -171,6 +177,8 @@
     def begin(self, status: int, headers: Headers) -> None:
         """Write the head of a response whose length is not known yet."""
         framing: Headers = [(b"transfer-encoding", b"chunked")]
+        # Clients of HTTP/1.0 get no chunks, and nobody gets a body without asking for one.
+        self._cuts_chunks = self._is_chunk_reader
         response = h11.Response(
             status_code=status, headers=headers + framing + self._connection_headers()
         )
@@ -179,6 +187,11 @@
 
     def send(self, data: bytes) -> None:
         """Write a part of the response body."""
+        if not data:
+            return
+        if self._cuts_chunks:
+            self._write(b"%x\r\n%b\r\n" % (len(data), data))
+            return
         self._write(self._http.send(h11.Data(data=data)))
 
     def finish(self) -> None:
@@ -304,6 +317,9 @@
         if not data:
             return
         try:
+            data = data[self._write_at_once(data) :]
+            if not data:
+                return
             with eventlet.Timeout(
                 WRITE_TIMEOUT_S, ClientDisconnectedError("does not read its response")
             ):
@@ -311,6 +327,13 @@
         except OSError as error:
             raise ClientDisconnectedError(str(error)) from error
 
+    def _write_at_once(self, data: bytes) -> int:
+        """Return how many bytes the socket took without a wait, nearly always all of them."""
+        try:
+            return self._connection.fd.send(data)
+        except BlockingIOError:
+            return 0
+
     def _is_closed(self) -> bool:
         try:
             return not self._connection.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
