Add up loads once a round and read counters of traffic only when asked

A collector added up the tables of its zone twice in each round, for itself and for the others; each message counted its bytes in three tables. Sums are kept for the round unless a message arrives between, and the metrics read the totals of the traffic.

--- a/libs/decisions/tarragonhall_decisions/_load_digest.py
+++ b/libs/decisions/tarragonhall_decisions/_load_digest.py
@@ -73,6 +73,7 @@
         "_load_by_entry",
         "_load_by_zone",
         "_own_record",
+        "_sums",
         "_zones_sent_at",
     )
 
@@ -83,6 +84,9 @@
         self._load_by_entry: dict[str, _Load] = {}
         self._load_by_zone: dict[str, _Load] = {}
         self._zones_sent_at = float("-inf")
+        # The sums of one round, with the own load that they hold: both `elsewhere` and `digests`
+        # need them, and they add up the tables of all entries of the zone.
+        self._sums: tuple[_Load, _Load, _Load] | None = None
 
     def on_view(self, entries: list[EntryRecord]) -> None:
         """Replace the known entries."""
@@ -106,11 +110,13 @@
         """Store the load of an entry of the own zone."""
         load = _Load(message.running_by_server, message.signs, 1, now, message.detail)
         self._load_by_entry[message.entry_id] = load
+        self._sums = None
 
     def on_zone_load(self, message: ZoneLoad, now: float) -> None:
         """Store the sum of another zone from one of its collectors."""
         load = _Load(message.running_by_server, message.signs, message.entries, now, message.detail)
         self._load_by_zone[message.availability_zone] = load
+        self._sums = None
 
     def announce(
         self,
@@ -136,7 +142,10 @@
     ) -> LoadElsewhere:
         """Return what all others have running, as a collector knows it."""
         load = _Load(own, signs, 1, now, detail)
-        return _excluding(self._total(self._zone_sum(load, now), now), load)
+        zone = self._zone_sum(load, now)
+        total = self._total(zone, now)
+        self._sums = load, zone, total
+        return _excluding(total, load)
 
     def digests(
         self,
@@ -146,9 +155,14 @@
         detail: LoadDetail | None = None,
     ) -> list[AddressedLoad]:
         """Return what a collector sends: its zone's sum, and the others' load to each entry."""
-        zone = self._zone_sum(_Load(own, signs, 1, now, detail), now)
+        load = _Load(own, signs, 1, now, detail)
+        if self._sums is not None and self._sums[0] == load:
+            _load, zone, total = self._sums
+        else:
+            zone = self._zone_sum(load, now)
+            total = self._total(zone, now)
+        self._sums = None
         messages = self._to_other_zones(zone) if self._is_zone_sum_due(now) else []
-        total = self._total(zone, now)
         for entry in self._entries:
             if entry.availability_zone != self._own_record.availability_zone:
                 continue
--- a/libs/decisions/tests/load_digest_tests.py
+++ b/libs/decisions/tests/load_digest_tests.py
@@ -153,6 +153,25 @@
     assert elsewhere.signs == ServerSigns({"s": 1}, {"s": 4})
 
 
+def test_news_between_the_two_sums_of_a_round_counts_in_the_second():
+    # Failure: a collector sends out sums that it kept from before a message arrived.
+    entries = Entries(MAX_DIRECT_ENTRIES + 8, 3)
+    collector = next(one for one in entries.digest_by_address.values() if one.is_collector())
+    zone = collector._own_record.availability_zone
+    others = [one for one in entries.records if one.availability_zone == zone]
+    others = [one.entry_id for one in others if one.entry_id != collector._own_record.entry_id]
+
+    def told() -> set[int]:
+        sums = [one.message for one in collector.digests({"s": 1}, 1.0)]
+        return {one.running_by_server.get("s", 0) for one in sums if isinstance(one, LoadElsewhere)}
+
+    collector.elsewhere({"s": 1}, 1.0)
+    assert told() == {1}
+    collector.elsewhere({"s": 1}, 1.0)
+    collector.on_entry_load(EntryLoad(others[0], {"s": 5}), 1.0)
+    assert told() == {1, 6}
+
+
 def test_details_of_all_other_entries_reach_each_entry():
     # A detail that is lost in a sum, or counted twice, lets an entry send calls to a full server.
     entries = Entries(MAX_DIRECT_ENTRIES + 8, 3)
--- a/libs/wire/tarragonhall_wire/_exposition.py
+++ b/libs/wire/tarragonhall_wire/_exposition.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 PREFIX = "tarragonhall_"
@@ -33,12 +34,17 @@
 class Exposition:
     """The metrics of one process by name and labels."""
 
-    __slots__ = ("_counters", "_gauges", "_histograms")
+    __slots__ = ("_counters", "_gauges", "_histograms", "_sources")
 
     def __init__(self) -> None:
         self._counters: dict[tuple[str, Labels], int] = {}
         self._gauges: dict[tuple[str, Labels], float] = {}
         self._histograms: dict[tuple[str, Labels], Histogram] = {}
+        self._sources: list[Callable[[], dict[tuple[str, Labels], int]]] = []
+
+    def add_source(self, counters: Callable[[], dict[tuple[str, Labels], int]]) -> None:
+        """Add counters that are kept elsewhere and read with the text."""
+        self._sources.append(counters)
 
     def count(self, name: str, by: int, labels: Labels = ()) -> None:
         """Add to a counter."""
@@ -51,12 +57,18 @@
 
     def observe(self, name: str, seconds: float, labels: Labels = ()) -> None:
         """Record a duration."""
-        self._histograms.setdefault((name, labels), Histogram()).observe(seconds)
+        histogram = self._histograms.get((name, labels))
+        if histogram is None:
+            histogram = self._histograms[(name, labels)] = Histogram()
+        histogram.observe(seconds)
 
     def text(self) -> str:
         """Return all metrics in the text format."""
         lines: list[str] = []
-        for (name, labels), value in sorted(self._counters.items()):
+        counters = dict(self._counters)
+        for source in self._sources:
+            counters |= source()
+        for (name, labels), value in sorted(counters.items()):
             lines.append(f"{_full_name(name)}_total{_format_labels(labels)} {value}")
         for (name, labels), value in sorted(self._gauges.items()):
             lines.append(f"{_full_name(name)}{_format_labels(labels)} {value:g}")
--- a/libs/wire/tarragonhall_wire/_traffic.py
+++ b/libs/wire/tarragonhall_wire/_traffic.py
@@ -30,12 +30,13 @@
 class Traffic:
     """Traffic that one process has sent over its links and exchanged with backend servers."""
 
-    __slots__ = ("_exposition", "_total_by_key", "_zone")
+    __slots__ = ("_total_by_key", "_zone")
 
     def __init__(self, availability_zone: str = "", exposition: Exposition | None = None) -> None:
         self._zone = availability_zone
-        self._exposition = exposition
         self._total_by_key: dict[tuple[str, str], Total] = {}
+        if exposition is not None:
+            exposition.add_source(self._counters)
 
     def count(self, kind: str, size: int, peer_zone: str) -> None:
         """Count one message of `size` bytes; an empty `peer_zone` means an unknown zone."""
@@ -45,10 +46,6 @@
             total = self._total_by_key[(kind, scope)] = Total()
         total.messages += 1
         total.size += size
-        if self._exposition is not None:
-            labels: Labels = (("kind", kind), ("scope", scope))
-            self._exposition.count("traffic.messages", 1, labels)
-            self._exposition.count("traffic.bytes", size, labels)
 
     def totals(self) -> dict[str, list[int]]:
         """Return the numbers of messages and bytes by `KIND SCOPE`."""
@@ -57,6 +54,15 @@
             for (kind, scope), total in sorted(self._total_by_key.items())
         }
 
+    def _counters(self) -> dict[tuple[str, Labels], int]:
+        """Return the totals as counters, for the metrics: they are read seldom, unlike counted."""
+        counters: dict[tuple[str, Labels], int] = {}
+        for (kind, scope), total in self._total_by_key.items():
+            labels: Labels = (("kind", kind), ("scope", scope))
+            counters["traffic.messages", labels] = total.messages
+            counters["traffic.bytes", labels] = total.size
+        return counters
+
     def _scope(self, peer_zone: str) -> str:
         if not peer_zone or not self._zone:
             return UNKNOWN
