--- a/libs/relay/tarragonhall_relay/_stream_relay.py
+++ b/libs/relay/tarragonhall_relay/_stream_relay.py
@@ -10,7 +10,7 @@
 
 from tarragonhall_relay._attempt import OpenStream
 from tarragonhall_relay._client import ClientConnection
-from tarragonhall_relay._events import EventError, EventReader
+from tarragonhall_relay._events import EventError, EventReader, StreamEvent
 from tarragonhall_relay._report import CallReport
 from tarragonhall_relay._silence import SilenceWatch
 
@@ -70,16 +70,20 @@
             if data is None:
                 break
             events = self._reader.feed(data)
-            if not events:
-                continue
-            if is_first:
+            if events and is_first:
                 is_first = False
                 on_first_event()
-            if not self._report.events:
-                self._report.step("first_ms")
-            self._client.send(b"".join(event.raw for event in events))
-            self._report.events += len(events)
-            if keeps_output:
-                self._output.extend(event.data + b"\n" for event in events)
+            self._forward_events(events, keeps_output)
+            self._reader.check()
         if not self._reader.is_complete():
             raise EventError("the stream ended in the middle of an event")
+
+    def _forward_events(self, events: list[StreamEvent], keeps_output: bool) -> None:
+        if not events:
+            return
+        if not self._report.events:
+            self._report.step("first_ms")
+        self._client.send(b"".join(event.raw for event in events))
+        self._report.events += len(events)
+        if keeps_output:
+            self._output.extend(event.data + b"\n" for event in events)
