Order waiting calls by urgency and admit starts by a level that all entries share

Cause: each later turn of the least urgent program went before the first turn of the most urgent one, each entry ordered and admitted its own calls only, and the time that a program has left was used by nothing.

Change: with `Features.urgent_first`, and only at services whose routes or organisations differ in priority, calls wait by urgency, prospect and time to spare; starts are refused above a level that follows the waits of all entries' calls, first those of organisations far beyond their fair part. A part of the slots, learnt from the recent peak of the most urgent class, stays free of other starts.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -60,10 +60,20 @@
         "ModelDemand",
         "ModelOrders",
     ),
-    "_service_queue": (
-        "ServiceQueue",
+    "_service_queue": ("ServiceQueue",),
+    "_slack": ("ProgramSlack",),
+    "_tiers": (
+        "Prospect",
         "Tier",
+        "UrgentTier",
     ),
+    "_admission_level": (
+        "AdmissionLevel",
+        "ClassLoad",
+        "ServiceLoad",
+        "StartRefused",
+    ),
+    "_fair_parts": ("FairParts",),
     "_quarantine": (
         "Quarantine",
         "suspects_of_crash",
--- /dev/null
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -0,0 +1,221 @@
+"""Which programs may start at a service whose callers ask for more than its servers run.
+
+Load patterns:
+- A crowd of the least urgent kind starts more programs than the servers can run. Each of them goes
+  on for many turns, so a crowd that is let in fills the servers long after it is gone. Starts are
+  therefore refused from the least urgent class upwards, before they have cost anything.
+- The most urgent kind comes right after the crowd. As many slots as it has needed lately at once
+  stay free of less urgent starts.
+- One organisation asks for many times its usual. Beyond `EXCESS` times its fair part, its starts
+  are refused before those of all others.
+
+The level is one number for a service, which follows how long the calls that were admitted wait: it
+rises while a class waits for longer than its target, and falls while none waits for half of that.
+All entries know the same sums of waiting and running calls, at most 1.5 s old, so that their levels
+are close to each other without a leader; an entry without news goes on from its last level by its
+own calls. Steps are gradual, so that a step of load settles within two seconds and the level does
+not swing. Programs that have started are never refused here.
+
+From level 0 to `EXCESS_WIDTH`, organisations beyond their fair part are refused by chance, from
+none of their starts to all. Each further step of 1 does the same to one more class, from the least
+urgent up; of the most urgent class only excess is refused.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+# Rates of the level in steps a second. A class is refused fully within a second of waits at twice
+# their target, and admitted again within two seconds.
+RISE_PER_S = 1.2
+FALL_PER_S = 0.6
+EXCESS_WIDTH = 0.3
+# Ratio of a wait to its target below which the level falls. Between this and 1 it stays.
+FALL_BELOW = 0.5
+# Seconds between two steps; more would not help, as the news of the others come every 0.4 s.
+STEP_S = 0.1
+# Longest time that one step makes up for, so that an entry that was frozen does not jump.
+MAX_STEP_S = 0.5
+# Multiple of its fair part beyond which an organisation is in excess: below it, an organisation's
+# part varies by chance.
+EXCESS = 2.0
+# Calls of a service below which no organisation is in excess.
+MIN_CALLS = 10
+# Half-life in seconds of the recent peak of the most urgent calls: the length of a few programs, so
+# that a burst that comes again soon finds its slots free.
+PEAK_HALF_LIFE_S = 10.0
+# Largest part of the slots that is kept free for urgent calls.
+MAX_RESERVE = 0.5
+# Retry times are spread over this multiple of the expected time, so that callers refused together
+# do not return together.
+RETRY_SPREAD = 1.0
+# Least retry time in seconds: news of the others take as long.
+MIN_RETRY_S = 0.3
+
+
+@dataclass(slots=True)
+class ClassLoad:
+    """The calls of one urgency at a service, over all entries that are heard.
+
+    `started` got a slot within the last second, after `wait_s` seconds in total. `target_s` is the
+    mean wait that their callers can bear.
+    """
+
+    target_s: float
+    waiting: int = 0
+    running: int = 0
+    started: int = 0
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True)
+class ServiceLoad:
+    """The calls of a service by urgency, and the slots of its servers; 0 slots if not known."""
+
+    slots: int
+    class_by_urgency: dict[int, ClassLoad] = field(default_factory=dict)
+
+    def calls(self) -> int:
+        """Return how many calls wait or run."""
+        return sum(one.waiting + one.running for one in self.class_by_urgency.values())
+
+
+@dataclass(slots=True, frozen=True)
+class StartRefused:
+    """A start that was refused; `reason` is `excess`, `level` or `reserve`."""
+
+    reason: str
+    retry_s: float
+
+
+class AdmissionLevel:
+    """The level of one service at one entry; times are monotonic seconds."""
+
+    __slots__ = (
+        "_drain_per_s",
+        "_load",
+        "_peak",
+        "_peak_at",
+        "_rng",
+        "_stepped_at",
+        "_urgencies",
+        "level",
+    )
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._load = ServiceLoad(0)
+        self._urgencies: list[int] = []
+        self._stepped_at: float | None = None
+        self._drain_per_s = 0.0
+        self._peak = 0.0
+        self._peak_at = 0.0
+        self.level = 0.0
+
+    def is_due(self, now: float) -> bool:
+        """Return whether it is time for a `step`."""
+        return self._stepped_at is None or now - self._stepped_at >= STEP_S
+
+    def step(self, load: ServiceLoad, urgencies: list[int], run_s: float, now: float) -> None:
+        """Move the level by the calls of all entries.
+
+        `urgencies` are the classes of the service, and `run_s` is how long a call holds a slot.
+        """
+        elapsed_s = min(MAX_STEP_S, now - self._stepped_at) if self._stepped_at is not None else 0.0
+        self._stepped_at = now
+        self._load = load
+        self._urgencies = sorted(urgencies)
+        running = sum(one.running for one in load.class_by_urgency.values())
+        self._drain_per_s = running / run_s if run_s > 0.0 else 0.0
+        self._update_peak(now)
+        pressure = self._pressure()
+        if pressure > 1.0:
+            self.level += RISE_PER_S * elapsed_s * min(1.0, pressure - 1.0)
+        elif pressure < FALL_BELOW:
+            self.level -= FALL_PER_S * elapsed_s
+        highest = EXCESS_WIDTH + max(0, len(self._urgencies) - 1)
+        self.level = min(highest, max(0.0, self.level))
+
+    def refuse_start(self, urgency: int, excess: float, waited: bool) -> StartRefused | None:
+        """Return why a program must not start now, or None if it may.
+
+        `excess` is the organisation's multiple of its fair part. `waited` says that the program was
+        refused before; it then goes before those that come for the first time.
+        """
+        if excess > EXCESS and self._is_hit(self.level / EXCESS_WIDTH, waited):
+            return StartRefused("excess", self._retry_s(urgency, self.level))
+        above = self.level - EXCESS_WIDTH - self._rung(urgency)
+        if self._is_most_urgent(urgency):
+            return None
+        if self._is_hit(above, waited):
+            return StartRefused("level", self._retry_s(urgency, above))
+        if self._lacks_reserve():
+            return StartRefused("reserve", self._retry_s(urgency, 0.0))
+        return None
+
+    def refused_urgency(self) -> int | None:
+        """Return the most urgent class of which starts are refused by level; None if none is."""
+        hit = [one for one in self._urgencies[1:] if self.level > EXCESS_WIDTH + self._rung(one)]
+        return min(hit) if hit else None
+
+    def reserve(self) -> int:
+        """Return how many slots stay free for the most urgent class beyond those that it uses."""
+        if not self._urgencies:
+            return 0
+        now_used = self._used(self._urgencies[0])
+        return max(0, min(round(self._peak), int(MAX_RESERVE * self._load.slots)) - now_used)
+
+    def _pressure(self) -> float:
+        """Return the largest ratio of a class's wait to its target."""
+        pressure = 0.0
+        ahead = 0
+        for _, one in sorted(self._load.class_by_urgency.items()):
+            ahead += one.waiting
+            if not one.waiting and not one.started:
+                continue
+            wait_s = one.wait_s / one.started if one.started else 0.0
+            if one.waiting and self._drain_per_s > 0.0:
+                wait_s = max(wait_s, ahead / self._drain_per_s)
+            pressure = max(pressure, wait_s / max(one.target_s, 1e-3))
+        return pressure
+
+    def _update_peak(self, now: float) -> None:
+        if not self._urgencies:
+            return
+        decayed = self._peak * 0.5 ** ((now - self._peak_at) / PEAK_HALF_LIFE_S)
+        self._peak = max(decayed, float(self._used(self._urgencies[0])))
+        self._peak_at = now
+
+    def _used(self, urgency: int) -> int:
+        one = self._load.class_by_urgency.get(urgency)
+        return one.running + one.waiting if one is not None else 0
+
+    def _lacks_reserve(self) -> bool:
+        if not self._load.slots:
+            return False
+        return self._load.calls() + self.reserve() >= self._load.slots
+
+    def _is_most_urgent(self, urgency: int) -> bool:
+        """Return whether no class is more urgent, so that only excess is refused."""
+        return not self._urgencies or urgency <= self._urgencies[0]
+
+    def _rung(self, urgency: int) -> int:
+        """Return how many classes are refused before this one."""
+        return sum(1 for one in self._urgencies if one > urgency)
+
+    def _is_hit(self, share: float, waited: bool) -> bool:
+        if share <= 0.0:
+            return False
+        if waited and share < 1.0:
+            share *= share
+        return self._rng.random() < share
+
+    def _retry_s(self, urgency: int, above: float) -> float:
+        """Return when there should be room: the level has fallen, and those ahead have ended."""
+        ahead = sum(
+            one.waiting for other, one in self._load.class_by_urgency.items() if other <= urgency
+        )
+        wait_s = ahead / self._drain_per_s if self._drain_per_s > 0.0 else 0.0
+        wait_s += min(1.0, max(0.0, above)) / FALL_PER_S
+        return max(MIN_RETRY_S, wait_s) * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -198,7 +198,7 @@
         best: list[BackendRecord] = []
         lowest = float("inf")
         preferred = self._preferred_server(requirements)
-        is_below_share = self._is_below_share(requirements.service)
+        is_below_share = not requirements.yields and self._is_below_share(requirements.service)
         unresponsive_ms = self.unresponsive.costs(now)
         for record in self._candidates(requirements, preferred):
             if not requirements.allows(record) or not self._accepts_call(
--- a/libs/decisions/tarragonhall_decisions/_fair_queue.py
+++ b/libs/decisions/tarragonhall_decisions/_fair_queue.py
@@ -13,6 +13,8 @@
 only its total latency counts. A call's rank is its program's attained tokens less
 `AGEING_TOKENS_PER_S` for each second that it waited. A long program therefore waits behind newer
 ones for a bounded time: at most `ATTAINED_CAP / AGEING_TOKENS_PER_S` seconds of later arrivals.
+Where the time that a program has to spare is known, it counts as a later arrival, up to
+`MAX_SLACK_S`.
 
 Overload: the queue is bounded per organisation and in total. When it is full, the organisation
 furthest over its share loses a call, first from a program that has not started. A call that cannot
@@ -43,6 +45,8 @@
 # Attained tokens beyond this do not worsen a program's rank. It bounds the extra wait of the
 # longest program to ten seconds.
 ATTAINED_CAP = 2_400.0
+# Time to spare beyond this does not worsen a program's rank; it bounds the extra wait as above.
+MAX_SLACK_S = 10.0
 # The expected run time makes no call expire in this first share of its time; `latest_start` says
 # why.
 MIN_WAIT_SHARE = 0.5
@@ -56,7 +60,8 @@
 
     `cost` is its expected tokens (1 for a service call), `attained` the tokens that its program has
     already used, `started` whether the program had an earlier call. `max_wait_s` limits its wait in
-    addition to the deadline.
+    addition to the deadline. `slack_s` is the time that its program has to spare; a program that
+    comes back after a refusal has its earlier wait taken off, which may make it negative.
     """
 
     call_id: str
@@ -68,12 +73,14 @@
     attained: float = 0.0
     started: bool = False
     max_wait_s: float = float("inf")
+    slack_s: float = 0.0
     arrived: float = 0.0
     dequeued_at: float = 0.0
 
     def rank(self) -> float:
         """Return the order within the organisation, lower first; it does not change over time."""
-        return min(self.attained, ATTAINED_CAP) + AGEING_TOKENS_PER_S * self.arrived
+        latest = self.arrived + max(-MAX_SLACK_S, min(self.slack_s, MAX_SLACK_S))
+        return min(self.attained, ATTAINED_CAP) + AGEING_TOKENS_PER_S * latest
 
     def latest_start(self) -> float:
         """Return the time after which it is too late to start.
--- /dev/null
+++ b/libs/decisions/tests/admission_level_tests.py
@@ -0,0 +1,135 @@
+"""Starts of programs under crowds, hot organisations and lost news."""
+
+from __future__ import annotations
+
+import pytest
+from crowd_load import CALM, TICK_S, URGENT, Crowd
+
+# Programs a second that use two thirds of the 40 slots.
+USUAL = {("org-1", URGENT): 5.0, ("org-2", URGENT): 5.0, ("org-1", CALM): 2.5, ("org-2", CALM): 2.5}
+
+
+def crowd_of(multiple: float, kind: int = CALM, begin: float = 4.0, end: float = 10.0):
+    """Return a load in which one kind comes at a multiple of its usual for a while."""
+
+    def rates(now: float):
+        if not begin <= now < end:
+            return USUAL
+        return {key: per_s * (multiple if key[1] == kind else 1.0) for key, per_s in USUAL.items()}
+
+    return rates
+
+
+def urgent_share(crowd: Crowd) -> float:
+    """Return the share of the urgent programs that ended in time, after the end of the load."""
+    crowd.end()
+    keys = [key for key in USUAL if key[1] == URGENT]
+    return sum(crowd.in_time[key] for key in keys) / sum(crowd.offered[key] for key in keys)
+
+
+@pytest.mark.parametrize("multiple", [2.0, 3.0, 4.0])
+def test_crowd_of_the_least_urgent_leaves_the_urgent_served(multiple):
+    """Load: the least urgent kind at 2, 3 and 4 times its usual for 6 s. In order of arrival, or
+    with started programs first, the crowd fills the servers for the length of its runs.
+    """
+    calm = Crowd()
+    calm.run(16.0, lambda _now: USUAL)
+    crowded = Crowd()
+    crowded.run(16.0, crowd_of(multiple))
+    assert urgent_share(crowded) >= urgent_share(calm) - 0.05
+
+
+def test_burst_of_the_most_urgent_after_a_crowd_finds_room():
+    """Load: the least urgent kind at 3 times its usual for 6 s, then the most urgent at twice."""
+    crowd = Crowd()
+    least, most = crowd_of(3.0), crowd_of(2.0, URGENT, 10.0, 13.0)
+    crowd.run(18.0, lambda now: least(now) if now < 10.0 else most(now))
+    assert urgent_share(crowd) >= 0.9
+
+
+def test_least_urgent_programs_that_start_still_end_in_time():
+    """Load: the least urgent kind at 3 times its usual. If more start than fit, all are late."""
+    crowd = Crowd()
+    crowd.run(16.0, crowd_of(3.0))
+    crowd.end()
+    kinds = [key for key in USUAL if key[1] == CALM]
+    started = sum(crowd.offered[key] - crowd.refused[key] for key in kinds)
+    assert sum(crowd.in_time[key] for key in kinds) >= 0.5 * started
+
+
+def test_organisation_at_ten_times_its_usual_takes_only_what_others_leave():
+    """Load: one of eight organisations at ten times its usual for 8 s. Its calls would take turns
+    with those of the others, and each of these would wait longer.
+    """
+    usual = {(f"org-{number}", CALM): 0.5 for number in range(8)}
+    usual |= {(f"org-{number}", URGENT): 1.0 for number in range(8)}
+
+    def hot(now: float):
+        return {
+            key: per_s * (10.0 if key[0] == "org-0" and 4.0 <= now < 12.0 else 1.0)
+            for key, per_s in usual.items()
+        }
+
+    before, beside = Crowd(), Crowd()
+    before.run(14.0, lambda _now: usual)
+    beside.run(14.0, hot)
+    others = [key[0] for key in usual if key[0] != "org-0"]
+    wait_before = sum(before.mean_wait_s(org) for org in others) / len(others)
+    wait_beside = sum(beside.mean_wait_s(org) for org in others) / len(others)
+    # A tenth of the time that a turn takes.
+    assert wait_beside <= wait_before + 0.03
+    refused = {org: sum(beside.refused[org, kind] for kind in (URGENT, CALM)) for org in others}
+    assert beside.refused["org-0", CALM] > max(refused.values())
+
+
+def test_step_of_load_settles_within_two_seconds_and_does_not_swing():
+    """Load: the least urgent kind at 4 times its usual from one moment on, without an end. A level
+    that follows waits too fast would admit and refuse everybody in turn.
+    """
+    crowd = Crowd()
+    crowd.run(20.0, crowd_of(4.0, begin=4.0, end=99.0))
+    settled = crowd.levels[round(8.0 / TICK_S) :]
+    jumps = sum(
+        1 for before, after in zip(settled, settled[20:], strict=False) if abs(after - before) > 0.7
+    )
+    assert jumps <= 0.05 * len(settled)
+
+
+def test_entry_without_news_goes_on_by_its_own_calls():
+    """Failure: one of four entries hears nothing of the others for the length of a crowd."""
+    crowd = Crowd()
+    crowd.entries[0].is_cut_off = True
+    crowd.run(16.0, crowd_of(3.0))
+    assert urgent_share(crowd) >= 0.9
+
+
+def test_single_entry_decides_alone():
+    """Failure: all other entries are gone, so that there are no news at all."""
+    crowd = Crowd(entries=1)
+    crowd.run(16.0, crowd_of(3.0))
+    assert urgent_share(crowd) >= 0.9
+
+
+def test_lost_news_change_little():
+    """Failure: all load messages are lost for two seconds in the middle of a crowd."""
+    crowd = Crowd()
+    load = crowd_of(3.0)
+    crowd.run(6.0, load)
+    for entry in crowd.entries:
+        entry.is_cut_off = True
+    crowd.run(2.0, load)
+    for entry in crowd.entries:
+        entry.is_cut_off = False
+    crowd.run(8.0, load)
+    assert urgent_share(crowd) >= 0.9
+
+
+def test_third_of_the_entries_gone_in_a_crowd():
+    """Failure: two of six entries stop at once; their calls must not count for ever."""
+    crowd = Crowd(entries=6)
+    load = crowd_of(3.0)
+    crowd.run(6.0, load)
+    for entry in crowd.entries[:2]:
+        entry.gone = True
+    crowd.run(10.0, load)
+    assert urgent_share(crowd) >= 0.9
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -193,6 +193,7 @@
             output = self._relay_events(stream)
             self._report.step("whole_ms")
             self._record_stream_time(server)
+            self._slot.note_answered()
             self._slot.release()
             self._turn.persist(
                 self._request.body, output, self._generated_tokens(), server.server_id
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 
 import eventlet
-from tarragonhall_decisions import CallRequirements, QueuedCall, Tier, urgency_of
+from tarragonhall_decisions import CallRequirements, QueuedCall, Tier, UrgentTier, urgency_of
 from tarragonhall_model import BackendRecord, Refusal, RefusalCode
 
 from tarragonhall_relay._admission import STATUS_UNAVAILABLE, AdmittedCall, Rejection, rejection_for
 from tarragonhall_relay._slots import Slot
 from tarragonhall_relay._state import RelayState
+from tarragonhall_relay._urgent_call import UrgentCall
 
 # After a restart of the whole system a leader is elected within little more than a second, and
 # servers register within another. A caller that is rejected at once uses up its few attempts before
@@ -53,10 +54,12 @@
         "_call",
         "_queued",
         "_refusals",
+        "_slack_s",
         "_slot",
         "_state",
         "_tier",
         "_unreachable",
+        "_urgent",
         "may_have_run_on",
         "service",
     )
@@ -71,12 +74,22 @@
         self._unreachable: set[str] = set()
         self.may_have_run_on: set[str] = set()
         self.service = state.table.service_of(call.route, state.rng)
-        self._tier = Tier(call.starts_program, self.rank())
+        self._tier: Tier | UrgentTier = Tier(call.starts_program, self.rank())
         self._queued = self._make_queued_call()
+        self._urgent: UrgentCall | None = None
+        self._slack_s: float | None = None
+        if state.urgent_first is not None:
+            self._urgent = state.urgent_first.call(call, self.service, self.rank())
+        if self._urgent is not None:
+            self._slack_s = self._urgent.slack_s()
+            self._tier = self._urgent.tier(self._slack_s)
+            self._queued.slack_s = self._slack_s or 0.0
 
     def reject_early(self) -> Rejection | None:
         """Return the rejection of a call that must not start now, if there is one."""
-        refusal = self._state.slots.reject_early(self.service, self._queued, self._tier)
+        refusal = self._urgent.refuse_start() if self._urgent is not None else None
+        if refusal is None:
+            refusal = self._state.slots.reject_early(self.service, self._queued, self._tier)
         return self._no_slot(refusal) if refusal is not None else None
 
     def acquire(self, last_server: str, prompt_size: int) -> BackendRecord | Rejection:
@@ -91,18 +104,22 @@
             return self._no_server()
         if not wait_until(self._state, self._wait_deadline(), self._has_server):
             return self._no_server()
-        slots = self._state.slots
-        requirements = self._requirements(last_server, prompt_size)
-        if self._slot is None:
-            result = slots.acquire(self._queued, self._tier, requirements)
-        else:
-            previous, self._slot = self._slot, None
-            result = slots.reacquire(previous, requirements)
+        if self._urgent is not None:
+            self._urgent.on_wait()
+        result = self._wait_for_slot(self._requirements(last_server, prompt_size))
         if isinstance(result, Refusal):
             return self._no_slot(result)
+        if self._urgent is not None:
+            self._urgent.on_slot()
         self._slot = result
         return result.server
 
+    def _wait_for_slot(self, requirements: CallRequirements) -> Slot | Refusal:
+        if self._slot is None:
+            return self._state.slots.acquire(self._queued, self._tier, requirements)
+        previous, self._slot = self._slot, None
+        return self._state.slots.reacquire(previous, requirements)
+
     def held_ms(self, now: float) -> float:
         """Return for how many milliseconds the current slot has been held."""
         return (now - self._slot.started_at) * 1000
@@ -129,8 +146,15 @@
         if self._slot is not None:
             self._state.slots.note_response(self._slot)
 
+    def note_answered(self) -> None:
+        """Record that the call in the current slot was answered in full."""
+        if self._urgent is not None:
+            self._urgent.on_answered()
+
     def release(self) -> None:
         """Release the slot, if one is held."""
+        if self._urgent is not None:
+            self._urgent.on_left()
         if self._slot is not None:
             self._state.slots.release(self._slot)
             self._slot = None
@@ -178,6 +202,7 @@
             frozenset(self._unreachable | self.may_have_run_on),
             prompt_size * turns,
             self._call.home_zones,
+            self._slack_s * 1000 if self._slack_s is not None else None,
         )
 
     def _make_queued_call(self) -> QueuedCall:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -35,6 +35,7 @@
 from tarragonhall_relay._sockets import set_options
 from tarragonhall_relay._state import RelayState
 from tarragonhall_relay._turn_store import TurnStoreClient
+from tarragonhall_relay._urgent_first import UrgentFirst
 
 log = structlog.get_logger(__name__)
 
@@ -119,6 +120,10 @@
             cold_slack=settings.cold_slack,
             features=settings.features,
         )
+        if settings.features.urgent_first:
+            self.state.urgent_first = UrgentFirst(self.state)
+            self.state.slots.yields = self.state.urgent_first.yields
+            self.state.load_reporters.append(self.state.urgent_first)
         self._follower.attach(self.state)
         self._backend_follower = BackendFollower(context, self.state)
         self._peer_updates = PeerUpdates(context, self.state, self._follower)
--- a/libs/relay/tarragonhall_relay/_slots.py
+++ b/libs/relay/tarragonhall_relay/_slots.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import eventlet
 from eventlet.event import Event
@@ -15,6 +15,7 @@
     QueuedCall,
     ServiceQueue,
     Tier,
+    UrgentTier,
 )
 from tarragonhall_model import BackendRecord, Refusal
 
@@ -48,7 +49,15 @@
 class SlotAllocator:
     """Allocates slots to the waiting calls of one entry, with a queue for each service."""
 
-    __slots__ = ("_chooser", "_monotonic", "_polling", "_queue_by_service", "_rng", "_waiter_by_id")
+    __slots__ = (
+        "_chooser",
+        "_monotonic",
+        "_polling",
+        "_queue_by_service",
+        "_rng",
+        "_waiter_by_id",
+        "yields",
+    )
 
     def __init__(
         self, chooser: BackendChooser, rng: random.Random, monotonic: Callable[[], float]
@@ -59,17 +68,25 @@
         self._polling: set[str] = set()
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._waiter_by_id: dict[str, _Waiter] = {}
+        # Returns whether a call leaves this entry's share to more urgent ones at other entries.
+        self.yields: Callable[[str, QueuedCall, Tier | UrgentTier], bool] | None = None
 
     def waiting(self) -> int:
         """Return how many calls are waiting."""
         return len(self._waiter_by_id)
 
-    def reject_early(self, service: str, call: QueuedCall, tier: Tier) -> Refusal | None:
+    def set_least_drain(self, service: str, per_s: float) -> None:
+        """Set the rate at which this entry's share of a service's servers ends calls."""
+        self._queue(service).least_drain_per_s = per_s
+
+    def reject_early(
+        self, service: str, call: QueuedCall, tier: Tier | UrgentTier
+    ) -> Refusal | None:
         """Return the refusal of a call that must not start now, before resources are used on it."""
         return self._queue(service).reject_early(call, tier, self._monotonic())
 
     def acquire(
-        self, call: QueuedCall, tier: Tier, requirements: CallRequirements
+        self, call: QueuedCall, tier: Tier | UrgentTier, requirements: CallRequirements
     ) -> Slot | Refusal:
         """Wait for a slot; return it, or the refusal if none comes in time.
 
@@ -139,7 +156,7 @@
             call = queue.take(now)
             if call is None:
                 break
-            requirements = self._waiter_by_id[call.call_id].requirements
+            requirements = self._requirements(service, call, queue)
             server = self._chooser.choose(requirements, now)
             if server is not None:
                 self._grant(call, server, queue, now)
@@ -152,6 +169,14 @@
         for call in skipped:
             queue.requeue(call)
 
+    def _requirements(
+        self, service: str, call: QueuedCall, queue: ServiceQueue
+    ) -> CallRequirements:
+        requirements = self._waiter_by_id[call.call_id].requirements
+        if self.yields is None or not self.yields(service, call, queue.tier_of(call)):
+            return requirements
+        return replace(requirements, yields=True)
+
     def _grant(
         self, call: QueuedCall, server: BackendRecord, queue: ServiceQueue, now: float
     ) -> None:
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tarragonhall_decisions import (
     BackendChooser,
@@ -25,6 +25,9 @@
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._turn_store import TurnStoreClient
 
+if TYPE_CHECKING:
+    from tarragonhall_relay._urgent_first import UrgentFirst
+
 
 class LoadReporter(Protocol):
     """A part that tells the other entries about this entry's load."""
@@ -40,6 +43,7 @@
     `table` is None until the first relay document has arrived. `is_fresh` returns whether control
     has confirmed recently that it is the latest. `store_zones` returns the availability zones of
     the stores. `load_reporters` are the parts that are switched on and add to the load messages.
+    `urgent_first` is None unless it is switched on.
     """
 
     dialect: Dialect
@@ -63,6 +67,7 @@
     exhausted_programs: ExhaustedPrograms = field(default_factory=ExhaustedPrograms)
     features: Features = Features()
     load_reporters: list[LoadReporter] = field(default_factory=list)
+    urgent_first: UrgentFirst | None = None
     table: RouteTable | None = None
     draining: bool = False
     calls_in_flight: int = 0
--- /dev/null
+++ b/libs/relay/tarragonhall_relay/_urgent_call.py
@@ -0,0 +1,186 @@
+"""One call of a service whose callers differ in priority, and the counts that it belongs to."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from tarragonhall_decisions import (
+    AdmissionLevel,
+    FairParts,
+    Prospect,
+    UrgentTier,
+    bounded_retry_ms,
+)
+from tarragonhall_model import Execution, Refusal, RefusalCode
+
+from tarragonhall_relay._admission import AdmittedCall
+
+if TYPE_CHECKING:
+    from tarragonhall_relay._urgent_first import UrgentFirst
+
+# Seconds for which a call that got a slot counts as started.
+STARTED_WINDOW_S = 1.0
+
+
+@dataclass(slots=True)
+class ClassCounts:
+    """This entry's calls of one urgency at a service.
+
+    `is_used` says that any entry had calls of the class. `started` holds when a call got a slot, or
+    was refused after a wait, and how long it had waited.
+    """
+
+    key: str
+    target_s: float
+    is_used: bool = False
+    waiting: int = 0
+    running: int = 0
+    started: deque[tuple[float, float]] = field(default_factory=deque)
+
+    def recent(self, now: float) -> tuple[int, float]:
+        """Return how many calls got a slot lately, and the sum of their waits in seconds."""
+        while self.started and now - self.started[0][0] > STARTED_WINDOW_S:
+            self.started.popleft()
+        return len(self.started), sum(wait_s for _, wait_s in self.started)
+
+
+@dataclass(slots=True)
+class UrgentService:
+    """What is kept for one service whose callers differ in priority."""
+
+    name: str
+    level: AdmissionLevel
+    counts_by_urgency: dict[int, ClassCounts]
+    parts: FairParts = field(default_factory=FairParts)
+    calls: int = 0
+    urgent_elsewhere: int | None = None
+    logged: tuple[bool, int | None] = (False, None)
+    logged_at: float = float("-inf")
+
+
+class UrgentCall:
+    """One call of a service whose callers differ in priority."""
+
+    __slots__ = (
+        "_counts",
+        "_is_running",
+        "_is_waiting",
+        "_length",
+        "_part",
+        "_since",
+        "admitted",
+        "kind",
+        "service",
+        "turn",
+        "urgency",
+    )
+
+    def __init__(
+        self,
+        part: UrgentFirst,
+        service: UrgentService,
+        counts: ClassCounts,
+        admitted: AdmittedCall,
+        urgency: int,
+    ) -> None:
+        self._part = part
+        self._counts = counts
+        self._is_waiting = False
+        self._is_running = False
+        self._since = 0.0
+        self.admitted = admitted
+        self.service = service
+        self.urgency = urgency
+        self.kind = admitted.route.name
+        facts = admitted.facts
+        self._length = sum(part.tokens for part in facts.parts) or len(admitted.request.body)
+        self.turn = part.slack.turn_of(
+            self.kind, facts.program_id, admitted.starts_program, self._length
+        )
+        if admitted.org_id is not None:
+            now = part.state.monotonic()
+            service.parts.seen(admitted.org_id, _weight(admitted), now)
+
+    def tier(self, slack_s: float | None) -> UrgentTier:
+        """Return the tier of the call."""
+        prospect = Prospect.IN_TIME
+        if self._part.slack.is_endless(self.kind, self.turn):
+            prospect = Prospect.ENDLESS
+        elif slack_s is not None and slack_s < 0.0:
+            prospect = Prospect.LATE
+        return UrgentTier(self.urgency, prospect, self.admitted.starts_program)
+
+    def slack_s(self) -> float | None:
+        """Return the time that the program has to spare; None if it is not known."""
+        return self._part.slack_s(self, self._part.state.monotonic())
+
+    def refuse_start(self) -> Refusal | None:
+        """Return the refusal of a program that must not start now; None if it may."""
+        if not self.admitted.starts_program:
+            return None
+        refused = self._part.refuse_start(self, self._part.state.monotonic())
+        if refused is None:
+            return None
+        return Refusal(
+            RefusalCode.OVERLOADED,
+            f"programs of this urgency do not start now ({refused.reason})",
+            Execution.NOT_RUN,
+            bounded_retry_ms(refused.retry_s),
+        )
+
+    def on_wait(self) -> None:
+        """Record that the call starts to wait for a slot."""
+        now = self._part.state.monotonic()
+        self._part.step(self.service, now)
+        self._leave()
+        self._since = now
+        self._is_waiting = True
+        self._counts.waiting += 1
+        self.service.parts.began(self.admitted.org_id or "")
+
+    def on_slot(self) -> None:
+        """Record that the waiting call got a slot."""
+        now = self._part.state.monotonic()
+        wait_s = now - self._since
+        self._leave()
+        self._since = now
+        self._is_running = True
+        self._counts.running += 1
+        self._counts.started.append((now, wait_s))
+        self.service.parts.began(self.admitted.org_id or "")
+        facts = self.admitted.facts
+        self._part.slack.arrived(self.kind, facts.program_id, self.turn, self._length, now)
+        labels = (("urgency", str(self.urgency)),)
+        self._part.state.metrics.timing("relay.slot_wait_ms", wait_s * 1000, labels)
+
+    def on_answered(self) -> None:
+        """Record that the call was answered in full."""
+        now = self._part.state.monotonic()
+        if self._is_running:
+            program_id = self.admitted.facts.program_id
+            self._part.slack.ended(self.kind, program_id, now - self._since, now)
+
+    def on_left(self) -> None:
+        """Record that the call neither waits nor holds a slot, however that ended."""
+        if self._is_waiting:
+            # Without the waits of those that gave up, a class that gets no slots would look served.
+            now = self._part.state.monotonic()
+            self._counts.started.append((now, now - self._since))
+        self._leave()
+
+    def _leave(self) -> None:
+        if self._is_waiting:
+            self._counts.waiting -= 1
+        if self._is_running:
+            self._counts.running -= 1
+        if self._is_waiting or self._is_running:
+            self.service.parts.ended(self.admitted.org_id or "")
+        self._is_waiting = self._is_running = False
+
+
+def _weight(call: AdmittedCall) -> float:
+    """Return an organisation's part relative to others: its rate, where it has one."""
+    rate = call.organisation.rate if call.organisation is not None else None
+    return rate.per_second if rate is not None else 1.0
