--- a/libs/decisions/tests/service_queue_tests.py
+++ b/libs/decisions/tests/service_queue_tests.py
@@ -9,7 +9,15 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tarragonhall_decisions import Deadline, Dropped, QueuedCall, ServiceQueue, Tier
+from tarragonhall_decisions import (
+    Deadline,
+    Dropped,
+    Prospect,
+    QueuedCall,
+    ServiceQueue,
+    Tier,
+    UrgentTier,
+)
 from tarragonhall_model import Execution, RefusalCode
 
 STARTED = Tier(begins=False, urgency=4)
@@ -124,7 +132,14 @@
     st.tuples(
         st.sampled_from(["offer", "take", "end", "back", "again", "remove", "expire"]),
         st.sampled_from("ab"),
-        st.sampled_from([STARTED, FIRST_CALL]),
+        st.sampled_from(
+            [
+                STARTED,
+                FIRST_CALL,
+                UrgentTier(1, Prospect.IN_TIME, begins=True),
+                UrgentTier(7, Prospect.LATE, begins=False),
+            ]
+        ),
         st.sampled_from([0.0, 0.3, float("inf")]),
     ),
     max_size=150,
@@ -339,3 +354,98 @@
     in_time, ended = programs_in_time(make_queue(), 0.6)
     assert ended >= 0.95
     assert in_time >= 0.95
+
+
+def urgent(urgency: int, prospect: Prospect = Prospect.IN_TIME, begins: bool = False) -> UrgentTier:
+    return UrgentTier(urgency, prospect, begins)
+
+
+def test_first_turn_of_the_urgent_goes_before_later_turns_of_the_least_urgent():
+    """Load: a crowd of the least urgent kind has many turns waiting, and the most urgent starts."""
+    queue = make_queue()
+    for number in range(6):
+        queue.offer(call(f"crowd-{number}"), urgent(7), 0.0)
+    queue.offer(call("urgent"), urgent(1, begins=True), 0.1)
+    assert taken(queue)[0] == "urgent"
+
+
+def test_late_and_endless_programs_go_last_of_their_urgency():
+    """Load: more calls than slots. A slot for a program that is late makes another one late."""
+    queue = make_queue()
+    queue.offer(call("endless"), urgent(4, Prospect.ENDLESS), 0.0)
+    queue.offer(call("late"), urgent(4, Prospect.LATE), 0.0)
+    queue.offer(call("in-time"), urgent(4), 0.1)
+    queue.offer(call("less-urgent"), urgent(5), 0.0)
+    assert taken(queue) == ["in-time", "late", "endless", "less-urgent"]
+
+
+def test_program_with_less_time_to_spare_goes_first_until_the_other_has_aged():
+    """Load: programs with little time come all the time; one with much time must not wait on."""
+    queue = make_queue()
+    queue.offer(call("spare", slack_s=5.0), urgent(4), 0.0)
+    queue.offer(call("tight", slack_s=1.0), urgent(4), 3.0)
+    queue.offer(call("tight-later", slack_s=1.0), urgent(4), 4.5)
+    assert taken(queue) == ["tight", "spare", "tight-later"]
+
+
+def test_calls_that_waited_through_a_change_of_priorities_are_served():
+    """Failure: a new document gives routes different priorities while calls wait in old tiers."""
+    queue = make_queue()
+    queue.offer(call("before"), STARTED, 0.0)
+    queue.offer(call("after"), urgent(1), 0.1)
+    assert taken(queue) == ["before", "after"]
+
+
+URGENT_TIERS = st.builds(
+    UrgentTier, st.integers(1, 9), st.sampled_from(list(Prospect)), st.booleans()
+)
+
+
+@settings(max_examples=100, deadline=None)
+@given(
+    tiers=st.lists(URGENT_TIERS, min_size=1, max_size=6, unique=True),
+    flood=URGENT_TIERS,
+)
+def test_no_tier_starves_and_inversions_are_bounded(tiers, flood):
+    """Load: one tier always has calls waiting. Each other one gets a slot within eight slots for
+    each waiting tier, and at most one slot in eight goes to a call while a lower tier waits.
+    """
+    queue = make_queue()
+    tier_by_id = {}
+
+    def offer(name: str, tier: UrgentTier) -> None:
+        tier_by_id[name] = tier
+        queue.offer(call(name), tier, 0.0)
+
+    for number, tier in enumerate(tiers):
+        offer(f"waits-{number}", tier)
+    bound = 8 * (len(tiers) + 1)
+    order = []
+    inversions = 0
+    for number in range(bound):
+        offer(f"flood-{number}", flood)
+        waiting = {name for name in tier_by_id if name not in order}
+        one = queue.take(0.0)
+        queue.on_slot_assigned(one)
+        order.append(one.call_id)
+        inversions += any(tier_by_id[name] < tier_by_id[one.call_id] for name in waiting)
+    assert {f"waits-{number}" for number in range(len(tiers))} <= set(order)
+    assert inversions <= bound / 8
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    calls=st.lists(st.tuples(URGENT_TIERS, st.floats(-5.0, 20.0)), min_size=1, max_size=30),
+    slower=st.floats(0.1, 50.0),
+)
+def test_order_does_not_depend_on_the_news_of_others(calls, slower):
+    """Entries hear of each other late. What they hear changes refusals, but not the order."""
+    orders = []
+    for least_drain_per_s in (0.0, slower):
+        queue = make_queue()
+        queue.least_drain_per_s = least_drain_per_s
+        for number, (tier, slack_s) in enumerate(calls):
+            queue.offer(call(f"call-{number}", slack_s=slack_s), tier, 0.0)
+        orders.append(taken(queue))
+    assert orders[0] == orders[1]
+    assert len(orders[0]) == len(calls)
--- a/libs/relay/tarragonhall_relay/_urgent_first.py
+++ b/libs/relay/tarragonhall_relay/_urgent_first.py
@@ -55,8 +55,7 @@
 
     def call(self, call: AdmittedCall, service: str, urgency: int) -> UrgentCall | None:
         """Return the part of a call in the order by urgency; None if its service has none."""
-        self._follow_table()
-        found = self._service_by_name.get(service)
+        found = self.service(service)
         if found is None:
             return None
         counts = found.counts_by_urgency.get(urgency)
@@ -65,6 +64,11 @@
         counts.is_used = True
         return UrgentCall(self, found, counts, call, urgency)
 
+    def service(self, name: str) -> UrgentService | None:
+        """Return what is kept for a service; None if its callers do not differ in priority."""
+        self._follow_table()
+        return self._service_by_name.get(name)
+
     def yields(self, service: str, call: QueuedCall, tier: object) -> bool:
         """Return whether a waiting call leaves this entry's share to urgent ones elsewhere."""
         found = self._service_by_name.get(service)
@@ -177,7 +181,7 @@
         log.info(
             "admission.level_changed",
             service=service.name,
-            level=round(service.level.level, 2),
+            admission_level=round(service.level.level, 2),
             refused_urgency=level[1],
             waiting=sum(one.waiting for one in load.class_by_urgency.values()),
             running=sum(one.running for one in load.class_by_urgency.values()),
