Let the level of starts follow the time until answers begin

Cause: engines that are short of time make calls wait inside.

Change: a wait counts from the call's arrival until its first event.

--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -10,11 +10,11 @@
   are refused before those of all others.
 
 The level is one number for a service, which follows how long the calls that were admitted wait: it
-rises while a class waits for longer than its target, and falls while none waits for half of that.
-All entries know the same sums of waiting and running calls, at most 1.5 s old, so that their levels
-are close to each other without a leader; an entry without news goes on from its last level by its
-own calls. Steps are gradual, so that a step of load settles within two seconds and the level does
-not swing. Programs that have started are never refused here.
+rises while a class waits for longer than its target, and falls while none waits for `FALL_BELOW` of
+that. All entries know the same sums of waiting and running calls, at most 1.5 s old, so that their
+levels are close to each other without a leader; an entry without news goes on from its last level
+by its own calls. Steps are gradual, so that a step of load settles within two seconds and the level
+does not swing. Programs that have started are never refused here.
 
 From level 0 to `EXCESS_WIDTH`, organisations beyond their fair part are refused by chance, from
 none of their starts to all. Each further step of 1 does the same to one more class, from the least
@@ -32,7 +32,7 @@
 FALL_PER_S = 0.6
 EXCESS_WIDTH = 0.3
 # Ratio of a wait to its target below which the level falls. Between this and 1 it stays.
-FALL_BELOW = 0.5
+FALL_BELOW = 0.8
 # Seconds between two steps; more would not help, as the news of the others come every 0.4 s.
 STEP_S = 0.1
 # Longest time that one step makes up for, so that an entry that was frozen does not jump.
@@ -58,8 +58,8 @@
 class ClassLoad:
     """The calls of one urgency at a service, over all entries that are heard.
 
-    `started` got a slot within the last second, after `wait_s` seconds in total. `target_s` is the
-    mean wait that their callers can bear.
+    The answers of `started` calls began within the last second, after waits of `wait_s` seconds in
+    total, for a slot and at the server. `target_s` is the mean wait that their callers can bear.
     """
 
     target_s: float
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -146,6 +146,12 @@
         if self._slot is not None:
             self._state.slots.note_response(self._slot)
 
+    def note_first_event(self) -> None:
+        """Record that the first event of a stream has arrived."""
+        self.note_response()
+        if self._urgent is not None:
+            self._urgent.on_first_event()
+
     def note_answered(self) -> None:
         """Record that the call in the current slot was answered in full."""
         if self._urgent is not None:
--- a/libs/relay/tarragonhall_relay/_urgent_call.py
+++ b/libs/relay/tarragonhall_relay/_urgent_call.py
@@ -20,16 +20,19 @@
 if TYPE_CHECKING:
     from tarragonhall_relay._urgent_first import UrgentFirst
 
-# Seconds for which a call that got a slot counts as started.
+# Seconds for which a call whose answer began counts.
 STARTED_WINDOW_S = 1.0
+# A wait counts as at most this many times its target: one server that hangs must not look like a
+# crowd.
+MAX_WAIT_TARGETS = 2.0
 
 
 @dataclass(slots=True)
 class ClassCounts:
     """This entry's calls of one urgency at a service.
 
-    `is_used` says that any entry had calls of the class. `started` holds when a call got a slot, or
-    was refused after a wait, and how long it had waited.
+    `is_used` says that any entry had calls of the class. `started` holds when the answer of a call
+    began, or the call gave up waiting for a slot, and how long it had waited.
     """
 
     key: str
@@ -39,8 +42,12 @@
     running: int = 0
     started: deque[tuple[float, float]] = field(default_factory=deque)
 
+    def add_wait(self, wait_s: float, now: float) -> None:
+        """Record the wait of a call until its answer began."""
+        self.started.append((now, min(wait_s, MAX_WAIT_TARGETS * self.target_s)))
+
     def recent(self, now: float) -> tuple[int, float]:
-        """Return how many calls got a slot lately, and the sum of their waits in seconds."""
+        """Return how many answers began lately, and the sum of their waits in seconds."""
         while self.started and now - self.started[0][0] > STARTED_WINDOW_S:
             self.started.popleft()
         return len(self.started), sum(wait_s for _, wait_s in self.started)
@@ -70,6 +77,7 @@
         "_length",
         "_part",
         "_since",
+        "_waits_since",
         "admitted",
         "kind",
         "service",
@@ -90,6 +98,8 @@
         self._is_waiting = False
         self._is_running = False
         self._since = 0.0
+        # When the wait for the answer began; None before, and once the answer has begun.
+        self._waits_since: float | None = None
         self.admitted = admitted
         self.service = service
         self.urgency = urgency
@@ -136,6 +146,8 @@
         self._part.step(self.service, now)
         self._leave()
         self._since = now
+        if self._waits_since is None:
+            self._waits_since = now
         self._is_waiting = True
         self._counts.waiting += 1
         self.service.parts.began(self.admitted.org_id or "")
@@ -148,13 +160,19 @@
         self._since = now
         self._is_running = True
         self._counts.running += 1
-        self._counts.started.append((now, wait_s))
         self.service.parts.began(self.admitted.org_id or "")
         facts = self.admitted.facts
         self._part.slack.arrived(self.kind, facts.program_id, self.turn, self._length, now)
         labels = (("urgency", str(self.urgency)),)
         self._part.state.metrics.timing("relay.slot_wait_ms", wait_s * 1000, labels)
 
+    def on_first_event(self) -> None:
+        """Record that the answer has begun."""
+        if self._waits_since is not None:
+            now = self._part.state.monotonic()
+            self._counts.add_wait(now - self._waits_since, now)
+            self._waits_since = None
+
     def on_answered(self) -> None:
         """Record that the call was answered in full."""
         now = self._part.state.monotonic()
@@ -167,7 +185,7 @@
         if self._is_waiting:
             # Without the waits of those that gave up, a class that gets no slots would look served.
             now = self._part.state.monotonic()
-            self._counts.started.append((now, now - self._since))
+            self._counts.add_wait(now - self._since, now)
         self._leave()
 
     def _leave(self) -> None:
--- a/libs/relay/tarragonhall_relay/_urgent_first.py
+++ b/libs/relay/tarragonhall_relay/_urgent_first.py
@@ -27,11 +27,11 @@
 
 log = structlog.get_logger(__name__)
 
-# Part of a class's latency objective that its calls may wait for a slot on average. First calls are
-# refused after half of their objective, so the level must rise before.
-WAIT_FRACTION = 0.25
+# Part of a class's latency objective that its calls may take on average until their answer begins,
+# so that most of them meet it.
+WAIT_FRACTION = 0.8
 # Target where the routes of a class have no objective, in seconds.
-DEFAULT_TARGET_S = 0.25
+DEFAULT_TARGET_S = 0.8
 # Longest time in seconds for which a call leaves its entry's share to more urgent ones elsewhere.
 MAX_YIELD_S = 1.0
 # Programs whose first refusal is remembered, and for how long: callers return within seconds.
