Test returning programs, excess, reserve and lost engines

Cause: these decisions of the level were covered only by tests of whole crowds.

Change: one test each; waits below a millisecond are not timed.

--- a/libs/decisions/tests/admission_level_tests.py
+++ b/libs/decisions/tests/admission_level_tests.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
-from crowd_load import CALM, TICK_S, URGENT, Crowd
+from crowd_load import CALM, TARGET_S, TICK_S, URGENT, Crowd
+from tarragonhall_decisions import AdmissionLevel, ClassLoad, ServiceLoad
 
 # Programs a second that use two thirds of the 40 slots.
 USUAL = {("org-1", URGENT): 5.0, ("org-2", URGENT): 5.0, ("org-1", CALM): 2.5, ("org-2", CALM): 2.5}
@@ -133,3 +136,71 @@
         entry.gone = True
     crowd.run(10.0, load)
     assert urgent_share(crowd) >= 0.9
+
+
+def level_at(height: float) -> AdmissionLevel:
+    """Return a level at some height, for two classes and many slots."""
+    level = AdmissionLevel(random.Random(5))
+    load = ServiceLoad(1_000, {one: ClassLoad(TARGET_S, running=10) for one in (URGENT, CALM)})
+    level.step(load, [URGENT, CALM], 0.3, 0.0)
+    level.level = height
+    return level
+
+
+def refused_share(level: AdmissionLevel, urgency: int, excess: float, waited: bool) -> float:
+    hits = [level.refuse_start(urgency, excess, waited) is not None for _ in range(1_000)]
+    return sum(hits) / len(hits)
+
+
+def test_programs_that_come_back_are_admitted_before_those_that_come_first():
+    """Load: starts were refused, and their callers return among newer ones."""
+    level = level_at(1.0)
+    first = refused_share(level, CALM, 0.0, False)
+    assert 0.6 < first < 0.8
+    assert refused_share(level, CALM, 0.0, True) < first - 0.1
+
+
+def test_excess_is_refused_before_any_class_and_the_most_urgent_never_without_it():
+    """Load: one organisation far beyond its fair part, beside usual callers of both classes."""
+    level = level_at(0.3)
+    assert refused_share(level, URGENT, 5.0, False) == 1.0
+    assert refused_share(level, CALM, 1.0, False) == 0.0
+    level = level_at(9.0)
+    assert refused_share(level, CALM, 1.0, False) == 1.0
+    assert refused_share(level, URGENT, 1.0, False) == 0.0
+
+
+def test_retry_times_are_spread_and_within_the_time_that_the_level_falls():
+    """Load: many starts refused at the same moment. Told one time, they would return together."""
+    level = level_at(1.0)
+    refused = [level.refuse_start(CALM, 5.0, False) for _ in range(200)]
+    times = [one.retry_s for one in refused if one is not None]
+    assert max(times) - min(times) > 0.5
+    assert max(times) < 4.0
+
+
+def test_entry_that_was_frozen_does_not_jump():
+    """Failure: an entry freezes for ten seconds in a crowd, and goes on with its last news."""
+    level = level_at(0.0)
+    load = ServiceLoad(
+        1_000, {URGENT: ClassLoad(TARGET_S, running=10, started=10, wait_s=20.0 * TARGET_S)}
+    )
+    level.step(load, [URGENT, CALM], 0.3, 10.0)
+    assert 0.0 < level.level <= 0.6
+
+
+def test_room_of_a_recent_urgent_peak_stays_free():
+    """Load: the most urgent kind used 30 of 40 slots, and the least urgent comes before it does so
+    again. Its programs would hold the slots for the length of their runs.
+    """
+    level = AdmissionLevel(random.Random(5))
+    peak = ServiceLoad(40, {URGENT: ClassLoad(TARGET_S, running=30)})
+    level.step(peak, [URGENT, CALM], 0.3, 0.0)
+    later = ServiceLoad(
+        40, {URGENT: ClassLoad(TARGET_S, running=2), CALM: ClassLoad(TARGET_S, running=25)}
+    )
+    level.step(later, [URGENT, CALM], 0.3, 1.0)
+    assert level.refuse_start(CALM, 0.0, False).reason == "reserve"
+    assert level.refuse_start(URGENT, 0.0, False) is None
+    level.step(later, [URGENT, CALM], 0.3, 40.0)
+    assert level.refuse_start(CALM, 0.0, False) is None
--- a/libs/relay/tarragonhall_relay/_urgent_call.py
+++ b/libs/relay/tarragonhall_relay/_urgent_call.py
@@ -25,6 +25,8 @@
 # A wait counts as at most this many times its target: one server that hangs must not look like a
 # crowd.
 MAX_WAIT_TARGETS = 2.0
+# Shorter waits are those of calls that found a slot at once; they are not timed.
+MIN_TIMED_WAIT_S = 0.001
 
 
 @dataclass(slots=True)
@@ -163,8 +165,9 @@
         self.service.parts.began(self.admitted.org_id or "")
         facts = self.admitted.facts
         self._part.slack.arrived(self.kind, facts.program_id, self.turn, self._length, now)
-        labels = (("urgency", str(self.urgency)),)
-        self._part.state.metrics.timing("relay.slot_wait_ms", wait_s * 1000, labels)
+        if wait_s >= MIN_TIMED_WAIT_S:
+            labels = (("urgency", str(self.urgency)),)
+            self._part.state.metrics.timing("relay.slot_wait_ms", wait_s * 1000, labels)
 
     def on_first_event(self) -> None:
         """Record that the answer has begun."""
--- a/libs/relay/tests/urgent_first_tests.py
+++ b/libs/relay/tests/urgent_first_tests.py
@@ -185,3 +185,29 @@
     wait_until(lambda: not told(urgent_relay).running_by_class)
     urgent_relay.backends[0].script = talks
     assert urgent_relay.call("/chat/", attempt="a-2", program="p-2")[0] == 200
+
+
+def test_calls_of_a_lost_engine_leave_the_counts(urgent_relay):
+    """Failure: an engine breaks off with urgent calls on it, whose counts would block starts."""
+    urgent_relay.backend(lambda _backend, _received: "close")
+    calls = [
+        eventlet.spawn(urgent_relay.call, "/talk/", attempt=f"a-{n}", program=f"p-{n}")
+        for n in range(5)
+    ]
+    assert [one.wait()[0] for one in calls] == [502] * 5
+    detail = told(urgent_relay)
+    assert not detail.running_by_class
+    assert not detail.waiting_by_class
+    assert not detail.calls_by_organisation
+
+
+def test_wait_for_the_first_event_counts(urgent_relay):
+    """Load: engines are short of time, and calls wait there instead of in the entry's queue."""
+
+    def hesitates(_backend, received):
+        eventlet.sleep(0.15)
+        received.connection.sendall(stream(received, event(1)))
+
+    urgent_relay.backend(hesitates)
+    assert urgent_relay.call("/talk/", program="p-1")[0] == 200
+    assert told(urgent_relay).wait_ms_by_class[URGENT] >= 140
