Let the level of starts follow what turns may take before their program is late

The mean rest of a kind also made short programs look late from their first turn on.

Change: calls count by the time from arrival to their last event, against the time that a turn of a mean program may take, learnt from the times that callers give. A program that was seen from its first turn has its own expected length.

--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -9,12 +9,15 @@
 - One organisation asks for many times its usual. Beyond `EXCESS` times its fair part, its starts
   are refused before those of all others.
 
-The level is one number for a service, which follows how long the calls that were admitted wait: it
-rises while a class waits for longer than its target, and falls while none waits for `FALL_BELOW` of
-that. All entries know the same sums of waiting and running calls, at most 1.5 s old, so that their
-levels are close to each other without a leader; an entry without news goes on from its last level
-by its own calls. Steps are gradual, so that a step of load settles within two seconds and the level
-does not swing. Programs that have started are never refused here.
+The level is one number for a service. It follows what the calls that were admitted take: it rises
+while those of a class take longer than their callers can bear, or wait too long for a slot, and
+falls while all take less than `FALL_BELOW` of that. Waits for slots alone would not do, as engines
+that are short of time accept calls and stretch their answers.
+
+All entries know the same sums, at most 1.5 s old, so that their levels are close to each other
+without a leader; an entry without news goes on from its last level by its own calls. Steps are
+gradual, so that a step of load settles within two seconds and the level does not swing. Programs
+that have started are never refused here.
 
 From level 0 to `EXCESS_WIDTH`, organisations beyond their fair part are refused by chance, from
 none of their starts to all. Each further step of 1 does the same to one more class, from the least
@@ -26,12 +29,12 @@
 import random
 from dataclasses import dataclass, field
 
-# Rates of the level in steps a second. A class is refused fully within a second of waits at twice
-# their target, and admitted again within two seconds.
+# Rates of the level in steps a second. A class is refused fully within a second of calls that take
+# twice their target, and admitted again within two seconds.
 RISE_PER_S = 1.2
 FALL_PER_S = 0.6
 EXCESS_WIDTH = 0.3
-# Ratio of a wait to its target below which the level falls. Between this and 1 it stays.
+# Ratio to the target below which the level falls. Between this and 1 it stays.
 FALL_BELOW = 0.8
 # Seconds between two steps; more would not help, as the news of the others come every 0.4 s.
 STEP_S = 0.1
@@ -52,21 +55,24 @@
 RETRY_SPREAD = 1.0
 # Least retry time in seconds: news of the others take as long.
 MIN_RETRY_S = 0.3
+# Avoids a division by zero for a class whose callers give no time.
+MIN_TARGET_S = 1e-3
 
 
 @dataclass(slots=True)
 class ClassLoad:
     """The calls of one urgency at a service, over all entries that are heard.
 
-    The answers of `started` calls began within the last second, after waits of `wait_s` seconds in
-    total, for a slot and at the server. `target_s` is the mean wait that their callers can bear.
+    `ended` calls ended within the last second, and took `taken_s` seconds in total. `target_s` is
+    the mean that their callers can bear, and `max_wait_s` the mean wait for a slot.
     """
 
     target_s: float
+    max_wait_s: float
     waiting: int = 0
     running: int = 0
-    started: int = 0
-    wait_s: float = 0.0
+    ended: int = 0
+    taken_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -167,17 +173,16 @@
         return max(0, min(round(self._peak), int(MAX_RESERVE * self._load.slots)) - now_used)
 
     def _pressure(self) -> float:
-        """Return the largest ratio of a class's wait to its target."""
+        """Return the largest ratio of what the calls of a class take to what they may take."""
         pressure = 0.0
         ahead = 0
         for _, one in sorted(self._load.class_by_urgency.items()):
             ahead += one.waiting
-            if not one.waiting and not one.started:
-                continue
-            wait_s = one.wait_s / one.started if one.started else 0.0
+            if one.ended:
+                pressure = max(pressure, one.taken_s / one.ended / max(one.target_s, MIN_TARGET_S))
             if one.waiting and self._drain_per_s > 0.0:
-                wait_s = max(wait_s, ahead / self._drain_per_s)
-            pressure = max(pressure, wait_s / max(one.target_s, 1e-3))
+                wait_s = ahead / self._drain_per_s
+                pressure = max(pressure, wait_s / max(one.max_wait_s, MIN_TARGET_S))
         return pressure
 
     def _update_peak(self, now: float) -> None:
--- a/libs/decisions/tests/crowd_load.py
+++ b/libs/decisions/tests/crowd_load.py
@@ -237,6 +237,7 @@
             for message in entry.news:
                 started += [item for item in message["started"] if item[1] == urgency]
             load.class_by_urgency[urgency] = ClassLoad(
+                TARGET_S,
                 TARGET_S,
                 entry.waiting[urgency] + sum(one["waiting"][urgency] for one in entry.news),
                 entry.running[urgency] + sum(one["running"][urgency] for one in entry.news),
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -283,9 +283,9 @@
     calls is `service/urgency`, and an organisation's calls of a service are `service/organisation`.
     `tokens_by_server` is engine memory that running calls hold until their end. The pace of a
     server is `pace_sum_by_server` over `pace_weight_by_server`, 1.0 for a server at the mean speed
-    of its service. `started_by_class` are the calls whose answer began within the last second, and
-    `wait_ms_by_class` the sum of their waits until then. `capacity_by_zone` is what the entries of
-    a zone can handle, in cores.
+    of its service. `ended_by_class` are the calls that ended within the last second, and
+    `taken_ms_by_class` the sum of the times that they took. `capacity_by_zone` is what the entries
+    of a zone can handle, in cores.
     """
 
     tokens_by_server: dict[str, int] = field(default_factory=dict)
@@ -293,8 +293,8 @@
     pace_weight_by_server: dict[str, float] = field(default_factory=dict)
     waiting_by_class: dict[str, int] = field(default_factory=dict)
     running_by_class: dict[str, int] = field(default_factory=dict)
-    started_by_class: dict[str, int] = field(default_factory=dict)
-    wait_ms_by_class: dict[str, int] = field(default_factory=dict)
+    ended_by_class: dict[str, int] = field(default_factory=dict)
+    taken_ms_by_class: dict[str, int] = field(default_factory=dict)
     calls_by_organisation: dict[str, int] = field(default_factory=dict)
     capacity_by_zone: dict[str, float] = field(default_factory=dict)
 
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -223,7 +223,7 @@
                 continue
             if not self._report.events:
                 self._report.step("first_ms")
-                self._slot.note_first_event()
+                self._slot.note_response()
             self._client.send(b"".join(event.raw for event in events))
             self._report.events += len(events)
             if retains:
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -79,7 +79,7 @@
         self._urgent: UrgentCall | None = None
         self._slack_s: float | None = None
         if state.urgent_first is not None:
-            self._urgent = state.urgent_first.call(call, self.service, self.rank())
+            self._urgent = state.urgent_first.call(call, self.service, self.rank(), arrived_at)
         if self._urgent is not None:
             self._slack_s = self._urgent.slack_s()
             self._tier = self._urgent.tier(self._slack_s)
@@ -146,12 +146,6 @@
         if self._slot is not None:
             self._state.slots.note_response(self._slot)
 
-    def note_first_event(self) -> None:
-        """Record that the first event of a stream has arrived."""
-        self.note_response()
-        if self._urgent is not None:
-            self._urgent.on_first_event()
-
     def note_answered(self) -> None:
         """Record that the call in the current slot was answered in full."""
         if self._urgent is not None:
--- a/libs/relay/tarragonhall_relay/_urgent_call.py
+++ b/libs/relay/tarragonhall_relay/_urgent_call.py
@@ -20,11 +20,11 @@
 if TYPE_CHECKING:
     from tarragonhall_relay._urgent_first import UrgentFirst
 
-# Seconds for which a call whose answer began counts.
-STARTED_WINDOW_S = 1.0
-# A wait counts as at most this many times its target: one server that hangs must not look like a
+# Seconds for which a call that ended counts.
+ENDED_WINDOW_S = 1.0
+# A call counts as at most this many times its target: one server that hangs must not look like a
 # crowd.
-MAX_WAIT_TARGETS = 2.0
+MAX_TARGETS = 2.0
 # Shorter waits are those of calls that found a slot at once; they are not timed.
 MIN_TIMED_WAIT_S = 0.001
 
@@ -33,26 +33,30 @@
 class ClassCounts:
     """This entry's calls of one urgency at a service.
 
-    `is_used` says that any entry had calls of the class. `started` holds when the answer of a call
-    began, or the call gave up waiting for a slot, and how long it had waited.
+    `is_used` says that any entry had calls of the class, and `kinds` are the routes of those here.
+    `ended` holds when calls were answered in full, or gave up waiting for a slot, and how long they
+    had taken. `target_s` is the mean that their callers can bear, `max_wait_s` the mean wait for a
+    slot.
     """
 
     key: str
-    target_s: float
+    target_s: float = float("inf")
+    max_wait_s: float = float("inf")
+    kinds: set[str] = field(default_factory=set)
     is_used: bool = False
     waiting: int = 0
     running: int = 0
-    started: deque[tuple[float, float]] = field(default_factory=deque)
+    ended: deque[tuple[float, float]] = field(default_factory=deque)
 
-    def add_wait(self, wait_s: float, now: float) -> None:
-        """Record the wait of a call until its answer began."""
-        self.started.append((now, min(wait_s, MAX_WAIT_TARGETS * self.target_s)))
+    def add(self, taken_s: float, now: float) -> None:
+        """Record how long a call has taken from its arrival."""
+        self.ended.append((now, min(taken_s, MAX_TARGETS * self.target_s)))
 
     def recent(self, now: float) -> tuple[int, float]:
-        """Return how many answers began lately, and the sum of their waits in seconds."""
-        while self.started and now - self.started[0][0] > STARTED_WINDOW_S:
-            self.started.popleft()
-        return len(self.started), sum(wait_s for _, wait_s in self.started)
+        """Return how many calls ended lately, and the sum of the seconds that they took."""
+        while self.ended and now - self.ended[0][0] > ENDED_WINDOW_S:
+            self.ended.popleft()
+        return len(self.ended), sum(taken_s for _, taken_s in self.ended)
 
 
 @dataclass(slots=True)
@@ -73,15 +77,16 @@
     """One call of a service whose callers differ in priority."""
 
     __slots__ = (
+        "_arrived_at",
         "_counts",
         "_is_running",
         "_is_waiting",
         "_length",
         "_part",
         "_since",
-        "_waits_since",
         "admitted",
         "kind",
+        "left_s",
         "service",
         "turn",
         "urgency",
@@ -94,19 +99,21 @@
         counts: ClassCounts,
         admitted: AdmittedCall,
         urgency: int,
+        arrived_at: float,
     ) -> None:
         self._part = part
+        self._arrived_at = arrived_at
         self._counts = counts
         self._is_waiting = False
         self._is_running = False
         self._since = 0.0
-        # When the wait for the answer began; None before, and once the answer has begun.
-        self._waits_since: float | None = None
         self.admitted = admitted
         self.service = service
         self.urgency = urgency
         self.kind = admitted.route.name
         facts = admitted.facts
+        left_ms = facts.program_deadline_ms
+        self.left_s = left_ms / 1000 if left_ms is not None else None
         self._length = sum(part.tokens for part in facts.parts) or len(admitted.request.body)
         self.turn = part.slack.turn_of(
             self.kind, facts.program_id, admitted.starts_program, self._length
@@ -148,8 +155,6 @@
         self._part.step(self.service, now)
         self._leave()
         self._since = now
-        if self._waits_since is None:
-            self._waits_since = now
         self._is_waiting = True
         self._counts.waiting += 1
         self.service.parts.began(self.admitted.org_id or "")
@@ -163,32 +168,31 @@
         self._is_running = True
         self._counts.running += 1
         self.service.parts.began(self.admitted.org_id or "")
-        facts = self.admitted.facts
-        self._part.slack.arrived(self.kind, facts.program_id, self.turn, self._length, now)
+        self._part.slack.arrived(
+            self.kind,
+            self.admitted.facts.program_id,
+            self.turn,
+            self._length,
+            self.left_s,
+            now,
+        )
         if wait_s >= MIN_TIMED_WAIT_S:
             labels = (("urgency", str(self.urgency)),)
             self._part.state.metrics.timing("relay.slot_wait_ms", wait_s * 1000, labels)
 
-    def on_first_event(self) -> None:
-        """Record that the answer has begun."""
-        if self._waits_since is not None:
-            now = self._part.state.monotonic()
-            self._counts.add_wait(now - self._waits_since, now)
-            self._waits_since = None
-
     def on_answered(self) -> None:
         """Record that the call was answered in full."""
         now = self._part.state.monotonic()
-        if self._is_running:
-            program_id = self.admitted.facts.program_id
-            self._part.slack.ended(self.kind, program_id, now - self._since, now)
+        taken_s = now - self._arrived_at
+        self._counts.add(taken_s, now)
+        self._part.slack.ended(self.kind, self.admitted.facts.program_id, taken_s, now)
 
     def on_left(self) -> None:
         """Record that the call neither waits nor holds a slot, however that ended."""
         if self._is_waiting:
-            # Without the waits of those that gave up, a class that gets no slots would look served.
+            # Without the calls that gave up, a class that gets no slots would look served.
             now = self._part.state.monotonic()
-            self._counts.add_wait(now - self._since, now)
+            self._counts.add(now - self._arrived_at, now)
         self._leave()
 
     def _leave(self) -> None:
--- a/libs/relay/tarragonhall_relay/_urgent_first.py
+++ b/libs/relay/tarragonhall_relay/_urgent_first.py
@@ -27,11 +27,14 @@
 
 log = structlog.get_logger(__name__)
 
-# Part of a class's latency objective that its calls may take on average until their answer begins,
-# so that most of them meet it.
-WAIT_FRACTION = 0.8
-# Target where the routes of a class have no objective, in seconds.
-DEFAULT_TARGET_S = 0.8
+# Part of the time that a turn may take which the calls of a class may take on average: about half
+# of them take longer.
+TARGET_FRACTION = 0.75
+# Part of a class's latency objective that its calls may wait for a slot on average. First calls are
+# refused after half of their objective, so the level must rise before.
+WAIT_FRACTION = 0.25
+# Objective of routes that have none, in seconds.
+DEFAULT_OBJECTIVE_S = 1.0
 # Longest time in seconds for which a call leaves its entry's share to more urgent ones elsewhere.
 MAX_YIELD_S = 1.0
 # Programs whose first refusal is remembered, and for how long: callers return within seconds.
@@ -53,7 +56,9 @@
         self._slack = ProgramSlack()
         self._refused_at_by_program: OrderedDict[str, float] = OrderedDict()
 
-    def call(self, call: AdmittedCall, service: str, urgency: int) -> UrgentCall | None:
+    def call(
+        self, call: AdmittedCall, service: str, urgency: int, arrived_at: float
+    ) -> UrgentCall | None:
         """Return the part of a call in the order by urgency; None if its service has none."""
         found = self.service(service)
         if found is None:
@@ -62,7 +67,8 @@
         if counts is None:
             return None
         counts.is_used = True
-        return UrgentCall(self, found, counts, call, urgency)
+        counts.kinds.add(call.route.name)
+        return UrgentCall(self, found, counts, call, urgency, arrived_at)
 
     def service(self, name: str) -> UrgentService | None:
         """Return what is kept for a service; None if its callers do not differ in priority."""
@@ -78,18 +84,18 @@
         return tier.urgency > found.urgent_elsewhere and waited_s < MAX_YIELD_S
 
     def report_load(self, detail: LoadDetail, now: float) -> None:
-        """Add the waiting, running and started calls by class, and the largest organisations."""
+        """Add the waiting, running and ended calls by class, and the largest organisations."""
         for service in self._service_by_name.values():
             self.step(service, now)
             for counts in service.counts_by_urgency.values():
-                started, wait_s = counts.recent(now)
+                ended, taken_s = counts.recent(now)
                 if counts.waiting:
                     detail.waiting_by_class[counts.key] = counts.waiting
                 if counts.running:
                     detail.running_by_class[counts.key] = counts.running
-                if started:
-                    detail.started_by_class[counts.key] = started
-                    detail.wait_ms_by_class[counts.key] = round(wait_s * 1000)
+                if ended:
+                    detail.ended_by_class[counts.key] = ended
+                    detail.taken_ms_by_class[counts.key] = round(taken_s * 1000)
             for org_id, calls in service.parts.largest():
                 detail.calls_by_organisation[f"{service.name}/{org_id}"] = calls
 
@@ -102,14 +108,16 @@
         load = ServiceLoad(self._state.chooser.known.slots(service.name))
         service.urgent_elsewhere = None
         for urgency, counts in sorted(service.counts_by_urgency.items()):
-            started, wait_s = counts.recent(now)
+            counts.target_s = self._target_s(counts)
+            ended, taken_s = counts.recent(now)
             waiting_elsewhere = detail.waiting_by_class.get(counts.key, 0)
             load.class_by_urgency[urgency] = ClassLoad(
                 counts.target_s,
+                counts.max_wait_s,
                 counts.waiting + waiting_elsewhere,
                 counts.running + detail.running_by_class.get(counts.key, 0),
-                started + detail.started_by_class.get(counts.key, 0),
-                wait_s + detail.wait_ms_by_class.get(counts.key, 0) / 1000,
+                ended + detail.ended_by_class.get(counts.key, 0),
+                taken_s + detail.taken_ms_by_class.get(counts.key, 0) / 1000,
             )
             if waiting_elsewhere and service.urgent_elsewhere is None:
                 service.urgent_elsewhere = urgency
@@ -145,11 +153,11 @@
 
     def slack_s(self, call: UrgentCall, now: float) -> float | None:
         """Return the time that the program of a call has to spare; None if it is not known."""
-        left_ms = call.admitted.facts.program_deadline_ms
-        if left_ms is None:
+        if call.left_s is None:
             return None
-        slack_s = self._slack.slack_s(call.kind, call.turn, left_ms / 1000)
-        first_refused = self._refused_at_by_program.get(call.admitted.facts.program_id)
+        program_id = call.admitted.facts.program_id
+        slack_s = self._slack.slack_s(call.kind, program_id, call.turn, call.left_s)
+        first_refused = self._refused_at_by_program.get(program_id)
         if slack_s is not None and first_refused is not None and not call.turn:
             # Programs that return go in the order of their first arrival.
             slack_s -= min(REFUSED_VALID_S, now - first_refused)
@@ -165,6 +173,12 @@
         """Return the state that all calls share."""
         return self._state
 
+    def _target_s(self, counts: ClassCounts) -> float:
+        """Return how long the calls of a class may take on average."""
+        allowed = [self._slack.allowed_s(kind) for kind in counts.kinds]
+        known = [one for one in allowed if one is not None]
+        return TARGET_FRACTION * min(known) if known else float("inf")
+
     def _excess(self, call: UrgentCall, now: float) -> float:
         org_id = call.admitted.org_id
         if org_id is None:
@@ -195,30 +209,31 @@
         if config is self._config:
             return
         self._config = config
-        targets = _targets_by_service(config)
-        for name in self._service_by_name.keys() - targets.keys():
+        objectives = _objectives_by_service(config)
+        for name in self._service_by_name.keys() - objectives.keys():
             del self._service_by_name[name]
-        for name, target_by_urgency in targets.items():
+        for name, objective_by_urgency in objectives.items():
             service = self._service_by_name.get(name)
             if service is None:
                 service = UrgentService(name, AdmissionLevel(self._state.rng), {})
                 self._service_by_name[name] = service
-            for urgency, target_s in target_by_urgency.items():
+            for urgency, objective_s in objective_by_urgency.items():
                 counts = service.counts_by_urgency.setdefault(
-                    urgency, ClassCounts(f"{name}/{urgency}", target_s)
+                    urgency, ClassCounts(f"{name}/{urgency}")
                 )
-                counts.target_s = target_s
+                counts.max_wait_s = WAIT_FRACTION * objective_s
+                counts.kinds.clear()
 
 
-def _targets_by_service(config: RelayConfig) -> dict[str, dict[int, float]]:
-    """Return the target wait by urgency, for the services where urgencies differ."""
+def _objectives_by_service(config: RelayConfig) -> dict[str, dict[int, float]]:
+    """Return the objective in seconds by urgency, for the services where urgencies differ."""
     organisation_priorities = {one.priority for one in config.organisations or ()} or {0}
-    targets: dict[str, dict[int, float]] = {}
+    objectives: dict[str, dict[int, float]] = {}
     for route in config.routes:
-        target_s = WAIT_FRACTION * route.objective_ms / 1000 or DEFAULT_TARGET_S
+        objective_s = route.objective_ms / 1000 or DEFAULT_OBJECTIVE_S
         for weighted in route.services:
-            by_urgency = targets.setdefault(weighted.service, {})
+            by_urgency = objectives.setdefault(weighted.service, {})
             for priority in organisation_priorities:
                 urgency = urgency_of(priority, route.priority)
-                by_urgency[urgency] = min(target_s, by_urgency.get(urgency, target_s))
-    return {name: by_urgency for name, by_urgency in targets.items() if len(by_urgency) > 1}
+                by_urgency[urgency] = min(objective_s, by_urgency.get(urgency, objective_s))
+    return {name: by_urgency for name, by_urgency in objectives.items() if len(by_urgency) > 1}
