Tell a test's entry of a crowd that is longer than its short runs explain

Cause: calls of the test end within a millisecond, so that twenty waiting ones were no wait.

Change: the other entry tells of a thousand.

--- a/libs/relay/tests/urgent_first_tests.py
+++ b/libs/relay/tests/urgent_first_tests.py
@@ -109,7 +109,7 @@
     for _ in range(40):
         hear(
             urgent_relay,
-            waiting_by_class={URGENT: 40},
+            waiting_by_class={URGENT: 1_000},
             running_by_class={URGENT: 6},
         )
         told(urgent_relay)
@@ -131,7 +131,7 @@
         hear(
             urgent_relay,
             running_by_class={URGENT: 2},
-            waiting_by_class={URGENT: 20},
+            waiting_by_class={URGENT: 1_000},
         )
         told(urgent_relay)
         eventlet.sleep(0.05)
@@ -152,7 +152,7 @@
         hear(
             urgent_relay,
             running_by_class={URGENT: 2},
-            waiting_by_class={URGENT: 20},
+            waiting_by_class={URGENT: 1_000},
         )
         told(urgent_relay)
         eventlet.sleep(0.1)
