Know what a turn may take soon after a start

Cause: an entry needs tens of seconds to learn how many turns programs have, and until then each looked short.

--- a/libs/decisions/tests/slack_tests.py
+++ b/libs/decisions/tests/slack_tests.py
@@ -80,6 +80,25 @@
     assert ProgramSlack().allowed_s("talk") is None
 
 
+def test_crowd_does_not_become_the_usual_time_of_a_turn():
+    # Load: for a few seconds after a start, every answer is stretched to three times its length.
+    slack = ProgramSlack()
+    slack.ended("talk", "program", RUN_S, 0.0)
+    for number in range(100):
+        slack.ended("talk", f"program-{number}", 3 * RUN_S, number / 50)
+    assert slack.allowed_s("talk") < 2.5 * RUN_S
+
+
+def test_programs_that_are_still_young_do_not_make_their_kind_look_short():
+    # After a restart an entry sees first turns only, since no program has come further.
+    slack = ProgramSlack()
+    for number in range(100):
+        slack.arrived("talk", f"program-{number}", 0, FIRST_LENGTH, 8.8, number / 50)
+        slack.ended("talk", f"program-{number}", RUN_S, number / 50 + RUN_S)
+    assert slack.slack_s("talk", "other", 3, 0.1) is None
+    assert not slack.is_endless("talk", 12)
+
+
 def test_nothing_is_assumed_before_programs_were_seen():
     # After a restart an entry knows no kinds. Assumed rests would put calls into wrong tiers.
     slack = ProgramSlack()
@@ -115,7 +134,8 @@
     slack = ProgramSlack()
     rng = random.Random(3)
     for number, turns in enumerate(lengths):
-        play(slack, "talk", f"program-{number}", turns, rng.uniform(0.0, 9.0))
+        play(slack, "talk", f"program-{number}", turns, 3.0 * number + rng.uniform(0.0, 9.0))
+    play(slack, "talk", "last", 1, 99.0)
     turn = min(turn, slack.turn_of("talk", "other", False, FIRST_LENGTH + GROWTH * turn))
     assert slack.rest_s("talk", "other", turn) >= 0.0
     less, more = (slack.slack_s("talk", "other", turn, one) for one in (left_s, left_s + more_s))
