Count what calls take from their first wait for a slot

Cause: waits for a rate or a store would have raised the level, although refused starts do not shorten them, and a call that was sent to a second server counted as another turn of its program.

Change: calls count from their first wait for a slot, and once.

Result: the tests of the part pass.

--- a/libs/decisions/tarragonhall_decisions/_slack.py
+++ b/libs/decisions/tarragonhall_decisions/_slack.py
@@ -182,7 +182,7 @@
         seen.ended_at = None
 
     def ended(self, kind: str, program_id: str, run_s: float, now: float) -> None:
-        """Record that a turn was answered, `run_s` after its arrival."""
+        """Record that a turn was answered, `run_s` after it first waited for a slot."""
         learnt = self._kind_by_name.setdefault(kind, _Kind())
         learnt.add_run(run_s)
         seen = self._program_by_id.get(program_id)
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -79,7 +79,7 @@
         self._urgent: UrgentCall | None = None
         self._slack_s: float | None = None
         if state.urgent_first is not None:
-            self._urgent = state.urgent_first.call(call, self.service, self.rank(), arrived_at)
+            self._urgent = state.urgent_first.call(call, self.service, self.rank())
         if self._urgent is not None:
             self._slack_s = self._urgent.slack_s()
             self._tier = self._urgent.tier(self._slack_s)
--- a/libs/relay/tarragonhall_relay/_urgent_call.py
+++ b/libs/relay/tarragonhall_relay/_urgent_call.py
@@ -49,7 +49,7 @@
     ended: deque[tuple[float, float]] = field(default_factory=deque)
 
     def add(self, taken_s: float, now: float) -> None:
-        """Record how long a call has taken from its arrival."""
+        """Record how long a call has taken since it first waited for a slot."""
         self.ended.append((now, min(taken_s, MAX_TARGETS * self.target_s)))
 
     def recent(self, now: float) -> tuple[int, float]:
@@ -77,13 +77,13 @@
     """One call of a service whose callers differ in priority."""
 
     __slots__ = (
-        "_arrived_at",
         "_counts",
         "_is_running",
         "_is_waiting",
         "_length",
         "_part",
         "_since",
+        "_waits_since",
         "admitted",
         "kind",
         "left_s",
@@ -99,14 +99,14 @@
         counts: ClassCounts,
         admitted: AdmittedCall,
         urgency: int,
-        arrived_at: float,
     ) -> None:
         self._part = part
-        self._arrived_at = arrived_at
         self._counts = counts
         self._is_waiting = False
         self._is_running = False
         self._since = 0.0
+        # When the call first waited for a slot; it may do so again after a server has failed.
+        self._waits_since: float | None = None
         self.admitted = admitted
         self.service = service
         self.urgency = urgency
@@ -155,6 +155,16 @@
         self._part.step(self.service, now)
         self._leave()
         self._since = now
+        if self._waits_since is None:
+            self._waits_since = now
+            self._part.slack.arrived(
+                self.kind,
+                self.admitted.facts.program_id,
+                self.turn,
+                self._length,
+                self.left_s,
+                now,
+            )
         self._is_waiting = True
         self._counts.waiting += 1
         self.service.parts.began(self.admitted.org_id or "")
@@ -168,14 +178,6 @@
         self._is_running = True
         self._counts.running += 1
         self.service.parts.began(self.admitted.org_id or "")
-        self._part.slack.arrived(
-            self.kind,
-            self.admitted.facts.program_id,
-            self.turn,
-            self._length,
-            self.left_s,
-            now,
-        )
         if wait_s >= MIN_TIMED_WAIT_S:
             labels = (("urgency", str(self.urgency)),)
             self._part.state.metrics.timing("relay.slot_wait_ms", wait_s * 1000, labels)
@@ -183,7 +185,7 @@
     def on_answered(self) -> None:
         """Record that the call was answered in full."""
         now = self._part.state.monotonic()
-        taken_s = now - self._arrived_at
+        taken_s = now - self._waits_since
         self._counts.add(taken_s, now)
         self._part.slack.ended(self.kind, self.admitted.facts.program_id, taken_s, now)
 
@@ -192,7 +194,7 @@
         if self._is_waiting:
             # Without the calls that gave up, a class that gets no slots would look served.
             now = self._part.state.monotonic()
-            self._counts.add(now - self._arrived_at, now)
+            self._counts.add(now - self._waits_since, now)
         self._leave()
 
     def _leave(self) -> None:
--- a/libs/relay/tarragonhall_relay/_urgent_first.py
+++ b/libs/relay/tarragonhall_relay/_urgent_first.py
@@ -56,9 +56,7 @@
         self._slack = ProgramSlack()
         self._refused_at_by_program: OrderedDict[str, float] = OrderedDict()
 
-    def call(
-        self, call: AdmittedCall, service: str, urgency: int, arrived_at: float
-    ) -> UrgentCall | None:
+    def call(self, call: AdmittedCall, service: str, urgency: int) -> UrgentCall | None:
         """Return the part of a call in the order by urgency; None if its service has none."""
         found = self.service(service)
         if found is None:
@@ -68,7 +66,7 @@
             return None
         counts.is_used = True
         counts.kinds.add(call.route.name)
-        return UrgentCall(self, found, counts, call, urgency, arrived_at)
+        return UrgentCall(self, found, counts, call, urgency)
 
     def service(self, name: str) -> UrgentService | None:
         """Return what is kept for a service; None if its callers do not differ in priority."""
