Learn the usual time of a class's calls from the means over all entries

Change: the usual comes from the means of the calls that ended in the last second at all entries, where there are ten or more. The level moves by parts of its range, so that four classes settle as fast as two.

--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -29,10 +29,19 @@
 import random
 from dataclasses import dataclass, field
 
-# Rates of the level in steps a second. A class is refused fully within a second of calls that take
-# twice their target, and admitted again within two seconds.
-RISE_PER_S = 1.2
-FALL_PER_S = 0.6
+# Rates of the level as parts of its range a second: all classes but the most urgent are refused
+# within about a second of calls that take twice their target, and admitted again within about two.
+RISE_PER_S = 0.9
+FALL_PER_S = 0.45
+# Weights for each step by which the usual time of a class's calls follows lower and higher means: a
+# crowd of some ten seconds must not become the usual.
+USUAL_FALL = 0.1
+USUAL_RISE = 0.001
+# Multiple of their usual time that calls may take on average. Callers usually give a program twice
+# its time on idle servers, a part of which are pauses that do not become longer.
+BEARABLE_STRETCH = 1.5
+# Calls of a class in the last second from which their mean is used: that of a few says little.
+MIN_ENDED = 10
 EXCESS_WIDTH = 0.3
 # Ratio to the target below which the level falls. Between this and 1 it stays.
 FALL_BELOW = 0.8
@@ -64,7 +73,8 @@
     """The calls of one urgency at a service, over all entries that are heard.
 
     `ended` calls ended within the last second, and took `taken_s` seconds in total. `target_s` is
-    the mean that their callers can bear, and `max_wait_s` the mean wait for a slot.
+    the mean that their callers can bear, 0 if it is not known, and `max_wait_s` the mean wait for a
+    slot.
     """
 
     target_s: float
@@ -106,6 +116,7 @@
         "_rng",
         "_stepped_at",
         "_urgencies",
+        "_usual_s_by_urgency",
         "level",
     )
 
@@ -117,6 +128,7 @@
         self._drain_per_s = 0.0
         self._peak = 0.0
         self._peak_at = 0.0
+        self._usual_s_by_urgency: dict[int, float] = {}
         self.level = 0.0
 
     def is_due(self, now: float) -> bool:
@@ -135,12 +147,13 @@
         running = sum(one.running for one in load.class_by_urgency.values())
         self._drain_per_s = running / run_s if run_s > 0.0 else 0.0
         self._update_peak(now)
+        self._update_usual()
         pressure = self._pressure()
+        highest = self._highest()
         if pressure > 1.0:
-            self.level += RISE_PER_S * elapsed_s * min(1.0, pressure - 1.0)
+            self.level += RISE_PER_S * highest * elapsed_s * min(1.0, pressure - 1.0)
         elif pressure < FALL_BELOW:
-            self.level -= FALL_PER_S * elapsed_s
-        highest = EXCESS_WIDTH + max(0, len(self._urgencies) - 1)
+            self.level -= FALL_PER_S * highest * elapsed_s
         self.level = min(highest, max(0.0, self.level))
 
     def refuse_start(self, urgency: int, excess: float, waited: bool) -> StartRefused | None:
@@ -172,14 +185,34 @@
         now_used = self._used(self._urgencies[0])
         return max(0, min(round(self._peak), int(MAX_RESERVE * self._load.slots)) - now_used)
 
+    def target_s(self, urgency: int) -> float:
+        """Return how long the calls of a class may take on average; infinite if not known."""
+        one = self._load.class_by_urgency.get(urgency)
+        usual_s = self._usual_s_by_urgency.get(urgency)
+        if one is None or usual_s is None:
+            return float("inf")
+        return max(one.target_s, BEARABLE_STRETCH * usual_s, MIN_TARGET_S)
+
+    def _highest(self) -> float:
+        return EXCESS_WIDTH + max(0, len(self._urgencies) - 1)
+
+    def _update_usual(self) -> None:
+        for urgency, one in self._load.class_by_urgency.items():
+            if one.ended < MIN_ENDED:
+                continue
+            mean_s = one.taken_s / one.ended
+            usual_s = self._usual_s_by_urgency.setdefault(urgency, mean_s)
+            weight = USUAL_FALL if mean_s < usual_s else USUAL_RISE
+            self._usual_s_by_urgency[urgency] += weight * (mean_s - usual_s)
+
     def _pressure(self) -> float:
         """Return the largest ratio of what the calls of a class take to what they may take."""
         pressure = 0.0
         ahead = 0
-        for _, one in sorted(self._load.class_by_urgency.items()):
+        for urgency, one in sorted(self._load.class_by_urgency.items()):
             ahead += one.waiting
-            if one.ended:
-                pressure = max(pressure, one.taken_s / one.ended / max(one.target_s, MIN_TARGET_S))
+            if one.ended >= MIN_ENDED:
+                pressure = max(pressure, one.taken_s / one.ended / self.target_s(urgency))
             if one.waiting and self._drain_per_s > 0.0:
                 wait_s = ahead / self._drain_per_s
                 pressure = max(pressure, wait_s / max(one.max_wait_s, MIN_TARGET_S))
@@ -222,5 +255,5 @@
             one.waiting for other, one in self._load.class_by_urgency.items() if other <= urgency
         )
         wait_s = ahead / self._drain_per_s if self._drain_per_s > 0.0 else 0.0
-        wait_s += min(1.0, max(0.0, above)) / FALL_PER_S
+        wait_s += min(1.0, max(0.0, above)) / (FALL_PER_S * self._highest())
         return max(MIN_RETRY_S, wait_s) * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
--- a/libs/decisions/tarragonhall_decisions/_slack.py
+++ b/libs/decisions/tarragonhall_decisions/_slack.py
@@ -30,13 +30,6 @@
 # Seconds after the first program of a kind until its turns are known, where callers give no time:
 # before most programs have ended, each would look short.
 MATURE_AFTER_S = 10.0
-# Weights by which the learnt time of a turn on servers with little load follows lower and higher
-# values: a crowd that lasts for many turns must not become the usual.
-IDLE_FALL = 0.1
-IDLE_RISE = 0.001
-# Multiple of that time that a turn may take until it is known what callers give: they usually give
-# a program twice its time on idle servers, half of which are its pauses.
-USUAL_STRETCH = 2.0
 # A program counts as endless beyond this many times the mean turns of its kind, and `ENDLESS_TURNS`
 # more: few programs that end are as long.
 ENDLESS_FACTOR = 3.0
@@ -57,8 +50,8 @@
 class _Kind:
     """What is learnt of one kind; lengths are in tokens of the prompt, durations in seconds.
 
-    `time_s` is the time that callers give a program in all, and `idle_s` that of a turn on servers
-    with little load. `is_mature` says that the first programs have had time to end.
+    `time_s` is the time that callers give a program in all. `is_mature` says that the first
+    programs have had time to end.
     """
 
     turns: list[float] = field(default_factory=lambda: [0.0] * MAX_TURNS)
@@ -67,7 +60,6 @@
     run_s: _Mean = field(default_factory=_Mean)
     pause_s: _Mean = field(default_factory=_Mean)
     time_s: _Mean = field(default_factory=_Mean)
-    idle_s: float | None = None
     total: float = 0.0
     first_at: float | None = None
     is_mature: bool = False
@@ -96,13 +88,6 @@
         needed_s = self.time_s.value if self.time_s.count else MATURE_AFTER_S
         self.is_mature = self.is_mature or now - self.first_at >= needed_s
 
-    def add_run(self, run_s: float) -> None:
-        self.run_s.add(run_s)
-        if self.idle_s is None:
-            self.idle_s = run_s
-        weight = IDLE_FALL if run_s < self.idle_s else IDLE_RISE
-        self.idle_s += weight * (run_s - self.idle_s)
-
     def rest_turns(self, turn: int) -> float:
         """Return how many turns are expected to follow, with this one.
 
@@ -184,7 +169,7 @@
     def ended(self, kind: str, program_id: str, run_s: float, now: float) -> None:
         """Record that a turn was answered, `run_s` after it first waited for a slot."""
         learnt = self._kind_by_name.setdefault(kind, _Kind())
-        learnt.add_run(run_s)
+        learnt.run_s.add(run_s)
         seen = self._program_by_id.get(program_id)
         if seen is not None:
             seen.ended_at = now
@@ -215,16 +200,14 @@
     def allowed_s(self, kind: str) -> float | None:
         """Return how long a turn of a mean program may take without making it late.
 
-        None before any turn was answered.
+        None if that is not known.
         """
         learnt = self._kind_by_name.get(kind)
-        if learnt is None or learnt.idle_s is None:
+        if learnt is None or not learnt.is_learnt() or not learnt.time_s.count:
             return None
-        if not learnt.is_learnt() or not learnt.time_s.count:
-            return USUAL_STRETCH * learnt.idle_s
         turns = learnt.mean_turns()
         pauses_s = (turns - 1.0) * learnt.pause_s.value
-        return max(learnt.idle_s, (learnt.time_s.value - pauses_s) / turns)
+        return max(0.0, (learnt.time_s.value - pauses_s) / turns)
 
     def is_endless(self, kind: str, turn: int) -> bool:
         """Return whether a program has had many more turns than its kind usually has."""
--- a/libs/relay/tarragonhall_relay/_urgent_first.py
+++ b/libs/relay/tarragonhall_relay/_urgent_first.py
@@ -106,11 +106,10 @@
         load = ServiceLoad(self._state.chooser.known.slots(service.name))
         service.urgent_elsewhere = None
         for urgency, counts in sorted(service.counts_by_urgency.items()):
-            counts.target_s = self._target_s(counts)
             ended, taken_s = counts.recent(now)
             waiting_elsewhere = detail.waiting_by_class.get(counts.key, 0)
             load.class_by_urgency[urgency] = ClassLoad(
-                counts.target_s,
+                self._target_s(counts),
                 counts.max_wait_s,
                 counts.waiting + waiting_elsewhere,
                 counts.running + detail.running_by_class.get(counts.key, 0),
@@ -126,6 +125,8 @@
         # Classes that only unused routes belong to must not count as the most urgent ones.
         used = [one for one, counts in service.counts_by_urgency.items() if counts.is_used]
         service.level.step(load, used, run_s, now)
+        for urgency, counts in service.counts_by_urgency.items():
+            counts.target_s = service.level.target_s(urgency)
         running = sum(one.running for one in load.class_by_urgency.values())
         share = running / run_s / (1 + others.entries()) if run_s > 0.0 else 0.0
         self._state.slots.set_least_drain(service.name, share)
@@ -172,10 +173,10 @@
         return self._state
 
     def _target_s(self, counts: ClassCounts) -> float:
-        """Return how long the calls of a class may take on average."""
+        """Return how long the calls of a class may take on average; 0 if it is not known."""
         allowed = [self._slack.allowed_s(kind) for kind in counts.kinds]
         known = [one for one in allowed if one is not None]
-        return TARGET_FRACTION * min(known) if known else float("inf")
+        return TARGET_FRACTION * min(known) if known else 0.0
 
     def _excess(self, call: UrgentCall, now: float) -> float:
         org_id = call.admitted.org_id
