Learn the usual only once longer calls have ended too

Cause: in the first second after a start only short calls have ended, and their mean became the usual.

Change: the first second of means is left out.

Result: the tests of the part pass.

--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -27,6 +27,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 # Rates of the level as parts of its range a second: all classes but the most urgent are refused
@@ -37,6 +38,9 @@
 # crowd of some ten seconds must not become the usual.
 USUAL_FALL = 0.1
 USUAL_RISE = 0.001
+# Steps with enough ended calls before the usual is learnt: right after a start, only short calls
+# have ended.
+UNSETTLED_STEPS = 10
 # Multiple of their usual time that calls may take on average. Callers usually give a program twice
 # its time on idle servers, a part of which are pauses that do not become longer.
 BEARABLE_STRETCH = 1.5
@@ -115,6 +119,7 @@
         "_peak_at",
         "_rng",
         "_stepped_at",
+        "_steps_by_urgency",
         "_urgencies",
         "_usual_s_by_urgency",
         "level",
@@ -128,6 +133,7 @@
         self._drain_per_s = 0.0
         self._peak = 0.0
         self._peak_at = 0.0
+        self._steps_by_urgency: Counter[int] = Counter()
         self._usual_s_by_urgency: dict[int, float] = {}
         self.level = 0.0
 
@@ -200,6 +206,9 @@
         for urgency, one in self._load.class_by_urgency.items():
             if one.ended < MIN_ENDED:
                 continue
+            self._steps_by_urgency[urgency] += 1
+            if self._steps_by_urgency[urgency] <= UNSETTLED_STEPS:
+                continue
             mean_s = one.taken_s / one.ended
             usual_s = self._usual_s_by_urgency.setdefault(urgency, mean_s)
             weight = USUAL_FALL if mean_s < usual_s else USUAL_RISE
