--- a/libs/decisions/tests/admission_level_tests.py
+++ b/libs/decisions/tests/admission_level_tests.py
@@ -6,6 +6,8 @@
 
 import pytest
 from crowd_load import CALM, TARGET_S, TICK_S, URGENT, Crowd
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from tarragonhall_decisions import AdmissionLevel, ClassLoad, ServiceLoad
 
 # Programs a second that use two thirds of the 40 slots.
@@ -243,3 +245,33 @@
     assert level.refuse_start(URGENT, 0.0, False) is None
     level.step(later, [URGENT, CALM], 0.3, 40.0)
     assert level.refuse_start(CALM, 0.0, False) is None
+
+
+NEWS = st.lists(
+    st.tuples(
+        st.integers(0, 60),
+        st.integers(0, 60),
+        st.integers(0, 60),
+        st.floats(0.0, 3.0),
+        st.floats(0, 9),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(news=NEWS, waited=st.booleans())
+def test_any_news_leave_the_level_in_its_range_and_the_most_urgent_admitted(news, waited):
+    """Failure: news are late, lost or contradict each other. A level out of its range would refuse
+    for minutes, and a refusal without a time would bring callers back at once.
+    """
+    level = AdmissionLevel(random.Random(5))
+    now = 0.0
+    for waiting, running, ended, mean_s, gap_s in news:
+        now += gap_s
+        one = ClassLoad(0.0, TARGET_S, waiting, running, ended, ended * mean_s)
+        level.step(ServiceLoad(40, {URGENT: one, CALM: one}), [URGENT, CALM], 0.3, now)
+        assert 0.0 <= level.level <= 1.3
+        assert level.refuse_start(URGENT, 0.0, waited) is None
+        refused = level.refuse_start(CALM, 3.0, waited)
+        assert refused is None or 0.3 <= refused.retry_s <= 60.0
