Let calls that run count before they end

Change: the expected time is the mean of what ended calls took and of running calls over those that end in a second. The rise is full at one and a half times the target.

--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -31,9 +31,11 @@
 from dataclasses import dataclass, field
 
 # Rates of the level as parts of its range a second: all classes but the most urgent are refused
-# within about a second of calls that take twice their target, and admitted again within about two.
+# within about a second of calls that take far too long, and admitted again within about two.
 RISE_PER_S = 0.9
 FALL_PER_S = 0.45
+# Gain of the rise: it is full where calls take one and a half times their target.
+RISE_GAIN = 2.0
 # Weights for each step by which the usual time of a class's calls follows lower and higher means: a
 # crowd of some ten seconds must not become the usual.
 USUAL_FALL = 0.1
@@ -88,6 +90,14 @@
     ended: int = 0
     taken_s: float = 0.0
 
+    def expected_s(self) -> float:
+        """Return how long calls are expected to take, if some have ended.
+
+        What ended calls took tells of the load a turn ago; calls that run over calls that end in a
+        second tell of what comes, and too much of it at the start of a crowd. This is their mean.
+        """
+        return (self.taken_s + self.running) / (2 * self.ended)
+
 
 @dataclass(slots=True)
 class ServiceLoad:
@@ -157,7 +167,7 @@
         pressure = self._pressure()
         highest = self._highest()
         if pressure > 1.0:
-            self.level += RISE_PER_S * highest * elapsed_s * min(1.0, pressure - 1.0)
+            self.level += RISE_PER_S * highest * elapsed_s * min(1.0, RISE_GAIN * (pressure - 1.0))
         elif pressure < FALL_BELOW:
             self.level -= FALL_PER_S * highest * elapsed_s
         self.level = min(highest, max(0.0, self.level))
@@ -221,7 +231,7 @@
         for urgency, one in sorted(self._load.class_by_urgency.items()):
             ahead += one.waiting
             if one.ended >= MIN_ENDED:
-                pressure = max(pressure, one.taken_s / one.ended / self.target_s(urgency))
+                pressure = max(pressure, one.expected_s() / self.target_s(urgency))
             if one.waiting and self._drain_per_s > 0.0:
                 wait_s = ahead / self._drain_per_s
                 pressure = max(pressure, wait_s / max(one.max_wait_s, MIN_TARGET_S))
