Refuse less urgent kinds before any of the most urgent kind

Programs of the most urgent kind are short of time: one that starts later is late in any case.

Change: starts are refused by kind first and by organisation within a kind, and of the most urgent kind only excess is. The usual follows means less far down, so that the level falls again at usual load.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -125,7 +125,11 @@
         "ToleratedLosses",
         "StoreBootstrap",
     ),
-    "_urgency": ("urgency_of",),
+    "_urgency": (
+        "admission_order",
+        "kind_of",
+        "urgency_of",
+    ),
 }
 
 __all__ = sorted(name for names in _NAMES_BY_MODULE.values() for name in names)
--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -20,8 +20,8 @@
 that have started are never refused here.
 
 From level 0 to `EXCESS_WIDTH`, organisations beyond their fair part are refused by chance, from
-none of their starts to all. Each further step of 1 does the same to one more class, from the least
-urgent up; of the most urgent class only excess is refused.
+none of their starts to all. Each further step of 1 does the same to one more class, in the reverse
+of `admission_order`; of the classes of the most urgent kind only excess is refused.
 """
 
 from __future__ import annotations
@@ -30,16 +30,18 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-# Rates of the level as parts of its range a second: all classes but the most urgent are refused
-# within about a second of calls that take far too long, and admitted again within about two.
+from tarragonhall_decisions._urgency import admission_order, kind_of
+
+# Rates of the level as parts of its range a second: it reaches its top within about a second of
+# calls that take far too long, and its bottom again within about two.
 RISE_PER_S = 0.9
 FALL_PER_S = 0.45
 # Gain of the rise: it is full where calls take one and a half times their target.
 RISE_GAIN = 2.0
 # Weights for each step by which the usual time of a class's calls follows lower and higher means: a
 # crowd of some ten seconds must not become the usual.
-USUAL_FALL = 0.1
-USUAL_RISE = 0.001
+USUAL_FALL = 0.02
+USUAL_RISE = 0.002
 # Steps with enough ended calls before the usual is learnt: right after a start, only short calls
 # have ended.
 UNSETTLED_STEPS = 10
@@ -50,7 +52,7 @@
 MIN_ENDED = 10
 EXCESS_WIDTH = 0.3
 # Ratio to the target below which the level falls. Between this and 1 it stays.
-FALL_BELOW = 0.8
+FALL_BELOW = 0.9
 # Seconds between two steps; more would not help, as the news of the others come every 0.4 s.
 STEP_S = 0.1
 # Longest time that one step makes up for, so that an entry that was frozen does not jump.
@@ -125,12 +127,12 @@
     __slots__ = (
         "_drain_per_s",
         "_load",
+        "_order",
         "_peak",
         "_peak_at",
         "_rng",
         "_stepped_at",
         "_steps_by_urgency",
-        "_urgencies",
         "_usual_s_by_urgency",
         "level",
     )
@@ -138,7 +140,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._load = ServiceLoad(0)
-        self._urgencies: list[int] = []
+        self._order: list[int] = []
         self._stepped_at: float | None = None
         self._drain_per_s = 0.0
         self._peak = 0.0
@@ -159,7 +161,7 @@
         elapsed_s = min(MAX_STEP_S, now - self._stepped_at) if self._stepped_at is not None else 0.0
         self._stepped_at = now
         self._load = load
-        self._urgencies = sorted(urgencies)
+        self._order = admission_order(urgencies)
         running = sum(one.running for one in load.class_by_urgency.values())
         self._drain_per_s = running / run_s if run_s > 0.0 else 0.0
         self._update_peak(now)
@@ -181,7 +183,7 @@
         if excess > EXCESS and self._is_hit(self.level / EXCESS_WIDTH, waited):
             return StartRefused("excess", self._retry_s(urgency, self.level))
         above = self.level - EXCESS_WIDTH - self._rung(urgency)
-        if self._is_most_urgent(urgency):
+        if urgency not in self._refusable():
             return None
         if self._is_hit(above, waited):
             return StartRefused("level", self._retry_s(urgency, above))
@@ -190,16 +192,14 @@
         return None
 
     def refused_urgency(self) -> int | None:
-        """Return the most urgent class of which starts are refused by level; None if none is."""
-        hit = [one for one in self._urgencies[1:] if self.level > EXCESS_WIDTH + self._rung(one)]
-        return min(hit) if hit else None
+        """Return the class refused last of those of which starts are refused; None if none is."""
+        hit = [one for one in self._refusable() if self.level > EXCESS_WIDTH + self._rung(one)]
+        return hit[0] if hit else None
 
     def reserve(self) -> int:
-        """Return how many slots stay free for the most urgent class beyond those that it uses."""
-        if not self._urgencies:
-            return 0
-        now_used = self._used(self._urgencies[0])
-        return max(0, min(round(self._peak), int(MAX_RESERVE * self._load.slots)) - now_used)
+        """Return how many slots stay free for the most urgent kind beyond those that it uses."""
+        peak = min(round(self._peak), int(MAX_RESERVE * self._load.slots))
+        return max(0, peak - self._used_by_most_urgent())
 
     def target_s(self, urgency: int) -> float:
         """Return how long the calls of a class may take on average; infinite if not known."""
@@ -210,7 +210,18 @@
         return max(one.target_s, BEARABLE_STRETCH * usual_s, MIN_TARGET_S)
 
     def _highest(self) -> float:
-        return EXCESS_WIDTH + max(0, len(self._urgencies) - 1)
+        return EXCESS_WIDTH + len(self._refusable())
+
+    def _refusable(self) -> list[int]:
+        """Return the classes whose starts may be refused, the first of them last.
+
+        These are the less urgent kinds, or the less urgent organisations where all kinds are alike.
+        """
+        if not self._order:
+            return []
+        first = self._order[0]
+        others = [one for one in self._order if kind_of(one) != kind_of(first)]
+        return others or self._order[1:]
 
     def _update_usual(self) -> None:
         for urgency, one in self._load.class_by_urgency.items():
@@ -238,28 +249,25 @@
         return pressure
 
     def _update_peak(self, now: float) -> None:
-        if not self._urgencies:
-            return
         decayed = self._peak * 0.5 ** ((now - self._peak_at) / PEAK_HALF_LIFE_S)
-        self._peak = max(decayed, float(self._used(self._urgencies[0])))
+        self._peak = max(decayed, float(self._used_by_most_urgent()))
         self._peak_at = now
 
-    def _used(self, urgency: int) -> int:
-        one = self._load.class_by_urgency.get(urgency)
-        return one.running + one.waiting if one is not None else 0
+    def _used_by_most_urgent(self) -> int:
+        return sum(
+            one.running + one.waiting
+            for urgency, one in self._load.class_by_urgency.items()
+            if self._order and kind_of(urgency) == kind_of(self._order[0])
+        )
 
     def _lacks_reserve(self) -> bool:
         if not self._load.slots:
             return False
         return self._load.calls() + self.reserve() >= self._load.slots
 
-    def _is_most_urgent(self, urgency: int) -> bool:
-        """Return whether no class is more urgent, so that only excess is refused."""
-        return not self._urgencies or urgency <= self._urgencies[0]
-
     def _rung(self, urgency: int) -> int:
         """Return how many classes are refused before this one."""
-        return sum(1 for one in self._urgencies if one > urgency)
+        return len(self._order) - 1 - self._order.index(urgency) if urgency in self._order else 0
 
     def _is_hit(self, share: float, waited: bool) -> bool:
         if share <= 0.0:
--- a/libs/decisions/tarragonhall_decisions/_urgency.py
+++ b/libs/decisions/tarragonhall_decisions/_urgency.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 # Number of ranks of each priority: three by three give the nine urgencies from 1 to 9.
 RANKS = 3
 MOST_URGENT = 1
@@ -22,3 +24,17 @@
     organisation_rank = min(max(0, organisation_priority), RANKS - 1)
     route_rank = min(max(0, route_priority), RANKS - 1)
     return MOST_URGENT + organisation_rank * RANKS + route_rank
+
+
+def kind_of(urgency: int) -> int:
+    """Return the rank of the route in an urgency, from 0 (first)."""
+    return (urgency - MOST_URGENT) % RANKS
+
+
+def admission_order(urgencies: Iterable[int]) -> list[int]:
+    """Return urgencies in the order in which programs may start, the last to be refused first.
+
+    Programs of a less urgent kind are refused before those of a more urgent one, whatever their
+    organisation: the kinds of a service must not be served less often than less urgent ones.
+    """
+    return sorted(urgencies, key=lambda one: (kind_of(one), one))
--- a/libs/decisions/tests/admission_level_tests.py
+++ b/libs/decisions/tests/admission_level_tests.py
@@ -275,3 +275,13 @@
         assert level.refuse_start(URGENT, 0.0, waited) is None
         refused = level.refuse_start(CALM, 3.0, waited)
         assert refused is None or 0.3 <= refused.retry_s <= 60.0
+
+
+def test_where_only_organisations_differ_the_less_urgent_are_refused():
+    """Load: a crowd of an organisation of low priority on the only kind of programs."""
+    level = AdmissionLevel(random.Random(5))
+    load = ServiceLoad(1_000, {one: ClassLoad(0.0, TARGET_S) for one in (1, 4)})
+    level.step(load, [1, 4], 0.3, 0.0)
+    level.level = 9.0
+    assert refused_share(level, 4, 0.0, False) == 1.0
+    assert refused_share(level, 1, 0.0, False) == 0.0
