Set the level by how far calls exceed what callers can bear

Cause: the level rose for as long as calls took too long.

Change: the level moves gradually towards a height in proportion to the excess, full at one and a half times.

--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -9,10 +9,10 @@
 - One organisation asks for many times its usual. Beyond `EXCESS` times its fair part, its starts
   are refused before those of all others.
 
-The level is one number for a service. It follows what the calls that were admitted take: it rises
-while those of a class take longer than their callers can bear, or wait too long for a slot, and
-falls while all take less than `FALL_BELOW` of that. Waits for slots alone would not do, as engines
-that are short of time accept calls and stretch their answers.
+The level is one number for a service. It follows what the calls that were admitted take: it is the
+higher, the more those of a class exceed what their callers can bear, or their longest wait for a
+slot, and 0 while none does. Waits for slots alone would not do, as engines that are short of time
+accept calls and stretch their answers.
 
 All entries know the same sums, at most 1.5 s old, so that their levels are close to each other
 without a leader; an entry without news goes on from its last level by its own calls. Steps are
@@ -32,16 +32,18 @@
 
 from tarragonhall_decisions._urgency import admission_order, kind_of
 
-# Rates of the level as parts of its range a second: it reaches its top within about a second of
-# calls that take far too long, and its bottom again within about two.
+# Largest rates of the level as parts of its range a second: it reaches its top within about a
+# second, and its bottom again within about two.
 RISE_PER_S = 0.9
 FALL_PER_S = 0.45
-# Gain of the rise: it is full where calls take one and a half times their target.
-RISE_GAIN = 2.0
+# Multiple of their target that calls take where the level goes to its top. Programs that were let
+# in go on for seconds, so that a level which rose for as long as calls take too long would go far
+# beyond what is needed.
+FULL_PRESSURE = 1.5
 # Weights for each step by which the usual time of a class's calls follows lower and higher means: a
 # crowd of some ten seconds must not become the usual.
-USUAL_FALL = 0.02
-USUAL_RISE = 0.002
+USUAL_FALL = 0.01
+USUAL_RISE = 0.001
 # Steps with enough ended calls before the usual is learnt: right after a start, only short calls
 # have ended.
 UNSETTLED_STEPS = 10
@@ -51,8 +53,6 @@
 # Calls of a class in the last second from which their mean is used: that of a few says little.
 MIN_ENDED = 10
 EXCESS_WIDTH = 0.3
-# Ratio to the target below which the level falls. Between this and 1 it stays.
-FALL_BELOW = 0.9
 # Seconds between two steps; more would not help, as the news of the others come every 0.4 s.
 STEP_S = 0.1
 # Longest time that one step makes up for, so that an entry that was frozen does not jump.
@@ -166,12 +166,10 @@
         self._drain_per_s = running / run_s if run_s > 0.0 else 0.0
         self._update_peak(now)
         self._update_usual()
-        pressure = self._pressure()
         highest = self._highest()
-        if pressure > 1.0:
-            self.level += RISE_PER_S * highest * elapsed_s * min(1.0, RISE_GAIN * (pressure - 1.0))
-        elif pressure < FALL_BELOW:
-            self.level -= FALL_PER_S * highest * elapsed_s
+        wanted = highest * (self._pressure() - 1.0) / (FULL_PRESSURE - 1.0)
+        rise, fall = RISE_PER_S * highest * elapsed_s, FALL_PER_S * highest * elapsed_s
+        self.level = min(self.level + rise, max(self.level - fall, wanted))
         self.level = min(highest, max(0.0, self.level))
 
     def refuse_start(self, urgency: int, excess: float, waited: bool) -> StartRefused | None:
--- a/libs/decisions/tests/admission_level_tests.py
+++ b/libs/decisions/tests/admission_level_tests.py
@@ -183,7 +183,7 @@
             load = ServiceLoad(1_000)
             for urgency in (URGENT, CALM):
                 load.class_by_urgency[urgency] = ClassLoad(
-                    0.0, TARGET_S, running=30, ended=100, taken_s=100 * mean_s
+                    0.0, TARGET_S, 0, round(100 * mean_s), ended=100, taken_s=100 * mean_s
                 )
             level.step(load, [URGENT, CALM], 0.3, 0.1 * step)
 
