--- a/libs/decisions/tests/backend_choice_tests.py
+++ b/libs/decisions/tests/backend_choice_tests.py
@@ -315,3 +315,16 @@
     parts = (SUBJECT, PromptPart("talk", 6_000), PromptPart("new", 200))
     moved = CallRequirements("models", parts, last_server="i-0", size=20_000)
     assert chooser.choose(moved, 0.0).server_id == "i-0"
+
+
+def test_call_that_yields_leaves_the_share_of_its_entry_to_urgent_calls_elsewhere():
+    """Load: all servers are full, urgent calls wait at other entries, and this entry is idle. By
+    its share of the slots, its least urgent call would go before them.
+    """
+    chooser = make_chooser(engines(2))
+    running = {record.server_id: 40 for record in engines(2)}
+    chooser.on_entry_load("entry-2", running, 0.0)
+    assert chooser.choose(CallRequirements("models"), 0.1) is not None
+    assert chooser.choose(CallRequirements("models", yields=True), 0.1) is None
+    chooser.on_entry_load("entry-2", {"i-0": 30}, 0.2)
+    assert chooser.choose(CallRequirements("models", yields=True), 0.3) is not None
--- a/libs/relay/tests/urgent_first_tests.py
+++ b/libs/relay/tests/urgent_first_tests.py
@@ -7,7 +7,14 @@
 import eventlet
 import pytest
 from relay_doubles import Relay, answers, event, stream, wait_until
-from tarragonhall_decisions import EntryCapacity, Features
+from tarragonhall_decisions import (
+    Deadline,
+    EntryCapacity,
+    Features,
+    Prospect,
+    QueuedCall,
+    UrgentTier,
+)
 from tarragonhall_model import LoadDetail
 from tarragonhall_relay._routes import RouteTable
 from tarragonhall_relay._urgent_first import UrgentFirst
@@ -208,3 +215,21 @@
     urgent_relay.backend(hesitates)
     assert urgent_relay.call("/talk/", program="p-1")[0] == 200
     assert told(urgent_relay).taken_ms_by_class[URGENT] >= 140
+
+
+def test_call_yields_to_more_urgent_ones_elsewhere_for_a_bounded_time(urgent_relay):
+    """Failure: news of urgent calls that wait elsewhere keep coming, and a call yields for ever."""
+    urgent_relay.backend(talks)
+    assert urgent_relay.call("/talk/", program="p-0")[0] == 200
+    part = urgent_relay.state.urgent_first
+    hear(urgent_relay, waiting_by_class={URGENT: 3}, running_by_class={URGENT: 6})
+    eventlet.sleep(0.11)
+    told(urgent_relay)
+    now = urgent_relay.state.monotonic()
+    calm = UrgentTier(3, Prospect.IN_TIME, begins=False)
+    urgent = UrgentTier(1, Prospect.LATE, begins=True)
+    call = QueuedCall("call", "org-1", "p-1", 1.0, Deadline(now + 4.0), arrived=now)
+    assert part.yields("desk", call, calm)
+    assert not part.yields("desk", call, urgent)
+    call.arrived = now - 1.1
+    assert not part.yields("desk", call, calm)
