--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -66,10 +66,20 @@
         "reader_limits_for",
         "readers_to_end",
     ),
-    "_service_queue": (
-        "ServiceQueue",
+    "_service_queue": ("ServiceQueue",),
+    "_slack": ("ProgramSlack",),
+    "_tiers": (
+        "Prospect",
         "Tier",
+        "UrgentTier",
     ),
+    "_admission_level": (
+        "AdmissionLevel",
+        "ClassLoad",
+        "ServiceLoad",
+        "StartRefused",
+    ),
+    "_fair_parts": ("FairParts",),
     "_quarantine": (
         "Quarantine",
         "suspects_of_crash",
@@ -130,7 +140,11 @@
         "ToleratedLosses",
         "StoreBootstrap",
     ),
-    "_urgency": ("urgency_of",),
+    "_urgency": (
+        "admission_order",
+        "kind_of",
+        "urgency_of",
+    ),
 }
 
 __all__ = sorted(name for names in _NAMES_BY_MODULE.values() for name in names)
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -255,6 +255,7 @@
         self._report.step("whole_ms")
         if self._stream.runs == 1:
             self._records.stream_ended(server)
+        self._slot.note_answered()
         self._slot.release()
         self._state.pool.release(stream.connection, stream.facts.keep_alive_s)
         self._records.succeeded(server)
