Count what running calls hold in engines' memory

Cause: the choice of servers counts running calls, and a call of 3,000 tokens weighs as much as one of 14,000. Long histories fill an engine's memory before its slots, and the engine then preempts calls in the middle of their streams and reads their prompts again.

Change: where the part is on and the memory of a service's engines is configured, a call goes only where its prompt and its expected output fit until its end, or waits in its queue. A shared first part counts once for a server; entries tell each other what they hold with their load. The expected output is the learnt mean of its kind and the caller's estimate (`X-Tarragonhall-Length-Hint`). A prompt that no engine can hold is refused at once, with 503 and without a time for a retry: engines treat it as if they were full, and 4xx would deny a proper call. Operators see what is held in metrics, and one log line for each server that becomes full or has room again.

Without the part, choices and messages are unchanged.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -110,6 +110,11 @@
         "subset",
     ),
     "_unresponsive_servers": ("UnresponsiveServers",),
+    "_engine_memory": (
+        "EngineMemory",
+        "MemoryChange",
+    ),
+    "_expected_output": ("ExpectedOutput",),
     "_exhausted_programs": ("ExhaustedPrograms",),
     "_store_bootstrap": (
         "ToleratedLosses",
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -27,6 +27,8 @@
 - A slow or hung plain server takes as many calls as the others and delays each. Its share falls
   as its calls take longer. A slow engine is avoided only for the calls that pile up there: when
   pauses in streams counted as well, engines lost calls by chance.
+- Long histories fill an engine's memory before its slots, so a call goes only to engines where it
+  fits until its end (`EngineMemory`).
 - Availability zones: traffic between zones is paid for, so servers in the entry's zone win near
   ties. A zone with enough servers to lose one keeps its calls, unless the wait there costs more
   than sending the bytes of the rest of the program to another zone. The servers of such a zone read
@@ -44,6 +46,7 @@
 
 from tarragonhall_decisions._call_requirements import CallRequirements
 from tarragonhall_decisions._cold_servers import ColdServers
+from tarragonhall_decisions._engine_memory import EngineMemory
 from tarragonhall_decisions._known_servers import KnownServers
 from tarragonhall_decisions._other_loads import NO_SIGNS, OtherLoad, OtherLoads
 from tarragonhall_decisions._prompt_holders import PromptHolders
@@ -93,6 +96,7 @@
         "_zone",
         "cold",
         "known",
+        "memory",
         "unresponsive",
     )
 
@@ -104,6 +108,7 @@
         self.cold = cold or ColdServers("")
         self.known = KnownServers(availability_zone)
         self._others = OtherLoads()
+        self.memory = EngineMemory(self._others)
         self._holders = PromptHolders()
         self._run_times_by_service: dict[str, ServiceRunTimes] = {}
         # Calls of this entry in flight. Summed over thousands of servers at each choice, they would
@@ -124,6 +129,7 @@
                 del self._load_by_id[server_id]
         for run_times in self._run_times_by_service.values():
             run_times.forget(known_ids)
+        self.memory.set_servers(records)
         self.known.set_servers(records)
 
     def set_evacuated(self, zones: list[str], now: float) -> None:
@@ -200,7 +206,8 @@
         preferred = self._preferred_server(requirements)
         is_below_share = self._is_below_share(requirements.service)
         unresponsive_ms = self.unresponsive.costs(now)
-        for record in self._candidates(requirements, preferred):
+        candidates = self._candidates(requirements, preferred)
+        for record in self.memory.with_room(candidates, requirements):
             if not requirements.allows(record) or not self._accepts_call(
                 record, is_below_share, now
             ):
--- a/libs/model/tarragonhall_model/_calls.py
+++ b/libs/model/tarragonhall_model/_calls.py
@@ -41,6 +41,7 @@
     CANCELLED = "cancelled"
     SHUTTING_DOWN = "shutting_down"
     UNAVAILABLE = "unavailable"
+    TOO_LARGE = "too_large"
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -109,7 +109,11 @@
             self._turn.release(self._generated_tokens())
 
     def _run_admitted(self) -> None:
-        early = self._turn.reject_exhausted(self._admitted) or self._slot.reject_early()
+        early = (
+            self._turn.reject_exhausted(self._admitted)
+            or self._slot.reject_too_large()
+            or self._slot.reject_early()
+        )
         if early is not None:
             self._reject(early)
             return
@@ -255,6 +259,8 @@
         """Record how long a stream held its slot, for the choice of servers."""
         run_ms = self._slot.held_ms(self._state.monotonic())
         self._state.chooser.run_times(server.service).stream_ended(run_ms)
+        if self._state.chooser.memory.has_limit(server.service):
+            self._state.expected_output.record(self._admitted.route.name, self._generated_tokens())
 
     def _note_success(self, server: BackendRecord) -> None:
         requirements = CallRequirements(server.service, self._admitted.facts.parts)
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -9,6 +9,7 @@
 from tarragonhall_model import BackendRecord, Refusal, RefusalCode
 
 from tarragonhall_relay._admission import STATUS_UNAVAILABLE, AdmittedCall, Rejection, rejection_for
+from tarragonhall_relay._call_memory import memory_tokens, reject_too_large
 from tarragonhall_relay._slots import Slot
 from tarragonhall_relay._state import RelayState
 
@@ -79,6 +80,10 @@
         refusal = self._state.slots.reject_early(self.service, self._queued, self._tier)
         return self._no_slot(refusal) if refusal is not None else None
 
+    def reject_too_large(self) -> Rejection | None:
+        """Return the rejection of a call that no engine can hold, if it is one."""
+        return reject_too_large(self._state, self._call, self.service)
+
     def acquire(self, last_server: str, prompt_size: int) -> BackendRecord | Rejection:
         """Wait for a known server with a free slot; return the server or the rejection.
 
@@ -178,6 +183,7 @@
             frozenset(self._unreachable | self.may_have_run_on),
             prompt_size * turns,
             self._call.home_zones,
+            memory_tokens=memory_tokens(self._state, self._call, self.service),
         )
 
     def _make_queued_call(self) -> QueuedCall:
--- a/libs/relay/tarragonhall_relay/_dialect.py
+++ b/libs/relay/tarragonhall_relay/_dialect.py
@@ -21,6 +21,8 @@
 
     `attempt_id` is the client's id of this attempt. `max_tokens` limits what the call may
     generate, `token_budget` what its whole program may. `object_key` names what the call is about.
+    `prompt_tokens` is the stated length of the prompt, 0 if none is stated, and
+    `expected_output_tokens` the client's estimate of the output.
     """
 
     attempt_id: str = ""
@@ -33,6 +35,8 @@
     parts: tuple[PromptPart, ...] = ()
     previous_turn: str | None = None
     object_key: str = ""
+    prompt_tokens: int = 0
+    expected_output_tokens: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -102,6 +102,7 @@
         config = self._state.dialect.read_config(document)
         self._set_rates(config)
         self._set_cold_limits(config)
+        self._set_memory_limits(config)
         self._state.table = RouteTable(config)
         log.info("relay.in_force", version=config.version, routes=len(config.routes))
         return True
@@ -123,6 +124,13 @@
         }
         self._state.chooser.cold.set_limits(limits)
 
+    def _set_memory_limits(self, config: RelayConfig) -> None:
+        if not self._state.features.engine_memory:
+            return
+        self._state.chooser.memory.set_limits(
+            {one.name: one.engine.cache_tokens for one in config.services if one.engine is not None}
+        )
+
     def _set_rates(self, config: RelayConfig) -> None:
         earlier = self._state.table
         limited = {one.org_id for one in config.organisations or () if one.rate is not None}
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -23,6 +23,7 @@
 
 from tarragonhall_relay._backend import BackendPool
 from tarragonhall_relay._call import RelayedCall
+from tarragonhall_relay._call_memory import EngineMemoryReport
 from tarragonhall_relay._client import ClientConnection, error_body
 from tarragonhall_relay._dialect import Dialect
 from tarragonhall_relay._errors import (
@@ -120,6 +121,8 @@
             features=settings.features,
         )
         self._follower.attach(self.state)
+        if settings.features.engine_memory:
+            self.state.load_reporters.append(EngineMemoryReport(chooser.memory, context.metrics))
         self._backend_follower = BackendFollower(context, self.state)
         self._peer_updates = PeerUpdates(context, self.state, self._follower)
         # Each connection has a green thread of its own.
--- a/libs/relay/tarragonhall_relay/_slots.py
+++ b/libs/relay/tarragonhall_relay/_slots.py
@@ -38,6 +38,7 @@
 class _Waiter:
     requirements: CallRequirements
     event: Event = field(default_factory=Event)
+    lacked_memory: bool = False
     result: Slot | Refusal | None = None
 
     def resolve(self, result: Slot | Refusal) -> None:
@@ -107,6 +108,7 @@
             slot.server.server_id, slot.queued.call_id, self._monotonic()
         )
         self._chooser.ended(slot.server.server_id, slot.started_at)
+        self._chooser.memory.ended(slot.queued.call_id)
 
     def _wait(self, call: QueuedCall, waiter: _Waiter) -> Slot | Refusal:
         service = waiter.requirements.service
@@ -139,12 +141,14 @@
             call = queue.take(now)
             if call is None:
                 break
-            requirements = self._waiter_by_id[call.call_id].requirements
+            waiter = self._waiter_by_id[call.call_id]
+            requirements = waiter.requirements
             server = self._chooser.choose(requirements, now)
             if server is not None:
                 self._grant(call, server, queue, now)
                 continue
             skipped.append(call)
+            self._note_lacked_memory(waiter)
             if not requirements.avoid:
                 # A call that avoids no server found no free slot, so those behind it would find
                 # none either, unless this call is bound to home regions.
@@ -152,13 +156,22 @@
         for call in skipped:
             queue.requeue(call)
 
+    def _note_lacked_memory(self, waiter: _Waiter) -> None:
+        """Count a call that waits for memory, once, however often it is tried."""
+        memory = self._chooser.memory
+        if memory.lacked_room and not waiter.lacked_memory:
+            waiter.lacked_memory = True
+            memory.without_room += 1
+
     def _grant(
         self, call: QueuedCall, server: BackendRecord, queue: ServiceQueue, now: float
     ) -> None:
         self._chooser.unresponsive.sent(server, call.call_id, now)
         self._chooser.started(server.server_id, now)
         queue.on_slot_assigned(call)
-        self._waiter_by_id.pop(call.call_id).resolve(Slot(server, now, call))
+        waiter = self._waiter_by_id.pop(call.call_id)
+        self._chooser.memory.started(call.call_id, server, waiter.requirements)
+        waiter.resolve(Slot(server, now, call))
 
     def _reject(self, dropped: list[Dropped]) -> None:
         for dropped_call in dropped:
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -12,6 +12,7 @@
     ColdSlack,
     CrashSuspects,
     ExhaustedPrograms,
+    ExpectedOutput,
     Features,
     RetryBudget,
 )
@@ -61,6 +62,7 @@
     cold_slack: ColdSlack = ColdSlack()
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     exhausted_programs: ExhaustedPrograms = field(default_factory=ExhaustedPrograms)
+    expected_output: ExpectedOutput = field(default_factory=ExpectedOutput)
     features: Features = Features()
     load_reporters: list[LoadReporter] = field(default_factory=list)
     table: RouteTable | None = None
--- a/libs/relay/tests/relay_doubles.py
+++ b/libs/relay/tests/relay_doubles.py
@@ -61,6 +61,7 @@
             token_budget=int(budget) if budget else None,
             max_tokens=int(by_name.get(b"most", "0")),
             previous_turn=by_name.get(b"previous"),
+            prompt_tokens=int(by_name.get(b"prompt", "0")),
         )
 
     def write_call(self, headers, dispatch):
