Let entries agree on more servers for a hot subject or object

Cause: entries learn of each other's calls 0.4 s late. When most calls are suddenly about one subject, all entries send them to the engine that holds it, beyond twice its slots, while others idle; then each turns to other engines by itself. These remain holders when the subject cools.

Change: with the part for engine memory on, an entry estimates from its own running calls how many servers a first prompt part or an object needs, and chooses among the first ones of an order by hash that all entries share, comparing two at random. Fewer are needed as the key cools; only the first four are remembered as holders then.

Without the part nothing changes.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -49,6 +49,7 @@
 from tarragonhall_decisions._engine_memory import EngineMemory
 from tarragonhall_decisions._known_servers import KnownServers
 from tarragonhall_decisions._other_loads import NO_SIGNS, OtherLoad, OtherLoads
+from tarragonhall_decisions._preferred_servers import PreferredServers
 from tarragonhall_decisions._prompt_holders import PromptHolders
 from tarragonhall_decisions._server_load import ServerLoad
 from tarragonhall_decisions._service_run_times import ServiceRunTimes
@@ -97,6 +98,7 @@
         "cold",
         "known",
         "memory",
+        "preferred",
         "unresponsive",
     )
 
@@ -110,6 +112,7 @@
         self._others = OtherLoads()
         self.memory = EngineMemory(self._others)
         self._holders = PromptHolders()
+        self.preferred = PreferredServers(self.known, self._holders, rng)
         self._run_times_by_service: dict[str, ServiceRunTimes] = {}
         # Calls of this entry in flight. Summed over thousands of servers at each choice, they would
         # cost more than the choice.
@@ -203,8 +206,11 @@
         self.others(now)
         best: list[BackendRecord] = []
         lowest = float("inf")
-        preferred = self._preferred_server(requirements)
-        is_below_share = self._is_below_share(requirements.service)
+        entries = 1 + self._others.entries()
+        preferred = self.preferred.of(requirements, entries)
+        # An entry below an equal share of the slots may send though the others fill them.
+        own = self._running_by_service[requirements.service]
+        is_below_share = own * entries < self.known.slots(requirements.service)
         unresponsive_ms = self.unresponsive.costs(now)
         candidates = self._candidates(requirements, preferred)
         for record in self.memory.with_room(candidates, requirements):
@@ -242,7 +248,8 @@
     def answered(self, server_id: str, requirements: CallRequirements) -> None:
         """Record that a server answered: it works and holds the call's prompt parts."""
         self.load(server_id).on_answered()
-        self._holders.record(server_id, requirements.parts)
+        remembered = self.preferred.parts_to_remember(server_id, requirements)
+        self._holders.record(server_id, remembered)
 
     def refused(self, server_id: str, now: float) -> None:
         """Record that a server refused a call as full; the call still counts as in flight there."""
@@ -262,16 +269,11 @@
         running = load.running + self._others.running(record.server_id)
         return is_below_share or running < OVERCOMMIT * max(1, record.slots)
 
-    def _is_below_share(self, service: str) -> bool:
-        """Return whether this entry uses less than an equal share of a service's slots."""
-        own = self._running_by_service[service]
-        return own * (1 + self._others.entries()) < self.known.slots(service)
-
     def _cost_ms(
         self,
         record: BackendRecord,
         requirements: CallRequirements,
-        preferred: str | None,
+        preferred: tuple[str, ...],
         now: float,
     ) -> float:
         load = self.load(record.server_id)
@@ -285,7 +287,7 @@
         else:
             slowness = run_times.slowness(record.server_id, load.oldest_call_s(now), now)
             cost += run_times.run_ms * (slowness - 1.0)
-            if requirements.object_key and preferred != record.server_id:
+            if requirements.object_key and record.server_id not in preferred:
                 cost += run_times.run_ms / 4
         if not record.heard:
             cost += UNREACHABLE_MS
@@ -312,23 +314,14 @@
         signs = self._others.signs()
         self.unresponsive.set_other_counts(signs.silent_by_server, signs.answered_by_server)
 
-    def _preferred_server(self, requirements: CallRequirements) -> str | None:
-        """Return the server that entries agree on by rendezvous hash, where no holder is known."""
-        local_ids = self.known.local_ids(requirements.service)
-        known = not requirements.parts or self._holders.has_holder(requirements.parts[0], local_ids)
-        if known and not requirements.object_key:
-            return None
-        key = requirements.object_key or requirements.parts[0].part_id
-        return self.known.preferred_id(requirements.service, key)
-
     def _candidates(
-        self, requirements: CallRequirements, preferred: str | None
+        self, requirements: CallRequirements, preferred: tuple[str, ...]
     ) -> list[BackendRecord]:
         """Return the servers to compare: all, or a selection where there are many."""
         servers = self.servers(requirements.service)
         if len(servers) <= MAX_CANDIDATES:
             return servers
-        ids = {requirements.last_server, preferred or ""}
+        ids = {requirements.last_server, *preferred}
         for part in requirements.parts:
             ids.update(self._holders.of(part))
         local_ids = self.known.local_ids(requirements.service) or ()
--- a/libs/decisions/tarragonhall_decisions/_call_requirements.py
+++ b/libs/decisions/tarragonhall_decisions/_call_requirements.py
@@ -36,6 +36,11 @@
     slack_ms: float | None = None
     memory_tokens: int = 0
 
+    @property
+    def shared_key(self) -> str:
+        """Return what the call shares with others: its object or first prompt part, or nothing."""
+        return self.object_key or (self.parts[0].part_id if self.parts else "")
+
     def allows(self, record: BackendRecord) -> bool:
         """Return whether the call may go to a server."""
         if record.server_id in self.avoid:
--- a/libs/decisions/tarragonhall_decisions/_known_servers.py
+++ b/libs/decisions/tarragonhall_decisions/_known_servers.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-from tarragonhall_model import BackendRecord, rendezvous
+import heapq
+
+from tarragonhall_model import BackendRecord, fingerprint, rendezvous
 
 # A zone with at least this many servers of a service can lose one, so it keeps its own calls and
 # shared prefixes.
 MIN_LOCAL_SERVERS = 4
 # Limits the cached results of the rendezvous hash.
 MAX_CACHED_CHOICES = 20_000
+# Servers that calls of one hot key are spread over at most, and keys for which they are cached. Few
+# keys can be hot at once.
+MAX_RANKED = 16
+MAX_CACHED_RANKS = 200
 
 
 class KnownServers:
@@ -23,6 +29,7 @@
         "_evacuated_zones",
         "_local_ids_by_service",
         "_preferred_by_key",
+        "_ranked_by_key",
         "_servers_by_service",
         "_slots_by_service",
         "_zone",
@@ -37,6 +44,7 @@
         self._slots_by_service: dict[str, int] = {}
         self._local_ids_by_service: dict[str, list[str]] = {}
         self._preferred_by_key: dict[tuple[str, str], str | None] = {}
+        self._ranked_by_key: dict[tuple[str, str], list[str]] = {}
         self.by_id: dict[str, BackendRecord] = {}
 
     def set_servers(self, records: list[BackendRecord]) -> None:
@@ -72,6 +80,22 @@
         """Return the servers of the own zone if the zone keeps its calls of a service."""
         return self._local_ids_by_service.get(service)
 
+    def first_ids(self, service: str, key: str, count: int) -> tuple[str, ...]:
+        """Return the first servers for a key, `MAX_RANKED` at most, in an order that entries share.
+
+        The first one is `preferred_id`.
+        """
+        ranked = self._ranked_by_key.get((service, key))
+        if ranked is None:
+            ids = self.local_ids(service)
+            if ids is None:
+                ids = [record.server_id for record in self.servers(service)]
+            ranked = heapq.nlargest(MAX_RANKED, ids, key=lambda one: (fingerprint(key, one), one))
+            if len(self._ranked_by_key) >= MAX_CACHED_RANKS:
+                self._ranked_by_key.clear()
+            self._ranked_by_key[service, key] = ranked
+        return tuple(ranked[:count])
+
     def preferred_id(self, service: str, key: str) -> str | None:
         """Return the server for a key on which entries agree by rendezvous hash."""
         cached = self._preferred_by_key.get((service, key), "")
@@ -97,6 +121,7 @@
             one.server_id: one for servers in self._servers_by_service.values() for one in servers
         }
         self._preferred_by_key.clear()
+        self._ranked_by_key.clear()
         self._local_ids_by_service = {}
         self._slots_by_service = {}
         for service, servers in self._servers_by_service.items():
--- a/libs/decisions/tarragonhall_decisions/_prompt_holders.py
+++ b/libs/decisions/tarragonhall_decisions/_prompt_holders.py
@@ -43,11 +43,12 @@
         return any(server_id in local_ids for server_id in holders)
 
     def missing_tokens(
-        self, server_id: str, requirements: CallRequirements, preferred: str | None
+        self, server_id: str, requirements: CallRequirements, preferred: tuple[str, ...]
     ) -> int:
         """Return the tokens that the server would have to read: all from the first missing part.
 
-        Where no holder of the first part is known, all entries treat `preferred` as its holder.
+        All entries treat the servers in `preferred` as holders of the first part, and no others if
+        there are several.
         """
         parts = requirements.parts
         if server_id == requirements.last_server:
@@ -57,7 +58,9 @@
         for part in parts:
             holders = self._holders_by_part.get(part.part_id)
             is_held = holders is not None and server_id in holders
-            if not is_held and not (part is parts[0] and preferred == server_id):
+            if part is parts[0] and preferred:
+                is_held = server_id in preferred or (is_held and len(preferred) == 1)
+            if not is_held:
                 break
             held_tokens += part.tokens
         return sum(part.tokens for part in parts) - held_tokens
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -122,6 +122,7 @@
         )
         self._follower.attach(self.state)
         if settings.features.engine_memory:
+            chooser.preferred.spread_hot_keys()
             self.state.load_reporters.append(EngineMemoryReport(chooser.memory, context.metrics))
         self._backend_follower = BackendFollower(context, self.state)
         self._peer_updates = PeerUpdates(context, self.state, self._follower)
--- a/libs/relay/tarragonhall_relay/_slots.py
+++ b/libs/relay/tarragonhall_relay/_slots.py
@@ -109,6 +109,7 @@
         )
         self._chooser.ended(slot.server.server_id, slot.started_at)
         self._chooser.memory.ended(slot.queued.call_id)
+        self._chooser.preferred.ended(slot.queued.call_id)
 
     def _wait(self, call: QueuedCall, waiter: _Waiter) -> Slot | Refusal:
         service = waiter.requirements.service
@@ -171,6 +172,7 @@
         queue.on_slot_assigned(call)
         waiter = self._waiter_by_id.pop(call.call_id)
         self._chooser.memory.started(call.call_id, server, waiter.requirements)
+        self._chooser.preferred.started(call.call_id, waiter.requirements)
         waiter.resolve(Slot(server, now, call))
 
     def _reject(self, dropped: list[Dropped]) -> None:
