Check engines' memory only for servers that a choice would take

Change: the check runs for servers that would become the best so far, a few in each choice. A call that fits nowhere goes to the server whose memory it exceeds the least, where the entry is below its share.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -213,7 +213,8 @@
         is_below_share = own * entries < self.known.slots(requirements.service)
         unresponsive_ms = self.unresponsive.costs(now)
         candidates = self._candidates(requirements, preferred)
-        for record in self.memory.with_room(candidates, requirements):
+        room = self.memory.room_for(requirements)
+        for record in candidates:
             if not requirements.allows(record) or not self._accepts_call(
                 record, is_below_share, now
             ):
@@ -221,11 +222,14 @@
             cost = self._cost_ms(record, requirements, preferred, now) + unresponsive_ms.get(
                 record.server_id, 0.0
             )
+            if cost > lowest + TIE_MS or (room is not None and not room.fits(record)):
+                continue
             if cost < lowest - TIE_MS:
                 best = []
-            if cost <= lowest + TIE_MS:
-                best.append(record)
+            best.append(record)
             lowest = min(lowest, cost)
+        if not best and room is not None:
+            return room.exceeded(entries)
         return self._rng.choice(best) if best else None
 
     def started(self, server_id: str, now: float) -> None:
--- a/libs/decisions/tarragonhall_decisions/_engine_memory.py
+++ b/libs/decisions/tarragonhall_decisions/_engine_memory.py
@@ -45,6 +45,46 @@
     memory: int
 
 
+class RoomCheck:
+    """The check of servers for one call, in one choice.
+
+    A call that fits nowhere may go to a server that mainly the others fill, if this entry is below
+    its share of the memory.
+    """
+
+    __slots__ = ("_exceeding", "_least", "_limit", "_memory", "_needed", "_service")
+
+    def __init__(self, memory: EngineMemory, needed: CallMemory, service: str, limit: int) -> None:
+        self._memory = memory
+        self._needed = needed
+        self._service = service
+        self._limit = limit
+        # The server whose memory the call would exceed the least, and by what it would be held.
+        self._exceeding: BackendRecord | None = None
+        self._least = limit * (1.0 + MAX_EXCESS)
+
+    def fits(self, record: BackendRecord) -> bool:
+        """Return whether the call fits at a server until its end."""
+        expected = self._memory.expected(record, self._needed)
+        if expected <= self._limit:
+            return True
+        self._memory.lacked_room = True
+        if expected <= self._least and self._memory.is_filled_by_others(record.server_id):
+            self._least = expected
+            self._exceeding = record
+        return False
+
+    def exceeded(self, entries: int) -> BackendRecord | None:
+        """Return the server for a call that fits nowhere, where this one of `entries` may send it.
+
+        It is one of those that were checked; its memory is exceeded by at most `MAX_EXCESS`.
+        """
+        if self._exceeding is None or not self._memory.is_below_share(self._service, entries):
+            return None
+        self._memory.lacked_room = False
+        return self._exceeding
+
+
 class EngineMemory:
     """Memory held by running calls at the engines of the services that have a limit.
 
@@ -74,7 +114,7 @@
         self._tokens_by_service: dict[str, int] = {}
         # Memory of the servers that were reported as full.
         self._full: dict[str, int] = {}
-        # Whether the latest choice found servers, but none with room.
+        # Whether the latest choice left out a server that lacked room.
         self.lacked_room = False
         self.without_room = 0
 
@@ -111,37 +151,13 @@
         limit = self._memory_by_service.get(service)
         return limit if limit is not None and prompt >= limit else None
 
-    def with_room(
-        self, servers: list[BackendRecord], requirements: CallRequirements
-    ) -> list[BackendRecord]:
-        """Return the servers where a call fits until its end.
-
-        Where it fits nowhere and this entry is below its share of the memory, these are the servers
-        that mainly the others fill and whose memory it would exceed by at most `MAX_EXCESS`.
-        """
+    def room_for(self, requirements: CallRequirements) -> RoomCheck | None:
+        """Return the check of one choice; None where the call's memory is not counted."""
         self.lacked_room = False
         limit = self._memory_by_service.get(requirements.service)
-        if limit is None or not requirements.memory_tokens or not servers:
-            return servers
-        memory = memory_of(requirements)
-        held_elsewhere = self._others.detail().tokens_by_server
-        fitting: list[BackendRecord] = []
-        exceeding: list[BackendRecord] = []
-        for record in servers:
-            if not requirements.allows(record):
-                continue
-            elsewhere = held_elsewhere.get(record.server_id, 0)
-            expected = self._expected(record, memory, elsewhere)
-            if expected <= limit:
-                fitting.append(record)
-            elif expected <= limit * (1.0 + MAX_EXCESS) and elsewhere > self._own(record.server_id):
-                exceeding.append(record)
-        if fitting:
-            return fitting
-        if exceeding and self._is_below_share(requirements.service, limit):
-            return exceeding
-        self.lacked_room = True
-        return []
+        if limit is None or not requirements.memory_tokens:
+            return None
+        return RoomCheck(self, memory_of(requirements), requirements.service, limit)
 
     def started(self, call_id: str, record: BackendRecord, requirements: CallRequirements) -> None:
         """Record that a call was sent to a server."""
@@ -216,28 +232,33 @@
         ledger = self._ledger_by_server.get(server_id)
         return ledger.tokens if ledger is not None else 0
 
-    def _expected(self, record: BackendRecord, memory: CallMemory, elsewhere: int) -> float:
+    def expected(self, record: BackendRecord, memory: CallMemory) -> float:
         """Return the tokens held at a server with one more call; 0 if nothing is held there."""
+        elsewhere = self._others.detail().tokens_by_server.get(record.server_id, 0)
         ledger = self._ledger_by_server.get(record.server_id)
+        own = ledger.tokens if ledger is not None else 0
+        if not own and not elsewhere:
+            return 0.0
         calls = 1 + self._others.running(record.server_id)
-        if ledger is None:
-            if not elsewhere:
-                return 0.0
-            added, own = memory.tokens, 0
-            if memory.shared is not None:
-                added += memory.shared.tokens
-        else:
+        added = memory.tokens
+        if ledger is not None:
             calls += ledger.calls
-            added, own = ledger.added_by(memory), ledger.tokens
-            if not elsewhere and not own:
-                return 0.0
-        return (own + elsewhere + added) * min(1.0, max(1, record.slots) / calls)
-
-    def _is_below_share(self, service: str, limit: int) -> bool:
-        """Return whether this entry holds less than an equal share of a service's memory."""
+            added = ledger.added_by(memory)
+        elif memory.shared is not None:
+            added += memory.shared.tokens
+        held = own + elsewhere + added
+        return held if calls <= record.slots else held * max(1, record.slots) / calls
+
+    def is_filled_by_others(self, server_id: str) -> bool:
+        """Return whether the other entries hold more at a server than this one."""
+        elsewhere = self._others.detail().tokens_by_server.get(server_id, 0)
+        return elsewhere > self._own(server_id)
+
+    def is_below_share(self, service: str, entries: int) -> bool:
+        """Return whether this one of `entries` holds less than its share of a service's memory."""
         own = self._tokens_by_service.get(service, 0)
-        total = limit * self._servers_by_service.get(service, 0)
-        return own * (1 + self._others.entries()) < total
+        total = self._memory_by_service[service] * self._servers_by_service.get(service, 0)
+        return own * entries < total
 
     def _add_to_service(self, service: str, tokens: int) -> None:
         self._tokens_by_service[service] = self._tokens_by_service.get(service, 0) + tokens
