Test counts of engine memory and hot keys through every end of a call

Random sequences of starts, repeated ends, restarts, missing servers and new limits must leave no token counted and never a negative sum; a call on a hot object that breaks must leave no key behind.

--- a/libs/decisions/tests/engine_memory_tests.py
+++ b/libs/decisions/tests/engine_memory_tests.py
@@ -212,6 +212,37 @@
     assert entry.chooser.memory.held("i-0") == 14_000
 
 
+def test_counts_are_never_negative_and_end_at_zero_whatever_happens():
+    # Calls end twice or not at all before a restart, servers vanish and return, the memory is
+    # configured anew. One token too many or too few would stay for as long as the entry runs.
+    for seed in range(20):
+        rng = random.Random(seed)
+        entry = Entry("entry-1", make_chooser(3))
+        memory = entry.chooser.memory
+        born_ms, ended = 1, []
+        for _ in range(300):
+            match rng.randrange(8):
+                case 0 | 1 | 2 | 3:
+                    entry.send(call(rng.randrange(3_000, 15_000), rng.choice((SUBJECT, None))))
+                case 4 | 5 if entry.sent:
+                    ended.append(rng.choice(list(entry.sent)))
+                    entry.end(ended[-1])
+                case 6 if ended:
+                    memory.ended(rng.choice(ended))
+                case 7:
+                    born_ms += rng.randrange(2)
+                    shown = rng.sample(engines(3, born_ms), rng.randrange(1, 4))
+                    entry.chooser.set_servers(shown, 0.0)
+                    memory.set_limits({"models": MEMORY} if rng.random() < 0.9 else {})
+            assert memory.own_tokens() >= 0
+            assert min(memory.held(f"i-{n}") for n in range(3)) >= 0
+            assert all(tokens >= 0 for tokens in entry.detail().tokens_by_server.values())
+        for call_id in list(entry.sent):
+            entry.end(call_id)
+        assert memory.own_tokens() == 0
+        assert [memory.held(f"i-{n}") for n in range(3)] == [0, 0, 0]
+
+
 def test_a_server_missing_from_one_list_keeps_its_calls():
     # While control is elected anew, a list may lack servers whose calls go on.
     entry = Entry("entry-1", make_chooser(2))
--- a/libs/relay/tests/memory_tests.py
+++ b/libs/relay/tests/memory_tests.py
@@ -116,11 +116,31 @@
     assert not relay.state.chooser.memory.has_limit("desk")
 
 
+def test_calls_on_a_hot_object_leave_nothing_behind():
+    # Calls end in several ways. A key that stayed counted would keep its servers spread for as long
+    # as the entry runs.
+    relay = Relay(Features(engine_memory=True))
+    try:
+        relay.backend(answers())
+        for number in range(4):
+            assert relay.call("/book/", attempt=f"a-{number}", object="order-7")[0] == 200
+        relay.backends[0].script = lambda _backend, _received: "close"
+        assert relay.call("/book/", attempt="a-5", object="order-7")[0] == 502
+        hot_keys = relay.state.chooser.preferred._hot_keys
+        assert hot_keys is not None
+        assert hot_keys._key_by_call == {}
+        assert not hot_keys._running_by_key
+        assert len(relay.state.load_reporters) == 1
+    finally:
+        relay.stop()
+
+
 def test_nothing_is_counted_while_the_part_is_off(relay):
     # Deployments that did not ask for it must not see their calls wait or be rejected.
     relay.role._follower.apply_relay(make_document(relay))
     assert not relay.state.chooser.memory.has_limit("models")
     assert relay.state.load_reporters == []
+    assert relay.state.chooser.preferred._hot_keys is None
     relay.configure()
 
     def responds(_backend, received):
--- a/libs/relay/tests/relay_doubles.py
+++ b/libs/relay/tests/relay_doubles.py
@@ -9,6 +9,7 @@
 import dataclasses  # noqa: E402
 
 from eventlet.green import socket  # noqa: E402
+from tarragonhall_decisions import Features  # noqa: E402
 from tarragonhall_fakes import free_address  # noqa: E402
 from tarragonhall_model import (  # noqa: E402
     BackendRecord,
@@ -38,6 +39,7 @@
 
 WAIT_SECONDS = 5.0
 KEY = "key-1"
+NO_FEATURES = Features()
 
 
 def wait_until(condition, seconds: float = WAIT_SECONDS) -> None:
@@ -61,6 +63,7 @@
             token_budget=int(budget) if budget else None,
             max_tokens=int(by_name.get(b"most", "0")),
             previous_turn=by_name.get(b"previous"),
+            object_key=by_name.get(b"object", ""),
             prompt_tokens=int(by_name.get(b"prompt", "0")),
         )
 
@@ -216,6 +219,7 @@
     Route("buy", "shop", "/buy/", CallType.NON_IDEMPOTENT, (), 3_000),
     Route("quick", "shop", "/quick/", CallType.IDEMPOTENT, (), 200),
     Route("talk", "shop", "/talk/", CallType.STREAMING, (), 3_000, retained=True, retention_s=60.0),
+    Route("book", "shop", "/book/", CallType.NON_IDEMPOTENT, (), 3_000, affinity=True),
     Route("tell", "shop", "/tell/", CallType.STREAMING, (), 3_000, retention_s=60.0),
 )
 
@@ -223,14 +227,17 @@
 class Relay:
     """A relay with its backend servers, and calls of clients to it."""
 
-    def __init__(self) -> None:
+    def __init__(self, features: Features = NO_FEATURES) -> None:
         context = make_context(
             "entry-1", "zona-a", free_address(), [], b"secret", make_metrics(None, 0, "entry-1")
         )
         self.context = context
         self.address = free_address()
         self.role = RelayRole(
-            RelaySettings(self.address), context, ControlClient(context), PlainDialect()
+            RelaySettings(self.address, features=features),
+            context,
+            ControlClient(context),
+            PlainDialect(),
         )
         self.state = self.role.state
         self.turn_store = ScriptedTurnStore()
