--- a/libs/decisions/tarragonhall_decisions/_features.py
+++ b/libs/decisions/tarragonhall_decisions/_features.py
@@ -28,8 +28,8 @@
     """Which parts are on.
 
     `urgent_first`: calls wait and programs start by urgency and remaining time, over all entries.
-    `engine_memory`: calls go where the engine's memory holds them until their end, and entries agree
-    on more servers for a prompt part or object that many calls share.
+    `engine_memory`: calls go where the engine's memory holds them until their end, and entries
+    agree on more servers for a prompt part or object that many calls share.
     """
 
     urgent_first: bool = False
