Keep conversations on hot subjects at their engines

Cause: while a subject is hot, only two of its engines count as holders of it, and an engine that is not among its first four is not remembered. A turn that carries its whole history and names no earlier server would be sent to another engine, which reads the history again.

Change: a server that holds a later part of a prompt counts as holder of the first one, since engines hold a part only after those before it.

Result: a decision test of such a conversation fails without the change.

--- a/libs/decisions/tarragonhall_decisions/_preferred_servers.py
+++ b/libs/decisions/tarragonhall_decisions/_preferred_servers.py
@@ -34,6 +34,7 @@
     def spread_hot_keys(self) -> None:
         """From now on, choose more servers for a key that many calls share."""
         self._hot_keys = self._hot_keys or HotKeys()
+        self._holders.forgets_first_parts = True
 
     def started(self, call_id: str, requirements: CallRequirements) -> None:
         """Record that a call was sent to a server."""
--- a/libs/decisions/tarragonhall_decisions/_prompt_holders.py
+++ b/libs/decisions/tarragonhall_decisions/_prompt_holders.py
@@ -14,10 +14,12 @@
 class PromptHolders:
     """The servers that ran calls with a prompt part, the latest first."""
 
-    __slots__ = ("_holders_by_part",)
+    __slots__ = ("_holders_by_part", "forgets_first_parts")
 
     def __init__(self) -> None:
         self._holders_by_part: OrderedDict[str, list[str]] = OrderedDict()
+        # Whether servers are recorded as holders of later parts without the first one.
+        self.forgets_first_parts = False
 
     def record(self, server_id: str, parts: tuple[PromptPart, ...]) -> None:
         """Record that a server has read these parts."""
@@ -58,9 +60,25 @@
         for part in parts:
             holders = self._holders_by_part.get(part.part_id)
             is_held = holders is not None and server_id in holders
-            if part is parts[0] and preferred:
-                is_held = server_id in preferred or (is_held and len(preferred) == 1)
+            if part is parts[0] and (not is_held or len(preferred) > 1):
+                is_held = self._holds_first(server_id, requirements, preferred, is_held)
             if not is_held:
                 break
             held_tokens += part.tokens
         return sum(part.tokens for part in parts) - held_tokens
+
+    def _holds_first(
+        self,
+        server_id: str,
+        requirements: CallRequirements,
+        preferred: tuple[str, ...],
+        is_known: bool,
+    ) -> bool:
+        """Return whether a server counts as holder of the first part."""
+        if server_id in preferred or (is_known and len(preferred) < 2):
+            return True
+        if not self.forgets_first_parts or len(requirements.parts) < 2:
+            return False
+        # A part is held only after those before it. A conversation stays where it is although its
+        # subject is no longer, or not first of all, looked for there.
+        return server_id in self.of(requirements.parts[1])
--- a/libs/decisions/tests/hot_keys_tests.py
+++ b/libs/decisions/tests/hot_keys_tests.py
@@ -126,6 +126,22 @@
     assert len(used) <= KEPT_HOLDERS
 
 
+def test_a_conversation_on_a_hot_subject_stays_with_its_engine():
+    # Its turns carry the whole history and name no earlier server. If only the engines of the
+    # subject counted as holders, each turn could read the history at another one.
+    chooser = make_choosers(count=100)[0]
+    others = chooser.known.first_ids("models", "subject", SERVERS)[6:]
+    for engine in others:
+        history = PromptPart(f"talk-{engine}", 4_000)
+        turn = CallRequirements("models", (SUBJECT, history, PromptPart("new", 200)))
+        for n in range(3):
+            chooser.preferred.started(f"c-{n}", turn)
+        assert len(chooser.preferred.of(turn, 100)) == 2
+        chooser.answered(engine, CallRequirements("models", (SUBJECT, history)))
+        for _ in range(20):
+            assert chooser.choose(turn, 0.0).server_id == engine
+
+
 def test_a_hot_object_of_a_plain_service_is_spread():
     # Nine of ten calls are about one object. Servers that handled it are faster, but not while a
     # queue builds there.
