--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -127,9 +127,13 @@
     def _set_memory_limits(self, config: RelayConfig) -> None:
         if not self._state.features.engine_memory:
             return
-        self._state.chooser.memory.set_limits(
-            {one.name: one.engine.cache_tokens for one in config.services if one.engine is not None}
-        )
+        limits = {
+            one.name: one.engine.cache_tokens
+            for one in config.services
+            if one.engine is not None and one.engine.cache_tokens
+        }
+        self._state.chooser.memory.set_limits(limits)
+        log.info("engine_memory.counted", tokens_by_service=limits)
 
     def _set_rates(self, config: RelayConfig) -> None:
         earlier = self._state.table
