Merge the count of engines' memory and the spread of hot subjects

Change: conflicts with the order by urgency and with resumed streams are resolved: a call that yields to the reserve for the urgent uses no share of its entry, and what a stream generated is learnt where streams end.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -27,6 +27,8 @@
 - A slow or hung plain server takes as many calls as the others and delays each. Its share falls
   as its calls take longer. A slow engine is avoided only for the calls that pile up there: when
   pauses in streams counted as well, engines lost calls by chance.
+- Long histories fill an engine's memory before its slots, so a call goes only to engines where it
+  fits until its end (`EngineMemory`).
 - Availability zones: traffic between zones is paid for, so servers in the entry's zone win near
   ties. A zone with enough servers to lose one keeps its calls, unless the wait there costs more
   than sending the bytes of the rest of the program to another zone. The servers of such a zone read
@@ -44,8 +46,10 @@
 
 from tarragonhall_decisions._call_requirements import CallRequirements
 from tarragonhall_decisions._cold_servers import ColdServers
+from tarragonhall_decisions._engine_memory import EngineMemory
 from tarragonhall_decisions._known_servers import KnownServers
 from tarragonhall_decisions._other_loads import NO_SIGNS, OtherLoad, OtherLoads
+from tarragonhall_decisions._preferred_servers import PreferredServers
 from tarragonhall_decisions._prompt_holders import PromptHolders
 from tarragonhall_decisions._server_load import ServerLoad
 from tarragonhall_decisions._service_run_times import ServiceRunTimes
@@ -93,6 +97,8 @@
         "_zone",
         "cold",
         "known",
+        "memory",
+        "preferred",
         "unresponsive",
     )
 
@@ -104,7 +110,9 @@
         self.cold = cold or ColdServers("")
         self.known = KnownServers(availability_zone)
         self._others = OtherLoads()
+        self.memory = EngineMemory(self._others)
         self._holders = PromptHolders()
+        self.preferred = PreferredServers(self.known, self._holders, rng)
         self._run_times_by_service: dict[str, ServiceRunTimes] = {}
         # Calls of this entry in flight. Summed over thousands of servers at each choice, they would
         # cost more than the choice.
@@ -124,6 +132,7 @@
                 del self._load_by_id[server_id]
         for run_times in self._run_times_by_service.values():
             run_times.forget(known_ids)
+        self.memory.set_servers(records)
         self.known.set_servers(records)
 
     def set_evacuated(self, zones: list[str], now: float) -> None:
@@ -197,10 +206,17 @@
         self.others(now)
         best: list[BackendRecord] = []
         lowest = float("inf")
-        preferred = self._preferred_server(requirements)
-        is_below_share = not requirements.yields and self._is_below_share(requirements.service)
+        entries = 1 + self._others.entries()
+        preferred = self.preferred.of(requirements, entries)
+        # An entry below an equal share of the slots may send though the others fill them.
+        own = self._running_by_service[requirements.service]
+        is_below_share = not requirements.yields and own * entries < self.known.slots(
+            requirements.service
+        )
         unresponsive_ms = self.unresponsive.costs(now)
-        for record in self._candidates(requirements, preferred):
+        candidates = self._candidates(requirements, preferred)
+        room = self.memory.room_for(requirements)
+        for record in candidates:
             if not requirements.allows(record) or not self._accepts_call(
                 record, is_below_share, now
             ):
@@ -208,11 +224,14 @@
             cost = self._cost_ms(record, requirements, preferred, now) + unresponsive_ms.get(
                 record.server_id, 0.0
             )
+            if cost > lowest + TIE_MS or (room is not None and not room.fits(record)):
+                continue
             if cost < lowest - TIE_MS:
                 best = []
-            if cost <= lowest + TIE_MS:
-                best.append(record)
+            best.append(record)
             lowest = min(lowest, cost)
+        if not best and room is not None:
+            return room.exceeded(entries)
         return self._rng.choice(best) if best else None
 
     def started(self, server_id: str, now: float) -> None:
@@ -235,7 +254,8 @@
     def answered(self, server_id: str, requirements: CallRequirements) -> None:
         """Record that a server answered: it works and holds the call's prompt parts."""
         self.load(server_id).on_answered()
-        self._holders.record(server_id, requirements.parts)
+        remembered = self.preferred.parts_to_remember(server_id, requirements)
+        self._holders.record(server_id, remembered)
 
     def refused(self, server_id: str, now: float) -> None:
         """Record that a server refused a call as full; the call still counts as in flight there."""
@@ -255,16 +275,11 @@
         running = load.running + self._others.running(record.server_id)
         return is_below_share or running < OVERCOMMIT * max(1, record.slots)
 
-    def _is_below_share(self, service: str) -> bool:
-        """Return whether this entry uses less than an equal share of a service's slots."""
-        own = self._running_by_service[service]
-        return own * (1 + self._others.entries()) < self.known.slots(service)
-
     def _cost_ms(
         self,
         record: BackendRecord,
         requirements: CallRequirements,
-        preferred: str | None,
+        preferred: tuple[str, ...],
         now: float,
     ) -> float:
         load = self.load(record.server_id)
@@ -278,7 +293,7 @@
         else:
             slowness = run_times.slowness(record.server_id, load.oldest_call_s(now), now)
             cost += run_times.run_ms * (slowness - 1.0)
-            if requirements.object_key and preferred != record.server_id:
+            if requirements.object_key and record.server_id not in preferred:
                 cost += run_times.run_ms / 4
         if not record.heard:
             cost += UNREACHABLE_MS
@@ -305,23 +320,14 @@
         signs = self._others.signs()
         self.unresponsive.set_other_counts(signs.silent_by_server, signs.answered_by_server)
 
-    def _preferred_server(self, requirements: CallRequirements) -> str | None:
-        """Return the server that entries agree on by rendezvous hash, where no holder is known."""
-        local_ids = self.known.local_ids(requirements.service)
-        known = not requirements.parts or self._holders.has_holder(requirements.parts[0], local_ids)
-        if known and not requirements.object_key:
-            return None
-        key = requirements.object_key or requirements.parts[0].part_id
-        return self.known.preferred_id(requirements.service, key)
-
     def _candidates(
-        self, requirements: CallRequirements, preferred: str | None
+        self, requirements: CallRequirements, preferred: tuple[str, ...]
     ) -> list[BackendRecord]:
         """Return the servers to compare: all, or a selection where there are many."""
         servers = self.servers(requirements.service)
         if len(servers) <= MAX_CANDIDATES:
             return servers
-        ids = {requirements.last_server, preferred or ""}
+        ids = {requirements.last_server, *preferred}
         for part in requirements.parts:
             ids.update(self._holders.of(part))
         local_ids = self.known.local_ids(requirements.service) or ()
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -122,7 +122,11 @@
             self._turn.release(self._generated_tokens())
 
     def _run_admitted(self) -> None:
-        early = self._turn.reject_exhausted(self._admitted) or self._slot.reject_early()
+        early = (
+            self._turn.reject_exhausted(self._admitted)
+            or self._slot.reject_too_large()
+            or self._slot.reject_early()
+        )
         if early is not None:
             self._reject(early)
             return
@@ -254,7 +258,7 @@
         """End the response once the turn is stored; the server is free while the client reads."""
         self._report.step("whole_ms")
         if self._stream.runs == 1:
-            self._records.stream_ended(server)
+            self._records.stream_ended(server, self._generated_tokens())
         self._slot.note_answered()
         self._slot.release()
         self._state.pool.release(stream.connection, stream.facts.keep_alive_s)
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -9,6 +9,7 @@
 from tarragonhall_model import BackendRecord, Refusal, RefusalCode
 
 from tarragonhall_relay._admission import STATUS_UNAVAILABLE, AdmittedCall, Rejection, rejection_for
+from tarragonhall_relay._call_memory import memory_tokens, reject_too_large
 from tarragonhall_relay._slots import Slot
 from tarragonhall_relay._state import RelayState
 from tarragonhall_relay._urgent_call import UrgentCall
@@ -92,6 +93,10 @@
             refusal = self._state.slots.reject_early(self.service, self._queued, self._tier)
         return self._no_slot(refusal) if refusal is not None else None
 
+    def reject_too_large(self) -> Rejection | None:
+        """Return the rejection of a call that no engine can hold, if it is one."""
+        return reject_too_large(self._state, self._call, self.service)
+
     def acquire(self, last_server: str, prompt_size: int) -> BackendRecord | Rejection:
         """Wait for a known server with a free slot; return the server or the rejection.
 
@@ -203,6 +208,7 @@
             prompt_size * turns,
             self._call.home_zones,
             self._slack_s * 1000 if self._slack_s is not None else None,
+            memory_tokens=memory_tokens(self._state, self._call, self.service),
         )
 
     def _make_queued_call(self) -> QueuedCall:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -24,6 +24,7 @@
 
 from tarragonhall_relay._backend import BackendPool
 from tarragonhall_relay._call import RelayedCall
+from tarragonhall_relay._call_memory import EngineMemoryReport
 from tarragonhall_relay._client import ClientConnection, error_body
 from tarragonhall_relay._client_writer import WaitingBytes
 from tarragonhall_relay._dialect import Dialect
@@ -133,6 +134,9 @@
             self.state.slots.yields = self.state.urgent_first.yields
             self.state.load_reporters.append(self.state.urgent_first)
         self._follower.attach(self.state)
+        if settings.features.engine_memory:
+            chooser.preferred.spread_hot_keys()
+            self.state.load_reporters.append(EngineMemoryReport(chooser.memory, context.metrics))
         self._backend_follower = BackendFollower(context, self.state)
         self._peer_updates = PeerUpdates(context, self.state, self._follower)
         # Each connection has a green thread of its own.
--- a/libs/relay/tarragonhall_relay/_server_records.py
+++ b/libs/relay/tarragonhall_relay/_server_records.py
@@ -33,10 +33,12 @@
             server.server_id, self._call.route.name, run_ms, now
         )
 
-    def stream_ended(self, server: BackendRecord) -> None:
-        """Record how long a stream held its slot."""
+    def stream_ended(self, server: BackendRecord, generated_tokens: int) -> None:
+        """Record how long a stream held its slot, and what it generated."""
         run_ms = self._slot.held_ms(self._state.monotonic())
         self._state.chooser.run_times(server.service).stream_ended(run_ms)
+        if self._state.chooser.memory.has_limit(server.service):
+            self._state.expected_output.record(self._call.route.name, generated_tokens)
 
     def succeeded(self, server: BackendRecord) -> None:
         """Record a whole response."""
