Look up members and leader without building a member's whole status

Each message between members and each heartbeat's reply built the status that operators read, with the progress of all peers, to find one address or term.

--- a/libs/consensus/tarragonhall_consensus/_interface.py
+++ b/libs/consensus/tarragonhall_consensus/_interface.py
@@ -204,6 +204,18 @@
     def status(self) -> Status:
         """Return the status of this member."""
 
+    def members(self) -> tuple[Member, ...]:
+        """Return the members."""
+
+    def address_of(self, member_id: str) -> str | None:
+        """Return the link address of a member, None if it is none."""
+
+    def leader(self) -> str | None:
+        """Return the id of the leader, None if it is unknown."""
+
+    def term(self) -> int:
+        """Return the current term."""
+
     def is_leader(self, now: float) -> bool:
         """Return whether this member is the leader and its lease is valid at `now`."""
 
--- a/libs/consensus/tarragonhall_consensus/_replica.py
+++ b/libs/consensus/tarragonhall_consensus/_replica.py
@@ -139,6 +139,23 @@
             leading_seconds=core.leadership.duration_seconds() if core.leadership else 0.0,
         )
 
+    def members(self) -> tuple[Member, ...]:
+        """Return the members, without the rest of the status: asked for with each message."""
+        return self._core.membership.members
+
+    def address_of(self, member_id: str) -> str | None:
+        """Return the link address of a member, None if it is none."""
+        member = self._core.membership.member_by_id.get(member_id)
+        return member.address if member is not None else None
+
+    def leader(self) -> str | None:
+        """Return the id of the leader, None if it is unknown."""
+        return self._core.leader
+
+    def term(self) -> int:
+        """Return the current term."""
+        return self._core.term
+
     def is_leader(self, now: float) -> bool:
         """Return whether this member is the leader and its lease is valid at `now`."""
         leadership = self._core.leadership
--- a/libs/control/tarragonhall_control/_link_service.py
+++ b/libs/control/tarragonhall_control/_link_service.py
@@ -134,7 +134,7 @@
             settings_revision=state.revision,
             view_epoch=state.epoch,
             # The fencing token of a leader is its term.
-            fencing=member.loop.replica.status().term,
+            fencing=member.loop.replica.term(),
             policy=policy_for(heartbeat.node, policy),
             view=view,
             view_delta=delta,
--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -137,12 +137,12 @@
 
     def other_addresses(self) -> list[str]:
         """Return the link addresses of the other members."""
-        members = self.loop.replica.status().members
+        members = self.loop.replica.members()
         return [one.address for one in members if one.address != self.context.link_address]
 
     def member_addresses(self) -> tuple[str, ...]:
         """Return the link addresses of all members, for followers."""
-        return tuple(member.address for member in self.loop.replica.status().members)
+        return tuple(member.address for member in self.loop.replica.members())
 
     def relay_document(self) -> RelayHeld | NotLeader:
         """Return the relay document in force, once a majority has confirmed the leadership."""
--- a/libs/group/tarragonhall_group/_member.py
+++ b/libs/group/tarragonhall_group/_member.py
@@ -89,16 +89,16 @@
 
     def leader_address(self) -> str | None:
         """Return the link address of the leader, None if it is unknown or this member."""
-        status = self.loop.replica.status()
-        if status.leader is None or status.leader == self.member_id:
+        leader = self.loop.replica.leader()
+        if leader is None or leader == self.member_id:
             return None
-        return self.address_of(status.leader)
+        return self.address_of(leader)
 
     def address_of(self, member_id: str) -> str | None:
         """Return the link address of a member, None if it is unknown."""
-        for member in self.loop.replica.status().members:
-            if member.member_id == member_id:
-                return member.address
+        address = self.loop.replica.address_of(member_id)
+        if address is not None:
+            return address
         return self._bootstrap_addresses.get(member_id) or self._address_by_peer.get(member_id)
 
     def confirm(self) -> bool:
