--- a/benchmarks/roles_bench.py
+++ b/benchmarks/roles_bench.py
@@ -308,7 +308,7 @@
     parser.add_argument("--contracts", default="", help="switches, quoted and with commas")
     parser.add_argument("--net", type=int, default=9, help="second byte of the loopback addresses")
     options = parser.parse_args()
-    folder = Path(tempfile.mkdtemp(prefix="roles-", dir="/dev/shm"))
+    folder = Path(tempfile.mkdtemp(prefix="roles-"))
     nodes = start_nodes(options.tree, folder, options.profile, options.contracts, options.net)
     try:
         run(nodes, options.rate, options.net)
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -10,7 +10,7 @@
 import h11
 from eventlet.green import socket
 from tarragonhall_model import BackendRecord
-from tarragonhall_wire import Traffic
+from tarragonhall_wire import Traffic, wait_and_receive
 
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BackendError
@@ -171,7 +171,7 @@
             return b""
         try:
             received = self._rest or self._receive()
-        except OSError as error:
+        except (OSError, EOFError) as error:
             raise BackendError(f"the connection failed: {error}", sent=True) from error
         data, self._rest = cut_chunks(received)
         if not data:
@@ -198,13 +198,14 @@
                     event = self._http.next_event()
                     if event is not h11.NEED_DATA:
                         return event
-        except OSError as error:
+        except (OSError, EOFError) as error:
             raise BackendError(f"the connection failed: {error}", sent=True) from error
         except h11.RemoteProtocolError as error:
             raise BackendError(f"sent an invalid response: {error}", sent=True) from error
 
     def _receive(self) -> bytes:
-        received = self._connection.recv(READ_BYTES)
+        # What a server sends next comes after a pause: the head of its response, an event.
+        received = wait_and_receive(self._connection, READ_BYTES)
         self._traffic.count(RESPONSE_KIND, len(received), self._zone)
         return received
 
--- a/libs/relay/tests/chunks_tests.py
+++ b/libs/relay/tests/chunks_tests.py
@@ -43,6 +43,9 @@
     def __init__(self, parts) -> None:
         self.parts = list(parts)
 
+    def _read_trampoline(self):
+        """Wait for input, which is always there."""
+
     def recv(self, _size):
         return self.parts.pop(0) if self.parts else b""
 
--- a/libs/wire/tarragonhall_wire/__init__.py
+++ b/libs/wire/tarragonhall_wire/__init__.py
@@ -4,7 +4,7 @@
 
 from tarragonhall_wire._context import ProcessContext, Role, make_context
 from tarragonhall_wire._control_client import ControlClient
-from tarragonhall_wire._event_loop import EventLoop, use_event_loop
+from tarragonhall_wire._event_loop import EventLoop, use_event_loop, wait_and_receive
 from tarragonhall_wire._handshake import HandshakeError, Peer
 from tarragonhall_wire._http import HttpRequest, HttpResponse, HttpServer, sse_event
 from tarragonhall_wire._hub import Hub, split_address
@@ -41,4 +41,5 @@
     "split_address",
     "sse_event",
     "use_event_loop",
+    "wait_and_receive",
 ]
--- a/libs/wire/tarragonhall_wire/_event_loop.py
+++ b/libs/wire/tarragonhall_wire/_event_loop.py
@@ -15,6 +15,7 @@
 import sys
 
 from eventlet import hubs
+from eventlet.greenio import GreenSocket
 from eventlet.hubs import epolls
 from eventlet.hubs.hub import BaseHub
 
@@ -143,6 +144,19 @@
         self._mask_by_fileno[fileno] = mask
 
 
+def wait_and_receive(connection: GreenSocket, size: int) -> bytes:
+    """Wait for input on a socket, then read it; empty at the end of the connection.
+
+    For a socket whose input was read just now: a read at once, as `recv` tries it first, would
+    nearly always fail. Raises `OSError` or `EOFError` as `recv` does.
+    """
+    try:
+        connection._read_trampoline()
+    except hubs.IOClosed as error:
+        raise EOFError("the socket was closed") from error
+    return connection.recv(size)
+
+
 def use_event_loop() -> None:
     """Make `EventLoop` the hub of this thread; call before any green thread starts."""
     hubs.use_hub(EventLoop)
--- a/libs/wire/tarragonhall_wire/_websocket.py
+++ b/libs/wire/tarragonhall_wire/_websocket.py
@@ -23,6 +23,8 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
+from tarragonhall_wire._event_loop import wait_and_receive
+
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
 # First byte of a whole binary message in one frame, which is all that links send; the bit in the
@@ -125,7 +127,7 @@
 
     def _read_bytes(self) -> bytes:
         try:
-            data = self._connection.recv(READ_BYTES)
+            data = wait_and_receive(self._connection, READ_BYTES)
         except (OSError, EOFError) as error:
             raise LinkClosedError(str(error) or "the socket was closed") from error
         if not data:
--- a/libs/wire/tests/websocket_tests.py
+++ b/libs/wire/tests/websocket_tests.py
@@ -25,6 +25,9 @@
         self.parts = list(parts)
         self.sent = b""
 
+    def _read_trampoline(self):
+        """Wait for input, which is always there."""
+
     def recv(self, _size):
         return self.parts.pop(0) if self.parts else b""
 
