--- a/libs/model/tests/codec_tests.py
+++ b/libs/model/tests/codec_tests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import enum
 
 import cbor2
@@ -28,6 +29,7 @@
     encode,
     from_plain,
     mutable_record,
+    record,
     to_plain,
 )
 
@@ -123,6 +125,29 @@
         decode(data)
 
 
+@record
+class Parcel:
+    name: str
+    size: int = 3
+    labels: list[str] = dataclasses.field(default_factory=list)
+
+
+def test_a_frozen_record_is_made_like_a_data_class():
+    # Failure: a record made by the prepared initializer takes other parameters, shares a default
+    # list, or can be changed.
+    first, second = Parcel("a"), Parcel(name="a")
+    assert first == second == Parcel("a", 3, [])
+    assert first.labels is not second.labels
+    assert dataclasses.replace(first, size=4) == Parcel("a", 4)
+    with pytest.raises(dataclasses.FrozenInstanceError):
+        first.size = 9
+    for arguments in ((), ("a", 1, [], 2)):
+        with pytest.raises(TypeError):
+            Parcel(*arguments)
+    with pytest.raises(TypeError):
+        Parcel("a", weight=1)
+
+
 @mutable_record
 class Shelf:
     turn_by_number: dict[int, Turn]
