--- a/libs/decisions/tarragonhall_decisions/_resumption.py
+++ b/libs/decisions/tarragonhall_decisions/_resumption.py
@@ -24,6 +24,9 @@
 # Multiple of the objective for the first event after which a server is checked. It is larger than
 # for gaps, since calls may wait in the queue of their server before they start.
 FIRST_EVENT_FACTOR = 2.0
+# Multiple of the gap objective after which a server is checked. Each check opens a connection, and
+# servers that are slow for a moment end most silences by then.
+GAP_FACTOR = 2.0
 # Multiple of the gap objective after which a stream leaves a server that is reachable. Shorter
 # silences are preemptions and moments of slowness, which end sooner than a prompt is read again.
 MOVE_FACTOR = 4.0
@@ -105,6 +108,7 @@
 def gap_silence(gap_objective_ms: int, may_move: bool, restart_s: float) -> SilenceLimits:
     """Return the limits between events; `restart_s` is the usual time to a first event."""
     gap_s = (gap_objective_ms or DEFAULT_GAP_OBJECTIVE_MS) / 1000
+    check_after_s = GAP_FACTOR * gap_s
     if not may_move:
-        return SilenceLimits(gap_s)
-    return SilenceLimits(gap_s, max(MOVE_FACTOR * gap_s, RESTART_FACTOR * restart_s))
+        return SilenceLimits(check_after_s)
+    return SilenceLimits(check_after_s, max(MOVE_FACTOR * gap_s, RESTART_FACTOR * restart_s))
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -110,7 +110,7 @@
             chooser=chooser,
             slots=SlotAllocator(chooser, context.rng, context.monotonic),
             pool=pool,
-            server_checks=ServerChecks(pool, context.monotonic),
+            server_checks=ServerChecks(pool, context.metrics, context.monotonic),
             waiting_bytes=WaitingBytes(settings.reader_limits, context.metrics, context.monotonic),
             turn_store=TurnStoreClient(context, self._follower.store_addresses),
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
--- a/libs/relay/tarragonhall_relay/_silence.py
+++ b/libs/relay/tarragonhall_relay/_silence.py
@@ -12,6 +12,7 @@
 import eventlet
 from tarragonhall_decisions import SilenceLimits
 from tarragonhall_model import BackendRecord
+from tarragonhall_wire import Metrics
 
 from tarragonhall_relay._backend import BackendPool, Reachability
 from tarragonhall_relay._errors import BackendError, SilentServerError
@@ -31,10 +32,11 @@
 class ServerChecks:
     """Checks whether servers that are silent or broke off can be reached."""
 
-    __slots__ = ("_monotonic", "_pool", "_reached_at_by_id")
+    __slots__ = ("_metrics", "_monotonic", "_pool", "_reached_at_by_id")
 
-    def __init__(self, pool: BackendPool, monotonic: Callable[[], float]) -> None:
+    def __init__(self, pool: BackendPool, metrics: Metrics, monotonic: Callable[[], float]) -> None:
         self._pool = pool
+        self._metrics = metrics
         self._monotonic = monotonic
         self._reached_at_by_id: dict[str, float] = {}
 
@@ -44,6 +46,7 @@
         if now - self._reached_at_by_id.get(record.server_id, float("-inf")) < CHECK_VALID_S:
             return Reachability.ACCEPTED
         result = self._pool.check(record)
+        self._metrics.count("relay.server_checks", labels=(("result", result.value),))
         if result is Reachability.ACCEPTED:
             self._reached_at_by_id = {
                 server_id: at
