--- a/libs/decisions/tarragonhall_decisions/_admission_level.py
+++ b/libs/decisions/tarragonhall_decisions/_admission_level.py
@@ -36,10 +36,10 @@
 # second, and its bottom again within about two.
 RISE_PER_S = 0.9
 FALL_PER_S = 0.45
-# Multiple of their target that calls take where the level goes to its top. Programs that were let
-# in go on for seconds, so that a level which rose for as long as calls take too long would go far
-# beyond what is needed.
-FULL_PRESSURE = 1.5
+# Multiple of their target at which the level goes to its top: just before calls take twice their
+# usual time, which makes most programs late. Programs that were let in go on for seconds, so that a
+# level which rose for as long as calls take too long would go far beyond what is needed.
+FULL_PRESSURE = 1.25
 # Weights for each step by which the usual time of a class's calls follows lower and higher means: a
 # crowd of some ten seconds must not become the usual.
 USUAL_FALL = 0.01
