--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus bench-state bench-sidecar bench-path run-association run-agency
+.PHONY: setup demo test unit features format lint docs bench measure capacity bench-consensus bench-state bench-sidecar bench-path bench-roles run-association run-agency
 
 setup: $(STAMP)
 
@@ -54,6 +54,9 @@
 bench-state: setup
 	$(BIN)/python benchmarks/state_bench.py
 
+bench-roles: setup
+	$(BIN)/python -W ignore benchmarks/roles_bench.py
+
 bench-path: setup
 	$(BIN)/python -W ignore benchmarks/path_bench.py
 
