Merge urgent first, engines' memory, resumed streams, slow readers and processor time

Cause: parts for deployments with heavy load; see the merged commits.

Change: as in the merged commits; each is off unless configuration or settings ask for it.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -60,10 +60,26 @@
         "ModelDemand",
         "ModelOrders",
     ),
-    "_service_queue": (
-        "ServiceQueue",
+    "_slow_readers": (
+        "ReaderLimits",
+        "SlowReader",
+        "reader_limits_for",
+        "readers_to_end",
+    ),
+    "_service_queue": ("ServiceQueue",),
+    "_slack": ("ProgramSlack",),
+    "_tiers": (
+        "Prospect",
         "Tier",
+        "UrgentTier",
     ),
+    "_admission_level": (
+        "AdmissionLevel",
+        "ClassLoad",
+        "ServiceLoad",
+        "StartRefused",
+    ),
+    "_fair_parts": ("FairParts",),
     "_quarantine": (
         "Quarantine",
         "suspects_of_crash",
@@ -92,6 +108,15 @@
         "BackendTable",
         "Registry",
     ),
+    "_resumption": (
+        "BreakCause",
+        "BrokenStream",
+        "NextStep",
+        "SilenceLimits",
+        "after_break",
+        "first_event_silence",
+        "gap_silence",
+    ),
     "_retry": (
         "Failure",
         "Abandon",
@@ -110,12 +135,21 @@
         "subset",
     ),
     "_unresponsive_servers": ("UnresponsiveServers",),
+    "_engine_memory": (
+        "EngineMemory",
+        "MemoryChange",
+    ),
+    "_expected_output": ("ExpectedOutput",),
     "_exhausted_programs": ("ExhaustedPrograms",),
     "_store_bootstrap": (
         "ToleratedLosses",
         "StoreBootstrap",
     ),
-    "_urgency": ("urgency_of",),
+    "_urgency": (
+        "admission_order",
+        "kind_of",
+        "urgency_of",
+    ),
 }
 
 __all__ = sorted(name for names in _NAMES_BY_MODULE.values() for name in names)
--- a/libs/relay/tarragonhall_relay/_events.py
+++ b/libs/relay/tarragonhall_relay/_events.py
@@ -28,36 +28,55 @@
 
 
 class EventReader:
-    """Splits the bytes of a stream into events and checks their order."""
+    """Splits the bytes of a stream into events and checks their order.
 
-    __slots__ = ("_buffer", "_last_id", "count")
+    `last_id` is the id of the last event; None before the first one. The first event must follow
+    it if it is given. `is_resumable` says whether a server can be asked for the rest of the stream,
+    which takes an id for each event.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_buffer", "_error", "count", "is_resumable", "last_id")
+
+    def __init__(self, last_id: int | None = None) -> None:
         self._buffer = b""
-        self._last_id: int | None = None
+        self._error: EventError | None = None
+        self.last_id = last_id
+        self.is_resumable = True
         self.count = 0
 
+    def drop_unfinished(self) -> None:
+        """Drop the part of an event that a server did not finish, and what was wrong with it."""
+        self._buffer = b""
+        self._error = None
+
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that are now complete; raise `EventError` if one is out of order."""
+        """Return the events that are now complete, up to the first one that is out of order.
+
+        `check` raises the error of that one, once the events before it are forwarded: they count as
+        received, and no server sends them again.
+        """
         self._buffer += data
         events = []
-        while True:
-            end = _end_of_event(self._buffer)
-            if end == 0:
-                break
-            raw, self._buffer = self._buffer[:end], self._buffer[end:]
-            event = self._read(raw)
-            if event is not None:
-                events.append(event)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise EventError("an event is longer than the limit")
+        try:
+            while end := _end_of_event(self._buffer):
+                raw, self._buffer = self._buffer[:end], self._buffer[end:]
+                events.append(self._read(raw))
+            if len(self._buffer) > MAX_EVENT_BYTES:
+                raise EventError("an event is longer than the limit")
+        except EventError as error:
+            self._error = error
         return events
 
+    def check(self) -> None:
+        """Raise `EventError` if an event was out of order."""
+        if self._error is not None:
+            raise self._error
+
     def is_complete(self) -> bool:
         """Return whether no part of an unfinished event is left."""
         return not self._buffer.strip(b"\r\n")
 
-    def _read(self, raw: bytes) -> StreamEvent | None:
+    def _read(self, raw: bytes) -> StreamEvent:
         lines = []
         event_id = None
         for line in raw.splitlines():
@@ -73,13 +92,14 @@
 
     def _check_order(self, event_id: bytes | None) -> None:
         if event_id is None:
+            self.is_resumable = False
             return
         if not event_id.isdigit():
             raise EventError(f"the event id {event_id!r} is not a number")
         number = int(event_id)
-        if self._last_id is not None and number != self._last_id + 1:
-            raise EventError(f"event {number} follows event {self._last_id}")
-        self._last_id = number
+        if self.last_id is not None and number != self.last_id + 1:
+            raise EventError(f"event {number} follows event {self.last_id}")
+        self.last_id = number
 
 
 def _end_of_event(buffer: bytes) -> int:
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -47,8 +47,9 @@
 # Part of the time that applying changes may take. Each update visits every server, and thousands of
 # servers that start within seconds would leave no time for calls.
 MAX_UPDATE_SHARE = 0.1
-# Interval at which new control members are looked for.
-MEMBER_POLL_SECONDS = 0.25
+# Interval at which new control members are looked for. Until then the others, which forward all
+# changes, are followed.
+MEMBER_POLL_SECONDS = 1.0
 # Calls run for some hundred milliseconds, so at this interval the other entries know of most of
 # them. Unchanged load is repeated every second round, before it expires at the others.
 LOAD_INTERVAL_SECONDS = 0.4
@@ -106,6 +107,7 @@
         config = self._state.dialect.read_config(document)
         self._set_rates(config)
         self._set_cold_limits(config)
+        self._set_memory_limits(config)
         self._state.table = RouteTable(config)
         log.info("relay.in_force", version=config.version, routes=len(config.routes))
         return True
@@ -127,6 +129,17 @@
         }
         self._state.chooser.cold.set_limits(limits)
 
+    def _set_memory_limits(self, config: RelayConfig) -> None:
+        if not self._state.features.engine_memory:
+            return
+        limits = {
+            one.name: one.engine.cache_tokens
+            for one in config.services
+            if one.engine is not None and one.engine.cache_tokens
+        }
+        self._state.chooser.memory.set_limits(limits)
+        log.info("engine_memory.counted", tokens_by_service=limits)
+
     def _set_rates(self, config: RelayConfig) -> None:
         earlier = self._state.table
         limited = {one.org_id for one in config.organisations or () if one.rate is not None}
--- a/libs/relay/tarragonhall_relay/_slots.py
+++ b/libs/relay/tarragonhall_relay/_slots.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import eventlet
 from eventlet.event import Event
@@ -15,6 +15,7 @@
     QueuedCall,
     ServiceQueue,
     Tier,
+    UrgentTier,
 )
 from tarragonhall_model import BackendRecord, Refusal
 
@@ -38,6 +39,7 @@
 class _Waiter:
     requirements: CallRequirements
     event: Event = field(default_factory=Event)
+    lacked_memory: bool = False
     result: Slot | Refusal | None = None
 
     def resolve(self, result: Slot | Refusal) -> None:
@@ -48,7 +50,15 @@
 class SlotAllocator:
     """Allocates slots to the waiting calls of one entry, with a queue for each service."""
 
-    __slots__ = ("_chooser", "_monotonic", "_polling", "_queue_by_service", "_rng", "_waiter_by_id")
+    __slots__ = (
+        "_chooser",
+        "_monotonic",
+        "_polling",
+        "_queue_by_service",
+        "_rng",
+        "_waiter_by_id",
+        "yields",
+    )
 
     def __init__(
         self, chooser: BackendChooser, rng: random.Random, monotonic: Callable[[], float]
@@ -59,17 +69,25 @@
         self._polling: set[str] = set()
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._waiter_by_id: dict[str, _Waiter] = {}
+        # Returns whether a call leaves this entry's share to more urgent ones at other entries.
+        self.yields: Callable[[str, QueuedCall, Tier | UrgentTier], bool] | None = None
 
     def waiting(self) -> int:
         """Return how many calls are waiting."""
         return len(self._waiter_by_id)
 
-    def reject_early(self, service: str, call: QueuedCall, tier: Tier) -> Refusal | None:
+    def set_least_drain(self, service: str, per_s: float) -> None:
+        """Set the rate at which this entry's share of a service's servers ends calls."""
+        self._queue(service).least_drain_per_s = per_s
+
+    def reject_early(
+        self, service: str, call: QueuedCall, tier: Tier | UrgentTier
+    ) -> Refusal | None:
         """Return the refusal of a call that must not start now, before resources are used on it."""
         return self._queue(service).reject_early(call, tier, self._monotonic())
 
     def acquire(
-        self, call: QueuedCall, tier: Tier, requirements: CallRequirements
+        self, call: QueuedCall, tier: Tier | UrgentTier, requirements: CallRequirements
     ) -> Slot | Refusal:
         """Wait for a slot; return it, or the refusal if none comes in time.
 
@@ -107,6 +125,8 @@
             slot.server.server_id, slot.queued.call_id, self._monotonic()
         )
         self._chooser.ended(slot.server.server_id, slot.started_at)
+        self._chooser.memory.ended(slot.queued.call_id)
+        self._chooser.preferred.ended(slot.queued.call_id)
 
     def _wait(self, call: QueuedCall, waiter: _Waiter) -> Slot | Refusal:
         service = waiter.requirements.service
@@ -139,12 +159,14 @@
             call = queue.take(now)
             if call is None:
                 break
-            requirements = self._waiter_by_id[call.call_id].requirements
+            waiter = self._waiter_by_id[call.call_id]
+            requirements = self._requirements(service, call, queue)
             server = self._chooser.choose(requirements, now)
             if server is not None:
                 self._grant(call, server, queue, now)
                 continue
             skipped.append(call)
+            self._note_lacked_memory(waiter)
             if not requirements.avoid:
                 # A call that avoids no server found no free slot, so those behind it would find
                 # none either, unless this call is bound to home regions.
@@ -152,13 +174,31 @@
         for call in skipped:
             queue.requeue(call)
 
+    def _requirements(
+        self, service: str, call: QueuedCall, queue: ServiceQueue
+    ) -> CallRequirements:
+        requirements = self._waiter_by_id[call.call_id].requirements
+        if self.yields is None or not self.yields(service, call, queue.tier_of(call)):
+            return requirements
+        return replace(requirements, yields=True)
+
+    def _note_lacked_memory(self, waiter: _Waiter) -> None:
+        """Count a call that waits for memory, once, however often it is tried."""
+        memory = self._chooser.memory
+        if memory.lacked_room and not waiter.lacked_memory:
+            waiter.lacked_memory = True
+            memory.without_room += 1
+
     def _grant(
         self, call: QueuedCall, server: BackendRecord, queue: ServiceQueue, now: float
     ) -> None:
         self._chooser.unresponsive.sent(server, call.call_id, now)
         self._chooser.started(server.server_id, now)
         queue.on_slot_assigned(call)
-        self._waiter_by_id.pop(call.call_id).resolve(Slot(server, now, call))
+        waiter = self._waiter_by_id.pop(call.call_id)
+        self._chooser.memory.started(call.call_id, server, waiter.requirements)
+        self._chooser.preferred.started(call.call_id, waiter.requirements)
+        waiter.resolve(Slot(server, now, call))
 
     def _reject(self, dropped: list[Dropped]) -> None:
         for dropped_call in dropped:
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -5,13 +5,14 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tarragonhall_decisions import (
     BackendChooser,
     ColdSlack,
     CrashSuspects,
     ExhaustedPrograms,
+    ExpectedOutput,
     Features,
     RetryBudget,
 )
@@ -20,11 +21,16 @@
 from tarragonhall_wire import Metrics
 
 from tarragonhall_relay._backend import BackendPool
+from tarragonhall_relay._client_writer import WaitingBytes
 from tarragonhall_relay._dialect import Dialect
 from tarragonhall_relay._routes import RouteTable
+from tarragonhall_relay._silence import ServerChecks
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._turn_store import TurnStoreClient
 
+if TYPE_CHECKING:
+    from tarragonhall_relay._urgent_first import UrgentFirst
+
 
 class LoadReporter(Protocol):
     """A part that tells the other entries about this entry's load."""
@@ -40,12 +46,15 @@
     `table` is None until the first relay document has arrived. `is_fresh` returns whether control
     has confirmed recently that it is the latest. `store_zones` returns the availability zones of
     the stores. `load_reporters` are the parts that are switched on and add to the load messages.
+    `urgent_first` is None unless it is switched on.
     """
 
     dialect: Dialect
     chooser: BackendChooser
     slots: SlotAllocator
     pool: BackendPool
+    server_checks: ServerChecks
+    waiting_bytes: WaitingBytes
     turn_store: TurnStoreClient
     rates: Rates
     crash_suspects: CrashSuspects
@@ -61,8 +70,10 @@
     cold_slack: ColdSlack = ColdSlack()
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     exhausted_programs: ExhaustedPrograms = field(default_factory=ExhaustedPrograms)
+    expected_output: ExpectedOutput = field(default_factory=ExpectedOutput)
     features: Features = Features()
     load_reporters: list[LoadReporter] = field(default_factory=list)
+    urgent_first: UrgentFirst | None = None
     table: RouteTable | None = None
     draining: bool = False
     calls_in_flight: int = 0
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -144,7 +144,6 @@
     def run(self) -> None:
         """Read until the link closes. Call once, in a green thread of its own."""
         eventlet.spawn_n(self._write_loop)
-        eventlet.spawn_n(self._heartbeat_loop)
         try:
             self._read_loop()
         except LinkClosedError:
@@ -158,8 +157,27 @@
         self._check_open()
         encoded, name = _last_encoded.encode(message)
         stamp = self._clock.now()
-        head = [cbor2.dumps(part) for part in (kind, correlation, stamp.wall_ms, stamp.counter)]
-        self._queue_data(b"".join([ENVELOPE_HEAD, *head, encoded]), name)
+        head = cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter])
+        self._queue_data(b"".join((ENVELOPE_HEAD, head[1:], encoded)), name)
+
+    def send_heartbeat(self, now: float) -> None:
+        """Ping a peer to which nothing was sent lately, and close a link that is silent.
+
+        To be called every `HEARTBEAT_SECONDS` with the monotonic time.
+        """
+        if self.closed:
+            return
+        if now - self._last_received > RECEIVE_TIMEOUT_SECONDS:
+            log.warning("link.silent", peer=self.peer.instance)
+            self.close()
+            return
+        if now - self._last_sent < HEARTBEAT_SECONDS / 2:
+            # A message sent recently serves as a heartbeat.
+            return
+        try:
+            self._enqueue(PING, 0, None)
+        except LinkOverloadedError:
+            return
 
     def _enqueue(self, kind: int, correlation: int, plain: object) -> None:
         self._check_open()
@@ -200,24 +218,6 @@
             self._writer_waits = False
             self._wake.release()
 
-    def _heartbeat_loop(self) -> None:
-        while not self.closed:
-            eventlet.sleep(HEARTBEAT_SECONDS)
-            if self.closed:
-                return
-            now = time.monotonic()
-            if now - self._last_received > RECEIVE_TIMEOUT_SECONDS:
-                log.warning("link.silent", peer=self.peer.instance)
-                self.close()
-                return
-            if now - self._last_sent < HEARTBEAT_SECONDS / 2:
-                # A message sent recently serves as a heartbeat.
-                continue
-            try:
-                self._enqueue(PING, 0, None)
-            except LinkOverloadedError:
-                continue
-
     def _read_loop(self) -> None:
         while not self.closed:
             data = self._socket.recv()
