Look for new control members four times a second again

Cause: the saving of processor time had made it once a second; an entry that starts while its first members are gone or replaced would know no servers for up to a second more.

Change: the interval is what it was.

--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -47,9 +47,9 @@
 # Part of the time that applying changes may take. Each update visits every server, and thousands of
 # servers that start within seconds would leave no time for calls.
 MAX_UPDATE_SHARE = 0.1
-# Interval at which new control members are looked for. Until then the others, which forward all
-# changes, are followed.
-MEMBER_POLL_SECONDS = 1.0
+# Interval at which new control members are looked for. An entry that has just started knows servers
+# only once it follows a member that runs.
+MEMBER_POLL_SECONDS = 0.25
 # Calls run for some hundred milliseconds, so at this interval the other entries know of most of
 # them. Unchanged load is repeated every second round, before it expires at the others.
 LOAD_INTERVAL_SECONDS = 0.4
