Learn the pace of servers and choose by expected time where they differ

Cause: engines at 0.6, 1 and 1.6 of the usual speed got shares by their running calls alone; the slow ones built queues.

Change: for services that the relay document calls uneven, each entry learns the pace of servers from the time to the first event, the time between events and run times of plain calls, and tells it with its load. A call compares two servers drawn at random by pace and free slots, and one that holds its history, by the expected time to the answer. Calls leave their zone after a gain that lasts. Other services are served as before.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -109,6 +109,7 @@
         "Router",
         "subset",
     ),
+    "_server_pace": ("ServerPaces",),
     "_unresponsive_servers": ("UnresponsiveServers",),
     "_exhausted_programs": ("ExhaustedPrograms",),
     "_store_bootstrap": (
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -27,6 +27,7 @@
 - A slow or hung plain server takes as many calls as the others and delays each. Its share falls
   as its calls take longer. A slow engine is avoided only for the calls that pile up there: when
   pauses in streams counted as well, engines lost calls by chance.
+- Servers of a service may differ in speed: `UnevenChoice`.
 - Availability zones: traffic between zones is paid for, so servers in the entry's zone win near
   ties. A zone with enough servers to lose one keeps its calls, unless the wait there costs more
   than sending the bytes of the rest of the program to another zone. The servers of such a zone read
@@ -45,10 +46,12 @@
 from tarragonhall_decisions._call_requirements import CallRequirements
 from tarragonhall_decisions._cold_servers import ColdServers
 from tarragonhall_decisions._known_servers import KnownServers
+from tarragonhall_decisions._offers import Offer, choose_cheapest
 from tarragonhall_decisions._other_loads import NO_SIGNS, OtherLoad, OtherLoads
 from tarragonhall_decisions._prompt_holders import PromptHolders
 from tarragonhall_decisions._server_load import ServerLoad
 from tarragonhall_decisions._service_run_times import ServiceRunTimes
+from tarragonhall_decisions._uneven_choice import UnevenChoice
 from tarragonhall_decisions._unresponsive_servers import UnresponsiveServers
 
 # Prompt tokens that an engine reads in a millisecond: the slowest rate that engines publish, so
@@ -68,16 +71,10 @@
 UNREACHABLE_MS = 400.0
 # Added for a server that has just started and is slow, where it has no limit in `ColdServers`.
 WARMUP_MS = 200.0
-# Servers whose costs differ by no more are chosen among at random; less than `RUNNING_MS`, so that
-# one running call still counts.
-TIE_MS = 3.0
 # Ratio of calls to slots up to which all entries together send a server calls. At 1, entries that
 # know each other's load late leave slots idle and refuse calls; at 1.6, too many calls are late in
 # the servers' queues.
 OVERCOMMIT = 1.25
-# Servers of a service up to which a choice compares all. Beyond, it compares those that hold a part
-# of the prompt and a sample, up to this many in all, three quarters from the entry's zone.
-MAX_CANDIDATES = 64
 
 
 class BackendChooser:
@@ -93,6 +90,7 @@
         "_zone",
         "cold",
         "known",
+        "uneven",
         "unresponsive",
     )
 
@@ -103,6 +101,7 @@
         self._rng = rng
         self.cold = cold or ColdServers("")
         self.known = KnownServers(availability_zone)
+        self.uneven = UnevenChoice(availability_zone, rng)
         self._others = OtherLoads()
         self._holders = PromptHolders()
         self._run_times_by_service: dict[str, ServiceRunTimes] = {}
@@ -124,6 +123,7 @@
                 del self._load_by_id[server_id]
         for run_times in self._run_times_by_service.values():
             run_times.forget(known_ids)
+        self.uneven.paces.forget(known_ids)
         self.known.set_servers(records)
 
     def set_evacuated(self, zones: list[str], now: float) -> None:
@@ -167,7 +167,7 @@
     ) -> None:
         """Store the load of another entry."""
         self._others.store(entry_id, OtherLoad(running_by_server, signs, now, detail=detail))
-        self._update_unresponsive()
+        self._apply_others()
 
     def on_load_elsewhere(self, message: LoadElsewhere, now: float) -> None:
         """Store the summed load of all other entries; an earlier sum is void."""
@@ -176,12 +176,12 @@
                 message.running_by_server, message.signs, now, message.entries, message.detail
             )
         )
-        self._update_unresponsive()
+        self._apply_others()
 
     def others(self, now: float) -> OtherLoads:
         """Return the loads of the other entries that are still valid."""
         if self._others.drop_expired(now):
-            self._update_unresponsive()
+            self._apply_others()
         return self._others
 
     def own_load(self) -> dict[str, int]:
@@ -195,25 +195,33 @@
     def choose(self, requirements: CallRequirements, now: float) -> BackendRecord | None:
         """Return the server with the lowest cost; None where no server accepts the call."""
         self.others(now)
-        best: list[BackendRecord] = []
-        lowest = float("inf")
+        offers: list[Offer] = []
         preferred = self._preferred_server(requirements)
         is_below_share = self._is_below_share(requirements.service)
         unresponsive_ms = self.unresponsive.costs(now)
         for record in self._candidates(requirements, preferred):
+            running = self.running(record.server_id)
             if not requirements.allows(record) or not self._accepts_call(
-                record, is_below_share, now
+                record, running, is_below_share, now
             ):
                 continue
-            cost = self._cost_ms(record, requirements, preferred, now) + unresponsive_ms.get(
-                record.server_id, 0.0
-            )
-            if cost < lowest - TIE_MS:
-                best = []
-            if cost <= lowest + TIE_MS:
-                best.append(record)
-            lowest = min(lowest, cost)
-        return self._rng.choice(best) if best else None
+            unread = self._holders.missing_tokens(record.server_id, requirements, preferred)
+            cost = self._cost_ms(record, requirements, preferred, running, unread, now)
+            cost += unresponsive_ms.get(record.server_id, 0.0)
+            offers.append(Offer(record, cost, running, unread))
+        if self.uneven.covers(requirements.service):
+            keeps_zone = self.known.local_ids(requirements.service) is not None
+            return self.uneven.draw(offers, requirements, keeps_zone, now)
+        return choose_cheapest(offers, self._rng)
+
+    def running(self, server_id: str) -> int:
+        """Return how many calls all entries are believed to have in flight at a server."""
+        return self.load(server_id).running + self._others.running(server_id)
+
+    def unread_tokens(self, server_id: str, requirements: CallRequirements) -> int:
+        """Return the prompt tokens of a call that a server is expected to have to read."""
+        preferred = self._preferred_server(requirements)
+        return self._holders.missing_tokens(server_id, requirements, preferred)
 
     def started(self, server_id: str, now: float) -> None:
         """Record that a call was sent to a server."""
@@ -247,13 +255,18 @@
         self.load(server_id).on_failed(now)
         self.cold.assume_cold(server_id, now)
 
-    def _accepts_call(self, record: BackendRecord, is_below_share: bool, now: float) -> bool:
+    def _accepts_call(
+        self, record: BackendRecord, running: int, is_below_share: bool, now: float
+    ) -> bool:
         """Return whether a server is expected to start one more call of this entry soon."""
         load = self.load(record.server_id)
         if not load.window.has_room(load.running, now) or not self.cold.has_room(record, now):
             return False
-        running = load.running + self._others.running(record.server_id)
-        return is_below_share or running < OVERCOMMIT * max(1, record.slots)
+        if is_below_share:
+            return True
+        if self.uneven.covers(record.service):
+            return running < self.uneven.room(record, OVERCOMMIT)
+        return running < OVERCOMMIT * max(1, record.slots)
 
     def _is_below_share(self, service: str) -> bool:
         """Return whether this entry uses less than an equal share of a service's slots."""
@@ -265,17 +278,22 @@
         record: BackendRecord,
         requirements: CallRequirements,
         preferred: str | None,
+        running: int,
+        unread_tokens: int,
         now: float,
     ) -> float:
         load = self.load(record.server_id)
         run_times = self.run_times(requirements.service)
         cost = 0.0 if record.availability_zone == self._zone else self._cross_zone_ms(requirements)
-        running = load.running + self._others.running(record.server_id)
-        cost += self._slot_wait_ms(running, record.slots, run_times.run_ms)
-        if requirements.parts:
-            missing = self._holders.missing_tokens(record.server_id, requirements, preferred)
-            cost += missing / PREFILL_TOKENS_PER_MS
-        else:
+        cost += RUNNING_MS * running
+        serve_ms = self._slot_wait_ms(running, record.slots, run_times.run_ms)
+        serve_ms += unread_tokens / PREFILL_TOKENS_PER_MS
+        if self.uneven.covers(requirements.service):
+            serve_ms = self.uneven.scaled_ms(
+                record.server_id, requirements, serve_ms, run_times.run_ms
+            )
+        cost += serve_ms
+        if not requirements.parts:
             slowness = run_times.slowness(record.server_id, load.oldest_call_s(now), now)
             cost += run_times.run_ms * (slowness - 1.0)
             if requirements.object_key and preferred != record.server_id:
@@ -296,13 +314,15 @@
 
     @staticmethod
     def _slot_wait_ms(running: int, slots: int, run_ms: float) -> float:
-        """Return the wait for a slot plus the delay by the calls that run."""
+        """Return the wait for a slot."""
         slots = max(1, slots)
         waiting = max(0, running - slots + 1)
-        return RUNNING_MS * running + run_ms * waiting / slots
+        return run_ms * waiting / slots
 
-    def _update_unresponsive(self) -> None:
+    def _apply_others(self) -> None:
         signs = self._others.signs()
+        if self.uneven.paces.services:
+            self.uneven.paces.set_others(self._others.detail())
         self.unresponsive.set_other_counts(signs.silent_by_server, signs.answered_by_server)
 
     def _preferred_server(self, requirements: CallRequirements) -> str | None:
@@ -318,19 +338,7 @@
         self, requirements: CallRequirements, preferred: str | None
     ) -> list[BackendRecord]:
         """Return the servers to compare: all, or a selection where there are many."""
-        servers = self.servers(requirements.service)
-        if len(servers) <= MAX_CANDIDATES:
-            return servers
         ids = {requirements.last_server, preferred or ""}
         for part in requirements.parts:
             ids.update(self._holders.of(part))
-        local_ids = self.known.local_ids(requirements.service) or ()
-        ids.update(self._rng.sample(local_ids, min(len(local_ids), MAX_CANDIDATES * 3 // 4)))
-        found = {server_id: self.known.by_id.get(server_id) for server_id in ids}
-        for record in self._rng.sample(servers, MAX_CANDIDATES):
-            if len(found) >= MAX_CANDIDATES:
-                break
-            found[record.server_id] = record
-        return [
-            one for one in found.values() if one is not None and one.service == requirements.service
-        ]
+        return self.known.sample(requirements.service, ids, self._rng)
--- a/libs/decisions/tarragonhall_decisions/_known_servers.py
+++ b/libs/decisions/tarragonhall_decisions/_known_servers.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import random
+
 from tarragonhall_model import BackendRecord, rendezvous
 
 # A zone with at least this many servers of a service can lose one, so it keeps its own calls and
 # shared prefixes.
 MIN_LOCAL_SERVERS = 4
+# Servers of a service up to which a choice compares all. Beyond, it compares those that hold a part
+# of the prompt and a sample, up to this many in all, three quarters from the entry's zone.
+MAX_CANDIDATES = 64
 # Limits the cached results of the rendezvous hash.
 MAX_CACHED_CHOICES = 20_000
 
@@ -85,6 +90,21 @@
         preferred_id = self._preferred_by_key[service, key] = rendezvous(key, ids)
         return preferred_id
 
+    def sample(self, service: str, ids: set[str], rng: random.Random) -> list[BackendRecord]:
+        """Return the servers to compare: all, or where there are many, `ids` and a selection."""
+        servers = self.servers(service)
+        if len(servers) <= MAX_CANDIDATES:
+            return servers
+        ids = set(ids)
+        local_ids = self.local_ids(service) or ()
+        ids.update(rng.sample(local_ids, min(len(local_ids), MAX_CANDIDATES * 3 // 4)))
+        found = {server_id: self.by_id.get(server_id) for server_id in ids}
+        for record in rng.sample(servers, MAX_CANDIDATES):
+            if len(found) >= MAX_CANDIDATES:
+                break
+            found[record.server_id] = record
+        return [one for one in found.values() if one is not None and one.service == service]
+
     def _rebuild(self) -> None:
         self._servers_by_service = {}
         for record in self._all:
--- a/libs/decisions/tarragonhall_decisions/_prompt_holders.py
+++ b/libs/decisions/tarragonhall_decisions/_prompt_holders.py
@@ -50,6 +50,8 @@
         Where no holder of the first part is known, all entries treat `preferred` as its holder.
         """
         parts = requirements.parts
+        if not parts:
+            return 0
         if server_id == requirements.last_server:
             # It ran the previous turn; only the new part is missing.
             return parts[-1].tokens
--- a/libs/decisions/tests/many_servers_tests.py
+++ b/libs/decisions/tests/many_servers_tests.py
@@ -6,7 +6,7 @@
 import random
 
 from tarragonhall_decisions import BackendChooser, CallRequirements, PromptPart
-from tarragonhall_decisions import _backend_choice as choice
+from tarragonhall_decisions._known_servers import MAX_CANDIDATES
 from tarragonhall_model import BackendRecord
 
 ZONES = ("tx-austin", "tx-waco", "tx-temple")
@@ -36,7 +36,7 @@
         assert chooser.choose(
             CallRequirements("models", (SUBJECT, PromptPart(f"own-{n}", 500))), 0.0
         )
-    assert len(compared) <= 20 * (choice.MAX_CANDIDATES + 10)
+    assert len(compared) <= 20 * (MAX_CANDIDATES + 10)
 
 
 def test_a_conversation_stays_with_its_engine_among_thousands():
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -222,7 +222,7 @@
                 continue
             if not self._report.events:
                 self._report.step("first_ms")
-                self._slot.note_response()
+                self._slot.note_first_event()
             self._client.send(b"".join(event.raw for event in events))
             self._report.events += len(events)
             if retains:
@@ -250,11 +250,14 @@
         self._state.chooser.run_times(server.service).call_ended(
             server.server_id, kind, run_ms, now
         )
+        self._slot.times.on_answer(kind, run_ms, now)
 
     def _record_stream_time(self, server: BackendRecord) -> None:
         """Record how long a stream held its slot, for the choice of servers."""
-        run_ms = self._slot.held_ms(self._state.monotonic())
+        now = self._state.monotonic()
+        run_ms = self._slot.held_ms(now)
         self._state.chooser.run_times(server.service).stream_ended(run_ms)
+        self._slot.times.on_stream_end(run_ms, self._report.events, now)
 
     def _note_success(self, server: BackendRecord) -> None:
         requirements = CallRequirements(server.service, self._admitted.facts.parts)
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -9,6 +9,7 @@
 from tarragonhall_model import BackendRecord, Refusal, RefusalCode
 
 from tarragonhall_relay._admission import STATUS_UNAVAILABLE, AdmittedCall, Rejection, rejection_for
+from tarragonhall_relay._server_times import ServerTimes
 from tarragonhall_relay._slots import Slot
 from tarragonhall_relay._state import RelayState
 
@@ -59,6 +60,7 @@
         "_unreachable",
         "may_have_run_on",
         "service",
+        "times",
     )
 
     def __init__(self, state: RelayState, call: AdmittedCall, arrived_at: float) -> None:
@@ -73,6 +75,7 @@
         self.service = state.table.service_of(call.route, state.rng)
         self._tier = Tier(call.starts_program, self.rank())
         self._queued = self._make_queued_call()
+        self.times = ServerTimes(state.chooser)
 
     def reject_early(self) -> Rejection | None:
         """Return the rejection of a call that must not start now, if there is one."""
@@ -101,6 +104,7 @@
         if isinstance(result, Refusal):
             return self._no_slot(result)
         self._slot = result
+        self.times.on_granted(result.server, requirements)
         return result.server
 
     def held_ms(self, now: float) -> float:
@@ -129,6 +133,12 @@
         if self._slot is not None:
             self._state.slots.note_response(self._slot)
 
+    def note_first_event(self) -> None:
+        """Record that the first event of a stream has arrived."""
+        self.note_response()
+        now = self._state.monotonic()
+        self.times.on_first_event(self.held_ms(now), now)
+
     def release(self) -> None:
         """Release the slot, if one is held."""
         if self._slot is not None:
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -102,6 +102,9 @@
         config = self._state.dialect.read_config(document)
         self._set_rates(config)
         self._set_cold_limits(config)
+        self._state.chooser.uneven.paces.set_services(
+            service.name for service in config.services if service.uneven
+        )
         self._state.table = RouteTable(config)
         log.info("relay.in_force", version=config.version, routes=len(config.routes))
         return True
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -31,6 +31,7 @@
     IncompleteResponseError,
 )
 from tarragonhall_relay._followers import BackendFollower, PeerUpdates, RelayFollower
+from tarragonhall_relay._server_times import PaceReporter
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._sockets import set_options
 from tarragonhall_relay._state import RelayState
@@ -119,6 +120,7 @@
             cold_slack=settings.cold_slack,
             features=settings.features,
         )
+        self.state.load_reporters.append(PaceReporter(chooser.uneven.paces, context.metrics))
         self._follower.attach(self.state)
         self._backend_follower = BackendFollower(context, self.state)
         self._peer_updates = PeerUpdates(context, self.state, self._follower)
