Give entries slots by their cores and programs a home that all entries find

Cause: entries of 0.3 to 1 core took equal shares of the slots; a program whose caller sends its history lost its engine when a turn arrived at another entry.

Change, for uneven services only: entries tell their cores with their load and take their part; turns of routes that retain nothing look for their history at a server found by rendezvous hash. What the way between zones costs is a setting with the former values as default. Opened channels are counted.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -43,6 +43,7 @@
     "_features": (
         "EntryCapacity",
         "Features",
+        "WayCost",
     ),
     "_home_regions": (
         "home_zones",
@@ -110,6 +111,7 @@
         "subset",
     ),
     "_server_pace": ("ServerPaces",),
+    "_uneven_choice": ("UnevenChoice",),
     "_unresponsive_servers": ("UnresponsiveServers",),
     "_exhausted_programs": ("ExhaustedPrograms",),
     "_store_bootstrap": (
--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -45,6 +45,7 @@
 
 from tarragonhall_decisions._call_requirements import CallRequirements
 from tarragonhall_decisions._cold_servers import ColdServers
+from tarragonhall_decisions._features import WayCost
 from tarragonhall_decisions._known_servers import KnownServers
 from tarragonhall_decisions._offers import Offer, choose_cheapest
 from tarragonhall_decisions._other_loads import NO_SIGNS, OtherLoad, OtherLoads
@@ -61,12 +62,6 @@
 # between their steps, and each step takes longer. A share of the run time per slot would be too
 # much with 12 slots and too little with 96.
 RUNNING_MS = 4.0
-# Cost of a call to another availability zone: the round trip and the price of the bytes, together
-# about as much as reading 500 prompt tokens again.
-ZONE_MS = 15.0
-# Added for each 1,000 bytes that a call sends out of such a zone, up to `MAX_ZONE_MS`.
-ZONE_MS_PER_KB = 3.0
-MAX_ZONE_MS = 150.0
 # Added for a server that no control member can reach, or that failed recently.
 UNREACHABLE_MS = 400.0
 # Added for a server that has just started and is slow, where it has no limit in `ColdServers`.
@@ -92,6 +87,7 @@
         "known",
         "uneven",
         "unresponsive",
+        "way",
     )
 
     def __init__(
@@ -101,6 +97,7 @@
         self._rng = rng
         self.cold = cold or ColdServers("")
         self.known = KnownServers(availability_zone)
+        self.way = WayCost()
         self.uneven = UnevenChoice(availability_zone, rng)
         self._others = OtherLoads()
         self._holders = PromptHolders()
@@ -211,7 +208,9 @@
             offers.append(Offer(record, cost, running, unread))
         if self.uneven.covers(requirements.service):
             keeps_zone = self.known.local_ids(requirements.service) is not None
-            return self.uneven.draw(offers, requirements, keeps_zone, now)
+            key = requirements.history_key
+            home = self.known.preferred_id(requirements.service, key) if key else None
+            return self.uneven.draw(offers, requirements, keeps_zone, home, now)
         return choose_cheapest(offers, self._rng)
 
     def running(self, server_id: str) -> int:
@@ -269,8 +268,10 @@
         return running < OVERCOMMIT * max(1, record.slots)
 
     def _is_below_share(self, service: str) -> bool:
-        """Return whether this entry uses less than an equal share of a service's slots."""
+        """Return whether this entry uses less than its share of a service's slots."""
         own = self._running_by_service[service]
+        if self.uneven.covers(service):
+            return own < self.uneven.entry_share() * self.known.slots(service)
         return own * (1 + self._others.entries()) < self.known.slots(service)
 
     def _cost_ms(
@@ -309,8 +310,8 @@
     def _cross_zone_ms(self, requirements: CallRequirements) -> float:
         """Return the cost of sending a call to another zone."""
         if self.known.local_ids(requirements.service) is None:
-            return ZONE_MS
-        return min(MAX_ZONE_MS, ZONE_MS + ZONE_MS_PER_KB * requirements.size / 1000)
+            return self.way.base_ms
+        return self.way.of_call_ms(requirements.size)
 
     @staticmethod
     def _slot_wait_ms(running: int, slots: int, run_ms: float) -> float:
@@ -322,7 +323,7 @@
     def _apply_others(self) -> None:
         signs = self._others.signs()
         if self.uneven.paces.services:
-            self.uneven.paces.set_others(self._others.detail())
+            self.uneven.set_others(self._others.detail(), self._others.entries())
         self.unresponsive.set_other_counts(signs.silent_by_server, signs.answered_by_server)
 
     def _preferred_server(self, requirements: CallRequirements) -> str | None:
--- a/libs/decisions/tarragonhall_decisions/_call_requirements.py
+++ b/libs/decisions/tarragonhall_decisions/_call_requirements.py
@@ -24,6 +24,7 @@
     call. `zones` are where it may run, None for anywhere. `size` is how many bytes the call and its
     expected successors carry to the server. `slack_ms` is the time that its program has to spare,
     None where that is not known. `memory_tokens` is the engine memory that it holds until its end.
+    `history_key` is the same for all turns of a program whose caller sends the whole history.
     """
 
     service: str
@@ -35,6 +36,7 @@
     zones: frozenset[str] | None = None
     slack_ms: float | None = None
     memory_tokens: int = 0
+    history_key: str = ""
 
     def allows(self, record: BackendRecord) -> bool:
         """Return whether the call may go to a server."""
--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -6,6 +6,11 @@
 - Many entries with the same news choose at once. If each took the best server, it would be crowded
   until the next news. Each compares two servers that it draws at random, the more likely the faster
   they are and the more free slots they have, and one that holds the call's history.
+- Entries have 0.29 to 0.95 of a core. With equal shares of the slots, the large ones refuse calls
+  while slots that the small ones cannot use stay free.
+- Callers of some programs send the whole history with each turn, through any entry. An entry that
+  did not run the earlier turns looks for the history at the program's home, a server that all
+  entries find by rendezvous hash, so that none must store or tell where it is.
 - The demand of zones rises and falls at different times. Calls leave a zone once servers elsewhere
   have been expected to answer earlier for a while, with the way there (`ZoneExit`).
 """
@@ -15,7 +20,7 @@
 import math
 import random
 
-from tarragonhall_model import BackendRecord
+from tarragonhall_model import BackendRecord, LoadDetail
 
 from tarragonhall_decisions._call_requirements import CallRequirements
 from tarragonhall_decisions._offers import Offer
@@ -33,6 +38,10 @@
 # Servers that are drawn at random and compared. With more, entries whose news are equally old crowd
 # the same fast servers; with one, its expected time would not matter.
 DRAWN = 2
+# Extra time for which a program starts at the server where other entries look for its history.
+HOME_MS = 15.0
+# Prompt tokens that an engine of the mean pace reads in a millisecond.
+TOKENS_PER_MS = 30.0
 # Pace below which a server gets fewer calls than it has slots, so that they do not all end late.
 SLOW_PACE = 0.5
 
@@ -40,18 +49,50 @@
 class UnevenChoice:
     """Costs of servers by their pace, and the draw of one of them."""
 
-    __slots__ = ("_exit_by_service", "_rng", "_zone", "paces")
+    __slots__ = (
+        "_exit_by_service",
+        "_other_cores",
+        "_other_entries",
+        "_rng",
+        "_zone",
+        "cores",
+        "paces",
+    )
 
     def __init__(self, zone: str, rng: random.Random) -> None:
         self._zone = zone
         self._rng = rng
         self._exit_by_service: dict[str, ZoneExit] = {}
         self.paces = ServerPaces()
+        # Processor share of this entry and of all others; 0 where it is not known.
+        self.cores = 0.0
+        self._other_cores = 0.0
+        self._other_entries = 0
 
     def covers(self, service: str) -> bool:
         """Return whether the servers of a service differ in speed."""
         return service in self.paces.services
 
+    def set_others(self, detail: LoadDetail, entries: int) -> None:
+        """Replace what the other entries told, and their number."""
+        self.paces.set_others(detail)
+        self._other_cores = sum(detail.capacity_by_zone.values())
+        self._other_entries = entries
+
+    def report_load(self, detail: LoadDetail, now: float) -> None:
+        """Add what this entry tells the others."""
+        if not self.paces.services:
+            return
+        self.paces.report_load(detail, now)
+        if self.cores:
+            detail.capacity_by_zone[self._zone] = self.cores
+
+    def entry_share(self) -> float:
+        """Return this entry's share of the slots: its part of the cores, or an equal one."""
+        if not self.cores or not self._other_cores:
+            return 1.0 / (1 + self._other_entries)
+        return self.cores / (self.cores + self._other_cores)
+
     def room(self, record: BackendRecord, overcommit: float) -> float:
         """Return the calls that a server may have: its slots, and a queue that fits its pace."""
         pace = self.paces.pace(record.server_id)
@@ -69,12 +110,18 @@
         return (serve_ms + weight * run_ms) / self.paces.pace(server_id)
 
     def draw(
-        self, offers: list[Offer], requirements: CallRequirements, keeps_zone: bool, now: float
+        self,
+        offers: list[Offer],
+        requirements: CallRequirements,
+        keeps_zone: bool,
+        home_id: str | None,
+        now: float,
     ) -> BackendRecord | None:
         """Return the cheapest of a few servers that are drawn at random; None without offers.
 
         The draw is among the servers of the own zone if that `keeps_zone`, unless calls leave it,
-        and includes a server that holds the call's history.
+        and includes a server that holds the call's history. `home_id` is the server that entries
+        agree on for the program.
         """
         if not offers:
             return None
@@ -92,8 +139,25 @@
         holder = self._holder(offers, requirements)
         if chosen is None or (holder is not None and holder.cost_ms <= chosen.cost_ms):
             chosen = holder
+        for home in offers:
+            if home.record.server_id != home_id:
+                continue
+            gain_ms = self._home_gain_ms(home, requirements, holder)
+            if chosen is None or home.cost_ms - gain_ms <= chosen.cost_ms:
+                chosen = home
         return chosen.record if chosen is not None else None
 
+    def _home_gain_ms(
+        self, home: Offer, requirements: CallRequirements, holder: Offer | None
+    ) -> float:
+        """Return what a program gains at its home: other entries find its history there."""
+        history_tokens = 0
+        if holder is None and len(requirements.parts) > 2:
+            # The earlier turns ran at another entry, which most likely chose the home.
+            history_tokens = home.unread_tokens - requirements.parts[-1].tokens
+        read_ms = history_tokens / TOKENS_PER_MS / self.paces.pace(home.record.server_id)
+        return HOME_MS + read_ms
+
     def _cheapest_of_few(self, offers: list[Offer]) -> Offer | None:
         if not offers:
             return None
--- /dev/null
+++ b/libs/decisions/tests/uneven_zones_tests.py
@@ -0,0 +1,135 @@
+"""Zones and entries that differ: waves at opposite phases, shares by cores, turns at any entry."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from tarragonhall_decisions import BackendChooser, CallRequirements, PromptPart
+from tarragonhall_decisions._zone_exit import ZoneExit
+from tarragonhall_model import BackendRecord, LoadDetail
+
+SUBJECT = PromptPart("subject", 2_560)
+SERVERS = [
+    BackendRecord(f"i-{zone}{n}", "models", f"10.0.0.{n}:80", f"zona-{zone}", 24, 1, 1)
+    for zone in "ab"
+    for n in range(6)
+]
+
+
+def make_chooser(zone: str = "zona-a", seed: int = 1, cores: float = 0.0) -> BackendChooser:
+    chooser = BackendChooser(zone, random.Random(seed))
+    chooser.uneven.paces.set_services({"models"})
+    chooser.uneven.cores = cores
+    chooser.set_servers(SERVERS, 0.0)
+    return chooser
+
+
+def loaded(calls_by_zone: dict[str, int]) -> dict[str, int]:
+    return {one.server_id: calls_by_zone[one.availability_zone] for one in SERVERS}
+
+
+def share_that_leaves(chooser: BackendChooser, start: float, end: float, load) -> float:
+    """Return the share of the calls of `zona-a` that leave, 50 a second under `load(now)`."""
+    left = []
+    for step in range(int((end - start) * 50)):
+        now = start + step / 50
+        chooser.on_entry_load("e-2", loaded(load(now)), now)
+        needs = CallRequirements("models", (SUBJECT, PromptPart(f"own-{now}", 500)), size=5_000)
+        left.append(chooser.choose(needs, now).availability_zone != "zona-a")
+    return sum(left) / len(left)
+
+
+def test_two_zones_at_opposite_phases():
+    # At the top of its wave a zone sends calls to the other one, and keeps them at the bottom.
+    chooser = make_chooser()
+    high = {"zona-a": 29, "zona-b": 4}
+    low = {"zona-a": 4, "zona-b": 29}
+    for wave in (0.0, 6.0):
+        share_that_leaves(chooser, wave, wave + 1.0, lambda _now: high)
+        assert share_that_leaves(chooser, wave + 1.0, wave + 3.0, lambda _now: high) > 0.5
+        share_that_leaves(chooser, wave + 3.0, wave + 4.0, lambda _now: low)
+        assert share_that_leaves(chooser, wave + 4.0, wave + 6.0, lambda _now: low) < 0.05
+
+
+def test_a_queue_of_a_moment_does_not_make_calls_leave():
+    chooser = make_chooser()
+    share = share_that_leaves(
+        chooser,
+        0.0,
+        2.0,
+        lambda now: {"zona-a": 28 if 1.0 < now < 1.2 else 4, "zona-b": 4},
+    )
+    assert share < 0.05
+
+
+def test_calls_leave_at_once_if_no_server_of_their_zone_accepts_them():
+    assert ZoneExit().leaves(None, 200.0, 0.0)
+
+
+def test_calls_stay_where_the_way_costs_more_than_the_wait():
+    chooser = make_chooser()
+    high = {"zona-a": 24, "zona-b": 4}
+    chooser.way = type(chooser.way)(base_ms=400.0, ms_per_kb=0.0, max_ms=400.0)
+    assert share_that_leaves(chooser, 0.0, 2.0, lambda _now: high) == 0.0
+
+
+def test_a_program_stays_with_its_history_in_another_zone():
+    # If it returned with each wave, its history would be read again in both zones.
+    chooser = make_chooser()
+    parts = (SUBJECT, PromptPart("talk", 3_000), PromptPart("new", 200))
+    needs = CallRequirements("models", parts, last_server="i-b2", size=1_000)
+    chooser.on_entry_load("e-2", loaded({"zona-a": 4, "zona-b": 6}), 0.0)
+    assert all(chooser.choose(needs, 0.0).server_id == "i-b2" for _ in range(20))
+
+
+def test_entries_of_three_sizes_take_slots_by_their_cores():
+    # An equal share leaves slots free that small entries cannot use.
+    cores = {"e-0": 0.3, "e-1": 0.7, "e-2": 1.0}
+    for name, own in cores.items():
+        chooser = make_chooser(cores=own)
+        for other, its in cores.items():
+            if other != name:
+                detail = LoadDetail(capacity_by_zone={"zona-a": its})
+                chooser.on_entry_load(other, {}, 0.0, detail=detail)
+        assert chooser.uneven.entry_share() == pytest.approx(own / 2.0)
+
+
+def test_entries_that_tell_no_capacity_count_as_equal():
+    # They run an earlier version, or the news of their capacity was lost.
+    chooser = make_chooser(cores=0.3)
+    chooser.on_entry_load("e-1", {}, 0.0)
+    chooser.on_entry_load("e-2", {}, 0.0)
+    assert chooser.uneven.entry_share() == pytest.approx(1 / 3)
+
+
+def turn(number: int, program: str) -> CallRequirements:
+    """Return a turn whose caller sends the whole history."""
+    history = [PromptPart(f"{program}-{n}", 900) for n in range(number + 1)]
+    return CallRequirements("models", (SUBJECT, *history), history_key=program)
+
+
+def test_a_turn_at_another_entry_finds_the_engine_that_holds_its_history():
+    # Each turn arrives at another entry. Without a common home each engine reads the history again.
+    entries = [make_chooser(seed=seed) for seed in range(6)]
+    found = 0
+    for n in range(60):
+        last = ""
+        for number in range(4):
+            chooser = entries[(n + number) % 6]
+            server_id = chooser.choose(turn(number, f"p-{n}"), 0.0).server_id
+            chooser.answered(server_id, turn(number, f"p-{n}"))
+            found += server_id == last
+            last = server_id
+    assert found > 0.8 * 60 * 3
+
+
+def test_a_turn_leaves_its_home_if_that_is_slow():
+    # A home that hangs or crawls must not keep its programs.
+    chooser = make_chooser()
+    home = chooser.known.preferred_id("models", "p-1")
+    for n in range(40):
+        chooser.uneven.paces.on_gap("models", home, 1, 300.0, 0.02 * n)
+    chooser.on_entry_load("e-2", {home: 24}, 0.8)
+    chosen = [chooser.choose(turn(1, "p-1"), 0.8).server_id for _ in range(20)]
+    assert home not in chosen
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -9,7 +9,7 @@
 import h11
 from eventlet.green import socket
 from tarragonhall_model import BackendRecord
-from tarragonhall_wire import Traffic
+from tarragonhall_wire import Metrics, Traffic
 
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BackendError
@@ -157,10 +157,11 @@
 class BackendPool:
     """The idle connections of one entry; the one used last is reused first."""
 
-    __slots__ = ("_idle_by_server", "_traffic")
+    __slots__ = ("_idle_by_server", "_metrics", "_traffic")
 
-    def __init__(self, traffic: Traffic) -> None:
+    def __init__(self, traffic: Traffic, metrics: Metrics) -> None:
         self._traffic = traffic
+        self._metrics = metrics
         self._idle_by_server: dict[str, list[BackendConnection]] = {}
 
     def acquire(self, record: BackendRecord) -> BackendConnection:
@@ -220,6 +221,7 @@
         except BaseException:
             connection.close()
             raise
+        self._metrics.count("relay.channels_opened")
         return BackendConnection(connection, record, self._traffic)
 
 
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -188,6 +188,7 @@
             frozenset(self._unreachable | self.may_have_run_on),
             prompt_size * turns,
             self._call.home_zones,
+            history_key="" if route.retained else facts.program_id,
         )
 
     def _make_queued_call(self) -> QueuedCall:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -100,11 +100,13 @@
         self._follower = RelayFollower(context)
         cold = ColdServers(context.instance)
         chooser = BackendChooser(context.availability_zone, context.rng, cold)
+        chooser.way = settings.features.way
+        chooser.uneven.cores = settings.features.capacity.cores
         self.state = RelayState(
             dialect=dialect,
             chooser=chooser,
             slots=SlotAllocator(chooser, context.rng, context.monotonic),
-            pool=BackendPool(context.hub.traffic),
+            pool=BackendPool(context.hub.traffic, context.metrics),
             turn_store=TurnStoreClient(context, self._follower.store_addresses),
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
             crash_suspects=CrashSuspects(),
@@ -120,7 +122,7 @@
             cold_slack=settings.cold_slack,
             features=settings.features,
         )
-        self.state.load_reporters.append(PaceReporter(chooser.uneven.paces, context.metrics))
+        self.state.load_reporters.append(PaceReporter(chooser.uneven, context.metrics))
         self._follower.attach(self.state)
         self._backend_follower = BackendFollower(context, self.state)
         self._peer_updates = PeerUpdates(context, self.state, self._follower)
--- a/libs/relay/tarragonhall_relay/_server_times.py
+++ b/libs/relay/tarragonhall_relay/_server_times.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import structlog
-from tarragonhall_decisions import BackendChooser, CallRequirements, ServerPaces
+from tarragonhall_decisions import BackendChooser, CallRequirements, ServerPaces, UnevenChoice
 from tarragonhall_model import BackendRecord, LoadDetail
 from tarragonhall_wire import Metrics
 
@@ -65,24 +65,23 @@
 
 
 class PaceReporter:
-    """Tells the pace of servers to the other entries, and its changes to the operators."""
+    """Tells pace and capacity to the other entries, and changes of pace to the operators."""
 
-    __slots__ = ("_metrics", "_paces")
+    __slots__ = ("_metrics", "_uneven")
 
-    def __init__(self, paces: ServerPaces, metrics: Metrics) -> None:
-        self._paces = paces
+    def __init__(self, uneven: UnevenChoice, metrics: Metrics) -> None:
+        self._uneven = uneven
         self._metrics = metrics
 
     def report_load(self, detail: LoadDetail, now: float) -> None:
         """Add the sums of the samples of this entry, and log servers whose pace has changed."""
-        if not self._paces.services:
-            return
-        self._paces.report_load(detail, now)
-        known = [self._paces.pace(one) for one in detail.pace_weight_by_server]
+        self._uneven.report_load(detail, now)
+        paces = self._uneven.paces
+        known = [paces.pace(one) for one in detail.pace_weight_by_server]
         if known:
             self._metrics.gauge("relay.pace_lowest", min(known))
             self._metrics.gauge("relay.pace_highest", max(known))
-        for server_id, before, pace in self._paces.changes(now):
+        for server_id, before, pace in paces.changes(now):
             self._metrics.count("relay.pace_changed")
             log.info(
                 "server.pace_changed",
