Let an entry that is nearly full say so, and count calls that leave their zone

Cause: the balancer gives an entry of 0.29 core as many connections as one of 0.95; in a crowd it is choked first.

Change: where the cores of entries differ, an entry whose processor share or descriptors are nearly used is not ready for at most 4 of 40 seconds, and never while less than half of its zone's capacity is ready elsewhere. Calls that go to another zone are counted by reason. Servers that failed are not drawn.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -113,6 +113,10 @@
     "_server_pace": ("ServerPaces",),
     "_uneven_choice": ("UnevenChoice",),
     "_unresponsive_servers": ("UnresponsiveServers",),
+    "_entry_room": (
+        "EntryRoom",
+        "cores_differ",
+    ),
     "_exhausted_programs": ("ExhaustedPrograms",),
     "_store_bootstrap": (
         "ToleratedLosses",
--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -5,7 +5,8 @@
   first, which keeps the fast engines busier than the slow ones.
 - Many entries with the same news choose at once. If each took the best server, it would be crowded
   until the next news. Each compares two servers that it draws at random, the more likely the faster
-  they are and the more free slots they have, and one that holds the call's history.
+  they are and the more free slots they have, and one that holds the call's history. With more than
+  two, the same fast servers would be crowded; with one, its expected time would not matter.
 - Entries have 0.29 to 0.95 of a core. With equal shares of the slots, the large ones refuse calls
   while slots that the small ones cannot use stay free.
 - Callers of some programs send the whole history with each turn, through any entry. An entry that
@@ -19,10 +20,12 @@
 
 import math
 import random
+from collections import Counter
 
 from tarragonhall_model import BackendRecord, LoadDetail
 
 from tarragonhall_decisions._call_requirements import CallRequirements
+from tarragonhall_decisions._entry_room import cores_differ
 from tarragonhall_decisions._offers import Offer
 from tarragonhall_decisions._server_pace import ServerPaces
 from tarragonhall_decisions._zone_exit import ZoneExit
@@ -35,9 +38,8 @@
 LONG_SLACK_MS = 1_000.0
 # Where the slack of a program is not known.
 RUN_WEIGHT = 0.05
-# Servers that are drawn at random and compared. With more, entries whose news are equally old crowd
-# the same fast servers; with one, its expected time would not matter.
-DRAWN = 2
+# Cost beyond the lowest from which a server is not drawn: it failed recently or is out of reach.
+MAX_EXCESS_MS = 200.0
 # Extra time for which a program starts at the server where other entries look for its history.
 HOME_MS = 15.0
 # Prompt tokens that an engine of the mean pace reads in a millisecond.
@@ -55,7 +57,10 @@
         "_other_entries",
         "_rng",
         "_zone",
+        "_zone_cores",
         "cores",
+        "is_ready",
+        "left_zone",
         "paces",
     )
 
@@ -66,7 +71,12 @@
         self.paces = ServerPaces()
         # Processor share of this entry and of all others; 0 where it is not known.
         self.cores = 0.0
+        # Whether this entry takes new connections; if not, it tells no capacity.
+        self.is_ready = True
+        # Calls that went to servers of other zones, by reason.
+        self.left_zone: Counter[str] = Counter()
         self._other_cores = 0.0
+        self._zone_cores = 0.0
         self._other_entries = 0
 
     def covers(self, service: str) -> bool:
@@ -77,6 +87,7 @@
         """Replace what the other entries told, and their number."""
         self.paces.set_others(detail)
         self._other_cores = sum(detail.capacity_by_zone.values())
+        self._zone_cores = detail.capacity_by_zone.get(self._zone, 0.0)
         self._other_entries = entries
 
     def report_load(self, detail: LoadDetail, now: float) -> None:
@@ -84,9 +95,19 @@
         if not self.paces.services:
             return
         self.paces.report_load(detail, now)
-        if self.cores:
+        if self.cores and self.is_ready:
             detail.capacity_by_zone[self._zone] = self.cores
 
+    def zone_cores(self) -> float:
+        """Return the cores of the other ready entries of the zone, 0 where none are known."""
+        return self._zone_cores if self.paces.services else 0.0
+
+    def cores_differ(self) -> bool:
+        """Return whether the entries of uneven services have different processor shares."""
+        if not self.paces.services:
+            return False
+        return cores_differ(self.cores, self._other_cores, self._other_entries)
+
     def entry_share(self) -> float:
         """Return this entry's share of the slots: its part of the cores, or an equal one."""
         if not self.cores or not self._other_cores:
@@ -125,7 +146,7 @@
         """
         if not offers:
             return None
-        local = offers
+        local, reason = offers, ""
         if keeps_zone:
             local = [one for one in offers if one.record.availability_zone == self._zone]
         chosen = self._cheapest_of_few(local)
@@ -134,18 +155,23 @@
                 [one for one in offers if one.record.availability_zone != self._zone]
             )
             exit_ = self._exit_by_service.setdefault(requirements.service, ZoneExit())
+            reason = "gain" if chosen is not None else "no_room"
             if exit_.leaves(chosen.cost_ms if chosen else None, remote.cost_ms, now):
                 chosen = remote
         holder = self._holder(offers, requirements)
         if chosen is None or (holder is not None and holder.cost_ms <= chosen.cost_ms):
-            chosen = holder
+            chosen, reason = holder, "history"
         for home in offers:
             if home.record.server_id != home_id:
                 continue
             gain_ms = self._home_gain_ms(home, requirements, holder)
             if chosen is None or home.cost_ms - gain_ms <= chosen.cost_ms:
-                chosen = home
-        return chosen.record if chosen is not None else None
+                chosen, reason = home, "history"
+        if chosen is None:
+            return None
+        if keeps_zone and chosen.record.availability_zone != self._zone:
+            self.left_zone[reason] += 1
+        return chosen.record
 
     def _home_gain_ms(
         self, home: Offer, requirements: CallRequirements, holder: Offer | None
@@ -159,11 +185,20 @@
         return HOME_MS + read_ms
 
     def _cheapest_of_few(self, offers: list[Offer]) -> Offer | None:
+        """Return the cheaper of two servers drawn at random; None without offers."""
         if not offers:
             return None
-        weights = [self._weight(offer) for offer in offers]
-        few = self._rng.choices(offers, weights, k=DRAWN)
-        return min(few, key=lambda offer: offer.cost_ms)
+        limit_ms = min(offer.cost_ms for offer in offers) + MAX_EXCESS_MS
+        usable = [offer for offer in offers if offer.cost_ms <= limit_ms]
+        first = self._draw_one(usable)
+        others = [offer for offer in usable if offer is not first]
+        if not others:
+            return first
+        second = self._draw_one(others)
+        return second if second.cost_ms < first.cost_ms else first
+
+    def _draw_one(self, offers: list[Offer]) -> Offer:
+        return self._rng.choices(offers, [self._weight(offer) for offer in offers])[0]
 
     def _holder(self, offers: list[Offer], requirements: CallRequirements) -> Offer | None:
         """Return one of the servers that must read no more than the last part of the prompt."""
--- a/libs/decisions/tests/uneven_servers_tests.py
+++ b/libs/decisions/tests/uneven_servers_tests.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from tarragonhall_decisions import BackendChooser, ServerPaces
+from tarragonhall_decisions import BackendChooser, CallRequirements, ServerPaces
 from tarragonhall_decisions._uneven_choice import UnevenChoice
 from tarragonhall_model import LoadDetail
 from uneven_load import BASE_MS, GAP_MS, UnevenLoad
@@ -165,3 +165,19 @@
         paces.on_gap("models", "i-0", 1, 6 * GAP_MS, 0.05 * n)
     assert [server_id for server_id, _, _ in paces.changes(1.0)] == ["i-0"]
     assert paces.changes(1.1) == []
+
+
+def test_a_server_that_failed_is_avoided_while_others_work():
+    # A draw at random must not reach a server that broke the last connection.
+    load = UnevenLoad((1.0,) * 4, entries=1)
+    chooser = load.choosers[0]
+    chooser.failed("i-0", 1.0)
+    chosen = [chooser.choose(CallRequirements("models"), 1.05).server_id for _ in range(200)]
+    assert "i-0" not in chosen
+
+
+def test_a_server_is_left_alone_only_while_there_are_others():
+    # The only server may have recovered.
+    load = UnevenLoad((1.0,), entries=1)
+    load.choosers[0].failed("i-0", 1.0)
+    assert load.choosers[0].choose(CallRequirements("models"), 1.05).server_id == "i-0"
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -190,6 +190,10 @@
         connection.usable_until = time.monotonic() + min(keep_s, MAX_KEEP_ALIVE_S)
         idle.append(connection)
 
+    def idle(self) -> int:
+        """Return how many connections are idle."""
+        return sum(len(idle) for idle in self._idle_by_server.values())
+
     def close_expired(self) -> None:
         """Close the connections whose idle time is over."""
         now = time.monotonic()
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -31,6 +31,7 @@
     IncompleteResponseError,
 )
 from tarragonhall_relay._followers import BackendFollower, PeerUpdates, RelayFollower
+from tarragonhall_relay._room import RoomReporter
 from tarragonhall_relay._server_times import PaceReporter
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._sockets import set_options
@@ -81,6 +82,7 @@
         "_follower",
         "_listener",
         "_peer_updates",
+        "_room",
         "_settings",
         "_stopped",
         "state",
@@ -122,6 +124,10 @@
             cold_slack=settings.cold_slack,
             features=settings.features,
         )
+        self._room = RoomReporter(
+            settings.features.capacity, chooser.uneven, self._open_connections, context.metrics
+        )
+        self.state.load_reporters.append(self._room)
         self.state.load_reporters.append(PaceReporter(chooser.uneven, context.metrics))
         self._follower.attach(self.state)
         self._backend_follower = BackendFollower(context, self.state)
@@ -149,8 +155,11 @@
         log.info("relay.started", listen=self._settings.listen)
 
     def ready(self) -> bool:
-        """Return whether a relay document and servers are known and no drain has begun."""
-        if self.state.draining or self.state.table is None:
+        """Return whether a relay document and servers are known and no drain has begun.
+
+        An entry whose room is nearly used up is not ready for a short time either.
+        """
+        if self.state.draining or self.state.table is None or self._room.room.is_paused:
             return False
         services = self.state.table.service_by_name
         return any(self.state.chooser.servers(name) for name in services)
@@ -206,6 +215,10 @@
         for client in list(self._clients):
             client.abort()
 
+    def _open_connections(self) -> int:
+        """Return about how many descriptors the connections of clients and servers use."""
+        return len(self._clients) + self.state.calls_in_flight + self.state.pool.idle()
+
     def _is_fresh(self) -> bool:
         return self._follower.is_fresh(self._context.monotonic())
 
--- a/libs/relay/tarragonhall_relay/_server_times.py
+++ b/libs/relay/tarragonhall_relay/_server_times.py
@@ -76,6 +76,9 @@
     def report_load(self, detail: LoadDetail, now: float) -> None:
         """Add the sums of the samples of this entry, and log servers whose pace has changed."""
         self._uneven.report_load(detail, now)
+        for reason, calls in self._uneven.left_zone.items():
+            self._metrics.count("relay.left_zone", calls, (("reason", reason),))
+        self._uneven.left_zone.clear()
         paces = self._uneven.paces
         known = [paces.pace(one) for one in detail.pace_weight_by_server]
         if known:
--- a/libs/relay/tests/uneven_tests.py
+++ b/libs/relay/tests/uneven_tests.py
@@ -83,3 +83,18 @@
     services = (Service("desk"), Service("shop"))
     assert follower.apply_relay(RelayDocument(8, b""))
     assert not relay.state.chooser.uneven.paces.services
+
+
+def test_an_entry_that_is_nearly_full_is_not_ready_and_serves_on(relay):
+    # A caller that still connects must not be lost.
+    relay.backend(answers())
+    assert relay.role.ready()
+    relay.role._room.room.is_paused = True
+    assert not relay.role.ready()
+    assert relay.call("/buy/x")[0] == 200
+
+
+def test_entries_of_even_services_do_not_pause(relay):
+    relay.role._room.room.is_paused = True
+    told(relay)
+    assert not relay.role._room.room.is_paused
