Prefer servers to which a connection is idle and compute each pace once

Cause: the draw among servers of uneven services opened more connections; the pace of a server was computed several times for one choice.

Change: a server without an idle connection weighs less in the draw; paces are kept until the next sample or news. A frozen collector and bounded news have tests.

--- a/libs/decisions/tarragonhall_decisions/_offers.py
+++ b/libs/decisions/tarragonhall_decisions/_offers.py
@@ -12,7 +12,7 @@
 TIE_MS = 3.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Offer:
     """A server that accepts a call, its cost, the calls in flight there, and what it must read."""
 
--- a/libs/decisions/tarragonhall_decisions/_server_pace.py
+++ b/libs/decisions/tarragonhall_decisions/_server_pace.py
@@ -95,13 +95,15 @@
     `services` are those whose servers differ in speed; for others, nothing is learnt.
     """
 
-    __slots__ = ("_others", "_own_by_server", "_times_by_service", "services")
+    __slots__ = ("_others", "_own_by_server", "_pace_by_server", "_times_by_service", "services")
 
     def __init__(self) -> None:
         self.services: frozenset[str] = frozenset()
         self._times_by_service: dict[str, _ServiceTimes] = {}
         self._own_by_server: dict[str, _Samples] = {}
         self._others = LoadDetail()
+        # Results of `pace`, which a choice needs several times for each server.
+        self._pace_by_server: dict[str, float] = {}
 
     def set_services(self, services: Iterable[str]) -> None:
         """Replace the services whose servers differ in speed."""
@@ -111,20 +113,27 @@
         }
         if not self.services:
             self._own_by_server.clear()
+            self._pace_by_server.clear()
 
     def set_others(self, detail: LoadDetail) -> None:
         """Replace the sums of the other entries' samples."""
         self._others = detail
+        self._pace_by_server.clear()
 
     def forget(self, known: set[str]) -> None:
         """Forget the servers that are no longer known."""
         for server_id in self._own_by_server.keys() - known:
             del self._own_by_server[server_id]
+        self._pace_by_server.clear()
 
     def pace(self, server_id: str) -> float:
         """Return the pace of a server, 1.0 where nothing is known."""
-        count, ratios = self._sums(server_id)
-        return (PRIOR_SAMPLES + count) / (PRIOR_SAMPLES + ratios)
+        pace = self._pace_by_server.get(server_id)
+        if pace is None:
+            count, ratios = self._sums(server_id)
+            pace = (PRIOR_SAMPLES + count) / (PRIOR_SAMPLES + ratios)
+            self._pace_by_server[server_id] = pace
+        return pace
 
     def on_first_event(
         self,
@@ -169,6 +178,7 @@
             samples.fade(self._half_life_s(server_id), now)
             if samples.count < MIN_SAMPLES:
                 del self._own_by_server[server_id]
+        self._pace_by_server.clear()
         told = self._own_by_server.items()
         if len(told) > MAX_TOLD:
             told = sorted(told, key=lambda item: -item[1].count)[:MAX_TOLD]
@@ -209,6 +219,7 @@
         samples.fade(self._half_life_s(server_id), now)
         samples.count += 1.0
         samples.ratios += min(MAX_RATIO, max(MIN_RATIO, ratio))
+        self._pace_by_server.pop(server_id, None)
 
     def _sums(self, server_id: str) -> tuple[float, float]:
         count = self._others.pace_sum_by_server.get(server_id, 0.0)
--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -9,6 +9,8 @@
   two, the same fast servers would be crowded; with one, its expected time would not matter.
 - Entries have 0.29 to 0.95 of a core. With equal shares of the slots, the large ones refuse calls
   while slots that the small ones cannot use stay free.
+- Many entries talk to many servers, and opening a connection costs both sides. Servers to which one
+  is idle are drawn more often.
 - Callers of some programs send the whole history with each turn, through any entry. An entry that
   did not run the earlier turns looks for the history at the program's home, a server that all
   entries find by rendezvous hash, so that none must store or tell where it is.
@@ -21,6 +23,7 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Callable
 
 from tarragonhall_model import BackendRecord, LoadDetail
 
@@ -40,6 +43,9 @@
 RUN_WEIGHT = 0.05
 # Cost beyond the lowest from which a server is not drawn: it failed recently or is out of reach.
 MAX_EXCESS_MS = 200.0
+# Weight in the draw of a server to which a connection would have to be opened. An entry with few
+# calls thus uses a part of the servers, which grows with its load as its connections are busy.
+NEW_CHANNEL_WEIGHT = 0.4
 # Extra time for which a program starts at the server where other entries look for its history.
 HOME_MS = 15.0
 # Prompt tokens that an engine of the mean pace reads in a millisecond.
@@ -59,6 +65,7 @@
         "_zone",
         "_zone_cores",
         "cores",
+        "has_channel",
         "is_ready",
         "left_zone",
         "paces",
@@ -71,6 +78,8 @@
         self.paces = ServerPaces()
         # Processor share of this entry and of all others; 0 where it is not known.
         self.cores = 0.0
+        # Whether an open connection to a server is idle.
+        self.has_channel: Callable[[str], bool] = lambda _server_id: True
         # Whether this entry takes new connections; if not, it tells no capacity.
         self.is_ready = True
         # Calls that went to servers of other zones, by reason.
@@ -211,8 +220,9 @@
         return self._rng.choice(holders)
 
     def _weight(self, offer: Offer) -> float:
-        free = max(1, offer.record.slots - offer.running)
-        return free * math.sqrt(self.paces.pace(offer.record.server_id))
+        server_id = offer.record.server_id
+        weight = max(1, offer.record.slots - offer.running) * math.sqrt(self.paces.pace(server_id))
+        return weight if self.has_channel(server_id) else weight * NEW_CHANNEL_WEIGHT
 
 
 def run_weight(slack_ms: float | None) -> float:
--- a/libs/decisions/tests/uneven_servers_tests.py
+++ b/libs/decisions/tests/uneven_servers_tests.py
@@ -6,6 +6,7 @@
 
 import pytest
 from tarragonhall_decisions import BackendChooser, CallRequirements, ServerPaces
+from tarragonhall_decisions._server_pace import MAX_TOLD
 from tarragonhall_decisions._uneven_choice import UnevenChoice
 from tarragonhall_model import LoadDetail
 from uneven_load import BASE_MS, GAP_MS, UnevenLoad
@@ -181,3 +182,24 @@
     load = UnevenLoad((1.0,), entries=1)
     load.choosers[0].failed("i-0", 1.0)
     assert load.choosers[0].choose(CallRequirements("models"), 1.05).server_id == "i-0"
+
+
+def test_an_entry_with_few_calls_uses_open_connections():
+    # A few calls a second spread over all servers would open a connection for nearly each.
+    load = UnevenLoad((1.0,) * 8, entries=1)
+    chooser = load.choosers[0]
+    chooser.uneven.has_channel = {"i-1", "i-2"}.__contains__
+    chosen = [chooser.choose(CallRequirements("models"), 0.0).server_id for _ in range(400)]
+    assert sum(one in ("i-1", "i-2") for one in chosen) > 1.4 * 400 * 2 / 8
+    assert len(set(chosen)) == 8
+
+
+def test_what_an_entry_tells_is_bounded():
+    # With thousands of servers, news of all of them would cost more than the calls.
+    paces = ServerPaces()
+    paces.set_services({"models"})
+    for n in range(1_000):
+        paces.on_gap("models", f"i-{n}", 1, GAP_MS, 0.0)
+    detail = LoadDetail()
+    paces.report_load(detail, 0.1)
+    assert len(detail.pace_sum_by_server) == len(detail.pace_weight_by_server) == MAX_TOLD
--- a/libs/decisions/tests/uneven_zones_tests.py
+++ b/libs/decisions/tests/uneven_zones_tests.py
@@ -5,9 +5,9 @@
 import random
 
 import pytest
-from tarragonhall_decisions import BackendChooser, CallRequirements, PromptPart
+from tarragonhall_decisions import BackendChooser, CallRequirements, LoadDigest, PromptPart
 from tarragonhall_decisions._zone_exit import ZoneExit
-from tarragonhall_model import BackendRecord, LoadDetail
+from tarragonhall_model import BackendRecord, EntryRecord, LoadDetail, ZoneLoad
 
 SUBJECT = PromptPart("subject", 2_560)
 SERVERS = [
@@ -133,3 +133,34 @@
     chooser.on_entry_load("e-2", {home: 24}, 0.8)
     chosen = [chooser.choose(turn(1, "p-1"), 0.8).server_id for _ in range(20)]
     assert home not in chosen
+
+
+def test_a_frozen_collector_at_the_top_of_the_wave_does_not_hide_the_pace():
+    # Its zone's second collector goes on sending the sums; without them, entries of other zones
+    # would send their calls to servers that have just turned slow.
+    records = [EntryRecord(f"e-{n}", "life", f"e-{n}:1", f"zona-{'ab'[n % 2]}") for n in range(20)]
+    digest_by_id = {one.entry_id: LoadDigest(one) for one in records}
+    for digest in digest_by_id.values():
+        digest.on_view(records)
+    collectors = [one for one in records if digest_by_id[one.entry_id].is_collector()]
+    frozen = next(one for one in collectors if one.availability_zone == "zona-a")
+    slow = LoadDetail(pace_sum_by_server={"i-a0": 10.0}, pace_weight_by_server={"i-a0": 40.0})
+    chooser = make_chooser("zona-b")
+    for now in (0.0, 0.6, 1.2):
+        for one in records:
+            if one.availability_zone != "zona-a":
+                continue
+            for sent in digest_by_id[one.entry_id].announce({}, detail=slow):
+                digest_by_id[sent.address[:-2]].on_entry_load(sent.message, now)
+        for one in collectors:
+            if one is frozen or one.availability_zone != "zona-a":
+                continue
+            for sent in digest_by_id[one.entry_id].digests({}, now, detail=slow):
+                if isinstance(sent.message, ZoneLoad):
+                    digest_by_id[sent.address[:-2]].on_zone_load(sent.message, now)
+        for one in collectors:
+            if one.availability_zone == "zona-b":
+                chooser.on_load_elsewhere(digest_by_id[one.entry_id].elsewhere({}, now), now)
+                if chooser.uneven.paces.pace("i-a0") < 0.5:
+                    return
+    pytest.fail("the pace of the slow server did not arrive")
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -190,6 +190,11 @@
         connection.usable_until = time.monotonic() + min(keep_s, MAX_KEEP_ALIVE_S)
         idle.append(connection)
 
+    def has_idle(self, server_id: str) -> bool:
+        """Return whether a connection to a server is idle and may be reused."""
+        idle = self._idle_by_server.get(server_id)
+        return bool(idle) and time.monotonic() < idle[-1].usable_until
+
     def idle(self) -> int:
         """Return how many connections are idle."""
         return sum(len(idle) for idle in self._idle_by_server.values())
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -124,6 +124,7 @@
             cold_slack=settings.cold_slack,
             features=settings.features,
         )
+        chooser.uneven.has_channel = self.state.pool.has_idle
         self._room = RoomReporter(
             settings.features.capacity, chooser.uneven, self._open_connections, context.metrics
         )
