Keep programs in their zone unless their history is elsewhere

Cause: a random holder of a shared part in another zone took first calls out of their zone, without the hold of ZoneExit.

Change: only the server of the previous turn and holders of a history count in other zones.

--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -167,17 +167,16 @@
             reason = "gain" if chosen is not None else "no_room"
             if exit_.leaves(chosen.cost_ms if chosen else None, remote.cost_ms, now):
                 chosen = remote
-        holder = self._holder(offers, requirements)
-        if chosen is None or (holder is not None and holder.cost_ms <= chosen.cost_ms):
+        # Only a history, and no shared part, is a reason to leave the zone.
+        has_history = len(requirements.parts) > 2
+        holder = self._holder(offers, local if not has_history else offers, requirements)
+        if holder is not None and holder.cost_ms <= chosen.cost_ms:
             chosen, reason = holder, "history"
-        for home in offers:
-            if home.record.server_id != home_id:
-                continue
+        home = self._by_id(offers, home_id)
+        if home is not None:
             gain_ms = self._home_gain_ms(home, requirements, holder)
-            if chosen is None or home.cost_ms - gain_ms <= chosen.cost_ms:
+            if home.cost_ms - gain_ms <= chosen.cost_ms:
                 chosen, reason = home, "history"
-        if chosen is None:
-            return None
         if keeps_zone and chosen.record.availability_zone != self._zone:
             self.left_zone[reason] += 1
         return chosen.record
@@ -209,13 +208,24 @@
     def _draw_one(self, offers: list[Offer]) -> Offer:
         return self._rng.choices(offers, [self._weight(offer) for offer in offers])[0]
 
-    def _holder(self, offers: list[Offer], requirements: CallRequirements) -> Offer | None:
-        """Return one of the servers that must read no more than the last part of the prompt."""
+    @staticmethod
+    def _by_id(offers: list[Offer], server_id: str | None) -> Offer | None:
+        if not server_id:
+            return None
+        return next((offer for offer in offers if offer.record.server_id == server_id), None)
+
+    def _holder(
+        self, offers: list[Offer], near: list[Offer], requirements: CallRequirements
+    ) -> Offer | None:
+        """Return the previous turn's server, or one of `near` that need read only the new part."""
         if not requirements.parts:
             return None
         new_tokens = requirements.parts[-1].tokens
-        holders = [offer for offer in offers if offer.unread_tokens <= new_tokens]
-        if not holders or len(holders) == len(offers):
+        last = self._by_id(offers, requirements.last_server)
+        if last is not None:
+            return last
+        holders = [offer for offer in near if offer.unread_tokens <= new_tokens]
+        if not holders or len(holders) == len(near):
             return None
         return self._rng.choice(holders)
 
--- a/libs/decisions/tests/uneven_zones_tests.py
+++ b/libs/decisions/tests/uneven_zones_tests.py
@@ -164,3 +164,13 @@
                 if chooser.uneven.paces.pace("i-a0") < 0.5:
                     return
     pytest.fail("the pace of the slow server did not arrive")
+
+
+def test_a_shared_part_elsewhere_is_no_reason_to_leave_the_zone():
+    # Servers of another zone hold the subject; if first calls went there, so would their programs.
+    chooser = make_chooser()
+    for n in range(4):
+        chooser.answered(f"i-b{n}", CallRequirements("models", (SUBJECT,)))
+    needs = CallRequirements("models", (SUBJECT, PromptPart("own", 500)), size=5_000)
+    chosen = {chooser.choose(needs, 0.0).availability_zone for _ in range(40)}
+    assert chosen == {"zona-a"}
