--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -135,6 +135,8 @@
 
     def note_first_event(self) -> None:
         """Record that the first event of a stream has arrived."""
+        if self._slot is None:
+            return
         self.note_response()
         now = self._state.monotonic()
         self.times.on_first_event(self.held_ms(now), now)
