--- a/libs/decisions/tests/uneven_servers_tests.py
+++ b/libs/decisions/tests/uneven_servers_tests.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from tarragonhall_decisions import BackendChooser, CallRequirements, ServerPaces
+from tarragonhall_decisions import BackendChooser, CallRequirements, PromptPart, ServerPaces
 from tarragonhall_decisions._server_pace import MAX_TOLD
 from tarragonhall_decisions._uneven_choice import UnevenChoice
 from tarragonhall_model import LoadDetail
@@ -203,3 +203,17 @@
     detail = LoadDetail()
     paces.report_load(detail, 0.1)
     assert len(detail.pace_sum_by_server) == len(detail.pace_weight_by_server) == MAX_TOLD
+
+
+def test_programs_short_of_time_get_the_fast_engines():
+    # With the same choice for all, a program with seconds to spare takes a fast engine's slot.
+    load = UnevenLoad(SPEEDS)
+    load.run(0.5 * CAPACITY_PER_S, 8)
+    chooser = load.choosers[0]
+
+    def fast_share(slack_ms: float) -> float:
+        needs = CallRequirements("models", (PromptPart("new", 500),), slack_ms=slack_ms)
+        chosen = [chooser.choose(needs, 8.0).server_id for _ in range(600)]
+        return sum(load.engines[one].speed > 1 for one in chosen) / 600
+
+    assert fast_share(100.0) > 1.15 * fast_share(2_000.0)
