Find the history of a program by the part that grows with its turns

Change: the server with the least to read is compared; an entry that knows no holder expects most of the prompt at the home; slow servers are no homes.

--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -208,9 +208,8 @@
             offers.append(Offer(record, cost, running, unread))
         if self.uneven.covers(requirements.service):
             keeps_zone = self.known.local_ids(requirements.service) is not None
-            key = requirements.history_key
-            home = self.known.preferred_id(requirements.service, key) if key else None
-            return self.uneven.draw(offers, requirements, keeps_zone, home, now)
+            home_id = self.uneven.home_id(requirements, self.known)
+            return self.uneven.draw(offers, requirements, keeps_zone, home_id, now)
         return choose_cheapest(offers, self._rng)
 
     def running(self, server_id: str) -> int:
--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -29,6 +29,7 @@
 
 from tarragonhall_decisions._call_requirements import CallRequirements
 from tarragonhall_decisions._entry_room import cores_differ
+from tarragonhall_decisions._known_servers import KnownServers
 from tarragonhall_decisions._offers import Offer
 from tarragonhall_decisions._server_pace import ServerPaces
 from tarragonhall_decisions._zone_exit import ZoneExit
@@ -48,6 +49,11 @@
 NEW_CHANNEL_WEIGHT = 0.4
 # Extra time for which a program starts at the server where other entries look for its history.
 HOME_MS = 15.0
+# Share of its prompt that a turn is expected to find at its home if the entry knows no holder.
+HELD_AT_HOME = 0.7
+# Pace below which a server is no home, and the servers tried as homes of one program.
+MIN_HOME_PACE = 0.8
+HOME_ATTEMPTS = 3
 # Prompt tokens that an engine of the mean pace reads in a millisecond.
 TOKENS_PER_MS = 30.0
 # Pace below which a server gets fewer calls than it has slots, so that they do not all end late.
@@ -167,9 +173,7 @@
             reason = "gain" if chosen is not None else "no_room"
             if exit_.leaves(chosen.cost_ms if chosen else None, remote.cost_ms, now):
                 chosen = remote
-        # Only a history, and no shared part, is a reason to leave the zone.
-        has_history = len(requirements.parts) > 2
-        holder = self._holder(offers, local if not has_history else offers, requirements)
+        holder = self._holder(offers, local, requirements)
         if holder is not None and holder.cost_ms <= chosen.cost_ms:
             chosen, reason = holder, "history"
         home = self._by_id(offers, home_id)
@@ -181,16 +185,29 @@
             self.left_zone[reason] += 1
         return chosen.record
 
+    def home_id(self, requirements: CallRequirements, known: KnownServers) -> str | None:
+        """Return the server at which entries look for the history of a program, if any.
+
+        It is found by rendezvous hash, and again where that yields a slow server.
+        """
+        if not requirements.history_key:
+            return None
+        for attempt in range(HOME_ATTEMPTS):
+            key = f"{requirements.history_key}/{attempt}"
+            server_id = known.preferred_id(requirements.service, key)
+            if server_id is None or self.paces.pace(server_id) >= MIN_HOME_PACE:
+                return server_id
+        return server_id
+
     def _home_gain_ms(
         self, home: Offer, requirements: CallRequirements, holder: Offer | None
     ) -> float:
         """Return what a program gains at its home: other entries find its history there."""
-        history_tokens = 0
-        if holder is None and len(requirements.parts) > 2:
-            # The earlier turns ran at another entry, which most likely chose the home.
-            history_tokens = home.unread_tokens - requirements.parts[-1].tokens
-        read_ms = history_tokens / TOKENS_PER_MS / self.paces.pace(home.record.server_id)
-        return HOME_MS + read_ms
+        if holder is not None and holds_history(holder, requirements):
+            return HOME_MS
+        # Most likely earlier turns ran at other entries, which chose the home.
+        read_ms = home.unread_tokens / TOKENS_PER_MS / self.paces.pace(home.record.server_id)
+        return HOME_MS + HELD_AT_HOME * read_ms
 
     def _cheapest_of_few(self, offers: list[Offer]) -> Offer | None:
         """Return the cheaper of two servers drawn at random; None without offers."""
@@ -217,14 +234,19 @@
     def _holder(
         self, offers: list[Offer], near: list[Offer], requirements: CallRequirements
     ) -> Offer | None:
-        """Return the previous turn's server, or one of `near` that need read only the new part."""
-        if not requirements.parts:
-            return None
-        new_tokens = requirements.parts[-1].tokens
+        """Return the previous turn's server, or the one with the least to read.
+
+        A shared part alone counts only at servers of `near`.
+        """
         last = self._by_id(offers, requirements.last_server)
-        if last is not None:
+        if last is not None or not requirements.parts:
             return last
-        holders = [offer for offer in near if offer.unread_tokens <= new_tokens]
+        least = min(offers, key=lambda offer: offer.unread_tokens)
+        if not holds_history(least, requirements):
+            least = min(near, key=lambda offer: offer.unread_tokens, default=least)
+        holders = [offer for offer in near if offer.unread_tokens == least.unread_tokens]
+        if holds_history(least, requirements):
+            return least
         if not holders or len(holders) == len(near):
             return None
         return self._rng.choice(holders)
@@ -235,6 +257,12 @@
         return weight if self.has_channel(server_id) else weight * NEW_CHANNEL_WEIGHT
 
 
+def holds_history(offer: Offer, requirements: CallRequirements) -> bool:
+    """Return whether a server is believed to hold more of the prompt than its shared part."""
+    parts = requirements.parts
+    return len(parts) > 1 and offer.unread_tokens < sum(part.tokens for part in parts[1:])
+
+
 def run_weight(slack_ms: float | None) -> float:
     """Return the share of the run time that counts, by the time that a program has to spare."""
     if slack_ms is None:
--- a/libs/decisions/tests/uneven_zones_tests.py
+++ b/libs/decisions/tests/uneven_zones_tests.py
@@ -104,9 +104,9 @@
 
 
 def turn(number: int, program: str) -> CallRequirements:
-    """Return a turn whose caller sends the whole history."""
-    history = [PromptPart(f"{program}-{n}", 900) for n in range(number + 1)]
-    return CallRequirements("models", (SUBJECT, *history), history_key=program)
+    """Return a turn whose caller sends the whole history, as a part that grows with each turn."""
+    history = PromptPart(program, 900 * (number + 1))
+    return CallRequirements("models", (SUBJECT, history), history_key=program)
 
 
 def test_a_turn_at_another_entry_finds_the_engine_that_holds_its_history():
@@ -124,17 +124,27 @@
     assert found > 0.8 * 60 * 3
 
 
-def test_a_turn_leaves_its_home_if_that_is_slow():
-    # A home that hangs or crawls must not keep its programs.
+def test_a_slow_server_is_nobodys_home():
+    # A server that hangs or crawls must not keep its programs.
     chooser = make_chooser()
-    home = chooser.known.preferred_id("models", "p-1")
+    home = chooser.uneven.home_id(turn(1, "p-1"), chooser.known)
     for n in range(40):
         chooser.uneven.paces.on_gap("models", home, 1, 300.0, 0.02 * n)
-    chooser.on_entry_load("e-2", {home: 24}, 0.8)
+    other = chooser.uneven.home_id(turn(1, "p-1"), chooser.known)
+    assert other not in (None, home)
     chosen = [chooser.choose(turn(1, "p-1"), 0.8).server_id for _ in range(20)]
     assert home not in chosen
 
 
+def test_an_entry_that_knows_the_history_does_not_look_for_it_at_the_home():
+    chooser = make_chooser()
+    home = chooser.uneven.home_id(turn(0, "p-1"), chooser.known)
+    holder = next(one for one in SERVERS if one.server_id != home).server_id
+    chooser.answered(holder, turn(0, "p-1"))
+    chosen = {chooser.choose(turn(1, "p-1"), 0.0).server_id for _ in range(20)}
+    assert chosen == {holder}
+
+
 def test_a_frozen_collector_at_the_top_of_the_wave_does_not_hide_the_pace():
     # Its zone's second collector goes on sending the sums; without them, entries of other zones
     # would send their calls to servers that have just turned slow.
