Let the home of a program count less while no holder is known

Cause: with 0.7 of a prompt expected at the home, programs crowded a few engines and first turns gained nothing there.

Change: 0.3 of it is expected.

--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -50,7 +50,7 @@
 # Extra time for which a program starts at the server where other entries look for its history.
 HOME_MS = 15.0
 # Share of its prompt that a turn is expected to find at its home if the entry knows no holder.
-HELD_AT_HOME = 0.7
+HELD_AT_HOME = 0.3
 # Pace below which a server is no home, and the servers tried as homes of one program.
 MIN_HOME_PACE = 0.8
 HOME_ATTEMPTS = 3
