Merge the pace of servers, homes of programs and room of entries

The parts of uneven services report only while the relay document names one; before, a detail of the load was built in every deployment, and tests of other parts that hold that nothing is sent had failed.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -43,6 +43,7 @@
     "_features": (
         "EntryCapacity",
         "Features",
+        "WayCost",
     ),
     "_home_regions": (
         "home_zones",
@@ -134,12 +135,18 @@
         "Router",
         "subset",
     ),
+    "_server_pace": ("ServerPaces",),
+    "_uneven_choice": ("UnevenChoice",),
     "_unresponsive_servers": ("UnresponsiveServers",),
     "_engine_memory": (
         "EngineMemory",
         "MemoryChange",
     ),
     "_expected_output": ("ExpectedOutput",),
+    "_entry_room": (
+        "EntryRoom",
+        "cores_differ",
+    ),
     "_exhausted_programs": ("ExhaustedPrograms",),
     "_store_bootstrap": (
         "ToleratedLosses",
--- a/libs/decisions/tarragonhall_decisions/_prompt_holders.py
+++ b/libs/decisions/tarragonhall_decisions/_prompt_holders.py
@@ -53,6 +53,8 @@
         there are several.
         """
         parts = requirements.parts
+        if not parts:
+            return 0
         if server_id == requirements.last_server:
             # It ran the previous turn; only the new part is missing.
             return parts[-1].tokens
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -11,7 +11,7 @@
 import h11
 from eventlet.green import socket
 from tarragonhall_model import BackendRecord
-from tarragonhall_wire import Traffic, wait_and_receive
+from tarragonhall_wire import Metrics, Traffic, wait_and_receive
 
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BackendError
@@ -222,10 +222,11 @@
 class BackendPool:
     """The idle connections of one entry; the one used last is reused first."""
 
-    __slots__ = ("_idle_by_server", "_traffic")
+    __slots__ = ("_idle_by_server", "_metrics", "_traffic")
 
-    def __init__(self, traffic: Traffic) -> None:
+    def __init__(self, traffic: Traffic, metrics: Metrics) -> None:
         self._traffic = traffic
+        self._metrics = metrics
         self._idle_by_server: dict[str, list[BackendConnection]] = {}
 
     def acquire(self, record: BackendRecord) -> BackendConnection:
@@ -271,6 +272,15 @@
             idle.append(connection)
         return Reachability.ACCEPTED
 
+    def has_idle(self, server_id: str) -> bool:
+        """Return whether a connection to a server is idle and may be reused."""
+        idle = self._idle_by_server.get(server_id)
+        return bool(idle) and time.monotonic() < idle[-1].usable_until
+
+    def idle(self) -> int:
+        """Return how many connections are idle."""
+        return sum(len(idle) for idle in self._idle_by_server.values())
+
     def close_expired(self) -> None:
         """Close the connections whose idle time is over."""
         now = time.monotonic()
@@ -303,6 +313,7 @@
         except BaseException:
             connection.close()
             raise
+        self._metrics.count("relay.channels_opened")
         return BackendConnection(connection, record, self._traffic)
 
 
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -243,7 +243,7 @@
             watch = self._resumption.watch_events(server)
         ended = False
         try:
-            self._stream.forward(stream, watch, self._turn.is_open, self._slot.note_response)
+            self._stream.forward(stream, watch, self._turn.is_open, self._slot.note_first_event)
             ended = True
         except (BackendError, EventError) as error:
             return broken_stream(error)
@@ -258,7 +258,7 @@
         """End the response once the turn is stored; the server is free while the client reads."""
         self._report.step("whole_ms")
         if self._stream.runs == 1:
-            self._records.stream_ended(server, self._generated_tokens())
+            self._records.stream_ended(server, self._report.events, self._generated_tokens())
         self._slot.note_answered()
         self._slot.release()
         self._state.pool.release(stream.connection, stream.facts.keep_alive_s)
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -10,6 +10,7 @@
 
 from tarragonhall_relay._admission import STATUS_UNAVAILABLE, AdmittedCall, Rejection, rejection_for
 from tarragonhall_relay._call_memory import memory_tokens, reject_too_large
+from tarragonhall_relay._server_times import ServerTimes
 from tarragonhall_relay._slots import Slot
 from tarragonhall_relay._state import RelayState
 from tarragonhall_relay._urgent_call import UrgentCall
@@ -63,6 +64,7 @@
         "_urgent",
         "may_have_run_on",
         "service",
+        "times",
     )
 
     def __init__(self, state: RelayState, call: AdmittedCall, arrived_at: float) -> None:
@@ -85,6 +87,7 @@
             self._slack_s = self._urgent.slack_s()
             self._tier = self._urgent.tier(self._slack_s)
             self._queued.slack_s = self._slack_s or 0.0
+        self.times = ServerTimes(state.chooser)
 
     def reject_early(self) -> Rejection | None:
         """Return the rejection of a call that must not start now, if there is one."""
@@ -111,12 +114,14 @@
             return self._no_server()
         if self._urgent is not None:
             self._urgent.on_wait()
-        result = self._wait_for_slot(self._requirements(last_server, prompt_size))
+        requirements = self._requirements(last_server, prompt_size)
+        result = self._wait_for_slot(requirements)
         if isinstance(result, Refusal):
             return self._no_slot(result)
         if self._urgent is not None:
             self._urgent.on_slot()
         self._slot = result
+        self.times.on_granted(result.server, requirements)
         return result.server
 
     def _wait_for_slot(self, requirements: CallRequirements) -> Slot | Refusal:
@@ -156,6 +161,14 @@
         if self._urgent is not None:
             self._urgent.on_answered()
 
+    def note_first_event(self) -> None:
+        """Record that the first event of a stream has arrived."""
+        if self._slot is None:
+            return
+        self.note_response()
+        now = self._state.monotonic()
+        self.times.on_first_event(self.held_ms(now), now)
+
     def release(self) -> None:
         """Release the slot, if one is held."""
         if self._urgent is not None:
@@ -209,6 +222,7 @@
             self._call.home_zones,
             self._slack_s * 1000 if self._slack_s is not None else None,
             memory_tokens=memory_tokens(self._state, self._call, self.service),
+            history_key="" if route.retained else facts.program_id,
         )
 
     def _make_queued_call(self) -> QueuedCall:
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -108,6 +108,9 @@
         self._set_rates(config)
         self._set_cold_limits(config)
         self._set_memory_limits(config)
+        self._state.chooser.uneven.paces.set_services(
+            service.name for service in config.services if service.uneven
+        )
         self._state.table = RouteTable(config)
         log.info("relay.in_force", version=config.version, routes=len(config.routes))
         return True
@@ -218,10 +221,13 @@
 
     def _own_detail(self, now: float) -> LoadDetail | None:
         """Return what the parts that are switched on tell the other entries, None for nothing."""
-        if not self._state.load_reporters:
+        reporters = self._state.load_reporters
+        if self._state.chooser.uneven.paces.services:
+            reporters = reporters + self._state.uneven_reporters
+        if not reporters:
             return None
         detail = LoadDetail()
-        for reporter in self._state.load_reporters:
+        for reporter in reporters:
             reporter.report_load(detail, now)
         return None if is_empty(detail) else detail
 
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -45,7 +45,8 @@
 
     `table` is None until the first relay document has arrived. `is_fresh` returns whether control
     has confirmed recently that it is the latest. `store_zones` returns the availability zones of
-    the stores. `load_reporters` are the parts that are switched on and add to the load messages.
+    the stores. `load_reporters` are the parts that are switched on and add to the load messages,
+    `uneven_reporters` those that do so while the relay document names uneven services.
     `urgent_first` is None unless it is switched on.
     """
 
@@ -73,6 +74,7 @@
     expected_output: ExpectedOutput = field(default_factory=ExpectedOutput)
     features: Features = Features()
     load_reporters: list[LoadReporter] = field(default_factory=list)
+    uneven_reporters: list[LoadReporter] = field(default_factory=list)
     urgent_first: UrgentFirst | None = None
     table: RouteTable | None = None
     draining: bool = False
