--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -29,6 +29,7 @@
   pauses in streams counted as well, engines lost calls by chance.
 - Long histories fill an engine's memory before its slots, so a call goes only to engines where it
   fits until its end (`EngineMemory`).
+- Servers of a service may differ in speed: `UnevenChoice`.
 - Availability zones: traffic between zones is paid for, so servers in the entry's zone win near
   ties. A zone with enough servers to lose one keeps its calls, unless the wait there costs more
   than sending the bytes of the rest of the program to another zone. The servers of such a zone read
@@ -47,12 +48,15 @@
 from tarragonhall_decisions._call_requirements import CallRequirements
 from tarragonhall_decisions._cold_servers import ColdServers
 from tarragonhall_decisions._engine_memory import EngineMemory
+from tarragonhall_decisions._features import WayCost
 from tarragonhall_decisions._known_servers import KnownServers
+from tarragonhall_decisions._offers import Offer, choose_cheapest
 from tarragonhall_decisions._other_loads import NO_SIGNS, OtherLoad, OtherLoads
 from tarragonhall_decisions._preferred_servers import PreferredServers
 from tarragonhall_decisions._prompt_holders import PromptHolders
 from tarragonhall_decisions._server_load import ServerLoad
 from tarragonhall_decisions._service_run_times import ServiceRunTimes
+from tarragonhall_decisions._uneven_choice import UnevenChoice
 from tarragonhall_decisions._unresponsive_servers import UnresponsiveServers
 
 # Prompt tokens that an engine reads in a millisecond: the slowest rate that engines publish, so
@@ -62,26 +66,14 @@
 # between their steps, and each step takes longer. A share of the run time per slot would be too
 # much with 12 slots and too little with 96.
 RUNNING_MS = 4.0
-# Cost of a call to another availability zone: the round trip and the price of the bytes, together
-# about as much as reading 500 prompt tokens again.
-ZONE_MS = 15.0
-# Added for each 1,000 bytes that a call sends out of such a zone, up to `MAX_ZONE_MS`.
-ZONE_MS_PER_KB = 3.0
-MAX_ZONE_MS = 150.0
 # Added for a server that no control member can reach, or that failed recently.
 UNREACHABLE_MS = 400.0
 # Added for a server that has just started and is slow, where it has no limit in `ColdServers`.
 WARMUP_MS = 200.0
-# Servers whose costs differ by no more are chosen among at random; less than `RUNNING_MS`, so that
-# one running call still counts.
-TIE_MS = 3.0
 # Ratio of calls to slots up to which all entries together send a server calls. At 1, entries that
 # know each other's load late leave slots idle and refuse calls; at 1.6, too many calls are late in
 # the servers' queues.
 OVERCOMMIT = 1.25
-# Servers of a service up to which a choice compares all. Beyond, it compares those that hold a part
-# of the prompt and a sample, up to this many in all, three quarters from the entry's zone.
-MAX_CANDIDATES = 64
 
 
 class BackendChooser:
@@ -99,7 +91,9 @@
         "known",
         "memory",
         "preferred",
+        "uneven",
         "unresponsive",
+        "way",
     )
 
     def __init__(
@@ -109,6 +103,8 @@
         self._rng = rng
         self.cold = cold or ColdServers("")
         self.known = KnownServers(availability_zone)
+        self.way = WayCost()
+        self.uneven = UnevenChoice(availability_zone, rng)
         self._others = OtherLoads()
         self.memory = EngineMemory(self._others)
         self._holders = PromptHolders()
@@ -133,6 +129,7 @@
         for run_times in self._run_times_by_service.values():
             run_times.forget(known_ids)
         self.memory.set_servers(records)
+        self.uneven.paces.forget(known_ids)
         self.known.set_servers(records)
 
     def set_evacuated(self, zones: list[str], now: float) -> None:
@@ -176,7 +173,7 @@
     ) -> None:
         """Store the load of another entry."""
         self._others.store(entry_id, OtherLoad(running_by_server, signs, now, detail=detail))
-        self._update_unresponsive()
+        self._apply_others()
 
     def on_load_elsewhere(self, message: LoadElsewhere, now: float) -> None:
         """Store the summed load of all other entries; an earlier sum is void."""
@@ -185,12 +182,12 @@
                 message.running_by_server, message.signs, now, message.entries, message.detail
             )
         )
-        self._update_unresponsive()
+        self._apply_others()
 
     def others(self, now: float) -> OtherLoads:
         """Return the loads of the other entries that are still valid."""
         if self._others.drop_expired(now):
-            self._update_unresponsive()
+            self._apply_others()
         return self._others
 
     def own_load(self) -> dict[str, int]:
@@ -204,35 +201,48 @@
     def choose(self, requirements: CallRequirements, now: float) -> BackendRecord | None:
         """Return the server with the lowest cost; None where no server accepts the call."""
         self.others(now)
-        best: list[BackendRecord] = []
-        lowest = float("inf")
+        offers: list[Offer] = []
         entries = 1 + self._others.entries()
         preferred = self.preferred.of(requirements, entries)
-        # An entry below an equal share of the slots may send though the others fill them.
-        own = self._running_by_service[requirements.service]
-        is_below_share = not requirements.yields and own * entries < self.known.slots(
-            requirements.service
-        )
+        # An entry below its share of the slots may send though the others fill them.
+        is_below_share = not requirements.yields and self._is_below_share(requirements.service)
         unresponsive_ms = self.unresponsive.costs(now)
-        candidates = self._candidates(requirements, preferred)
-        room = self.memory.room_for(requirements)
-        for record in candidates:
+        for record in self._candidates(requirements, preferred):
+            running = self.running(record.server_id)
             if not requirements.allows(record) or not self._accepts_call(
-                record, is_below_share, now
+                record, running, is_below_share, now
             ):
                 continue
-            cost = self._cost_ms(record, requirements, preferred, now) + unresponsive_ms.get(
-                record.server_id, 0.0
-            )
-            if cost > lowest + TIE_MS or (room is not None and not room.fits(record)):
-                continue
-            if cost < lowest - TIE_MS:
-                best = []
-            best.append(record)
-            lowest = min(lowest, cost)
-        if not best and room is not None:
+            unread = self._holders.missing_tokens(record.server_id, requirements, preferred)
+            cost = self._cost_ms(record, requirements, preferred, running, unread, now)
+            cost += unresponsive_ms.get(record.server_id, 0.0)
+            offers.append(Offer(record, cost, running, unread))
+        return self._choose_offer(offers, requirements, entries, now)
+
+    def _choose_offer(
+        self, offers: list[Offer], requirements: CallRequirements, entries: int, now: float
+    ) -> BackendRecord | None:
+        room = self.memory.room_for(requirements)
+        if self.uneven.covers(requirements.service):
+            if room is not None:
+                offers = [offer for offer in offers if room.fits(offer.record)]
+            keeps_zone = self.known.local_ids(requirements.service) is not None
+            home_id = self.uneven.home_id(requirements, self.known)
+            chosen = self.uneven.draw(offers, requirements, keeps_zone, home_id, now)
+        else:
+            chosen = choose_cheapest(offers, self._rng, room)
+        if chosen is None and room is not None:
             return room.exceeded(entries)
-        return self._rng.choice(best) if best else None
+        return chosen
+
+    def running(self, server_id: str) -> int:
+        """Return how many calls all entries are believed to have in flight at a server."""
+        return self.load(server_id).running + self._others.running(server_id)
+
+    def unread_tokens(self, server_id: str, requirements: CallRequirements) -> int:
+        """Return the prompt tokens of a call that a server is expected to have to read."""
+        preferred = self.preferred.of(requirements, 1 + self._others.entries())
+        return self._holders.missing_tokens(server_id, requirements, preferred)
 
     def started(self, server_id: str, now: float) -> None:
         """Record that a call was sent to a server."""
@@ -267,30 +277,47 @@
         self.load(server_id).on_failed(now)
         self.cold.assume_cold(server_id, now)
 
-    def _accepts_call(self, record: BackendRecord, is_below_share: bool, now: float) -> bool:
+    def _accepts_call(
+        self, record: BackendRecord, running: int, is_below_share: bool, now: float
+    ) -> bool:
         """Return whether a server is expected to start one more call of this entry soon."""
         load = self.load(record.server_id)
         if not load.window.has_room(load.running, now) or not self.cold.has_room(record, now):
             return False
-        running = load.running + self._others.running(record.server_id)
-        return is_below_share or running < OVERCOMMIT * max(1, record.slots)
+        if is_below_share:
+            return True
+        if self.uneven.covers(record.service):
+            return running < self.uneven.room(record, OVERCOMMIT)
+        return running < OVERCOMMIT * max(1, record.slots)
+
+    def _is_below_share(self, service: str) -> bool:
+        """Return whether this entry uses less than its share of a service's slots."""
+        own = self._running_by_service[service]
+        if self.uneven.covers(service):
+            return own < self.uneven.entry_share() * self.known.slots(service)
+        return own * (1 + self._others.entries()) < self.known.slots(service)
 
     def _cost_ms(
         self,
         record: BackendRecord,
         requirements: CallRequirements,
         preferred: tuple[str, ...],
+        running: int,
+        unread_tokens: int,
         now: float,
     ) -> float:
         load = self.load(record.server_id)
         run_times = self.run_times(requirements.service)
         cost = 0.0 if record.availability_zone == self._zone else self._cross_zone_ms(requirements)
-        running = load.running + self._others.running(record.server_id)
-        cost += self._slot_wait_ms(running, record.slots, run_times.run_ms)
-        if requirements.parts:
-            missing = self._holders.missing_tokens(record.server_id, requirements, preferred)
-            cost += missing / PREFILL_TOKENS_PER_MS
-        else:
+        cost += RUNNING_MS * running
+        serve_ms = self._slot_wait_ms(running, record.slots, run_times.run_ms)
+        serve_ms += unread_tokens / PREFILL_TOKENS_PER_MS
+        if self.uneven.covers(requirements.service):
+            serve_ms = self.uneven.scaled_ms(
+                record.server_id, requirements, serve_ms, run_times.run_ms
+            )
+        cost += serve_ms
+        if not requirements.parts:
             slowness = run_times.slowness(record.server_id, load.oldest_call_s(now), now)
             cost += run_times.run_ms * (slowness - 1.0)
             if requirements.object_key and record.server_id not in preferred:
@@ -306,37 +333,27 @@
     def _cross_zone_ms(self, requirements: CallRequirements) -> float:
         """Return the cost of sending a call to another zone."""
         if self.known.local_ids(requirements.service) is None:
-            return ZONE_MS
-        return min(MAX_ZONE_MS, ZONE_MS + ZONE_MS_PER_KB * requirements.size / 1000)
+            return self.way.base_ms
+        return self.way.of_call_ms(requirements.size)
 
     @staticmethod
     def _slot_wait_ms(running: int, slots: int, run_ms: float) -> float:
-        """Return the wait for a slot plus the delay by the calls that run."""
+        """Return the wait for a slot."""
         slots = max(1, slots)
         waiting = max(0, running - slots + 1)
-        return RUNNING_MS * running + run_ms * waiting / slots
+        return run_ms * waiting / slots
 
-    def _update_unresponsive(self) -> None:
+    def _apply_others(self) -> None:
         signs = self._others.signs()
+        if self.uneven.paces.services:
+            self.uneven.set_others(self._others.detail(), self._others.entries())
         self.unresponsive.set_other_counts(signs.silent_by_server, signs.answered_by_server)
 
     def _candidates(
         self, requirements: CallRequirements, preferred: tuple[str, ...]
     ) -> list[BackendRecord]:
         """Return the servers to compare: all, or a selection where there are many."""
-        servers = self.servers(requirements.service)
-        if len(servers) <= MAX_CANDIDATES:
-            return servers
         ids = {requirements.last_server, *preferred}
         for part in requirements.parts:
             ids.update(self._holders.of(part))
-        local_ids = self.known.local_ids(requirements.service) or ()
-        ids.update(self._rng.sample(local_ids, min(len(local_ids), MAX_CANDIDATES * 3 // 4)))
-        found = {server_id: self.known.by_id.get(server_id) for server_id in ids}
-        for record in self._rng.sample(servers, MAX_CANDIDATES):
-            if len(found) >= MAX_CANDIDATES:
-                break
-            found[record.server_id] = record
-        return [
-            one for one in found.values() if one is not None and one.service == requirements.service
-        ]
+        return self.known.sample(requirements.service, ids, self._rng)
--- a/libs/decisions/tarragonhall_decisions/_call_requirements.py
+++ b/libs/decisions/tarragonhall_decisions/_call_requirements.py
@@ -25,6 +25,7 @@
     expected successors carry to the server. `slack_ms` is the time that its program has to spare,
     None where that is not known. `memory_tokens` is the engine memory that it holds until its end.
     A call that `yields` leaves this entry's share of the slots to more urgent calls of others.
+    `history_key` is the same for all turns of a program whose caller sends the whole history.
     """
 
     service: str
@@ -37,6 +38,7 @@
     slack_ms: float | None = None
     memory_tokens: int = 0
     yields: bool = False
+    history_key: str = ""
 
     @property
     def shared_key(self) -> str:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -34,6 +34,8 @@
     IncompleteResponseError,
 )
 from tarragonhall_relay._followers import BackendFollower, PeerUpdates, RelayFollower
+from tarragonhall_relay._room import RoomReporter
+from tarragonhall_relay._server_times import PaceReporter
 from tarragonhall_relay._silence import ServerChecks
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._sockets import set_options
@@ -87,6 +89,7 @@
         "_follower",
         "_listener",
         "_peer_updates",
+        "_room",
         "_settings",
         "_stopped",
         "state",
@@ -106,7 +109,9 @@
         self._follower = RelayFollower(context)
         cold = ColdServers(context.instance)
         chooser = BackendChooser(context.availability_zone, context.rng, cold)
-        pool = BackendPool(context.hub.traffic)
+        pool = BackendPool(context.hub.traffic, context.metrics)
+        chooser.way = settings.features.way
+        chooser.uneven.cores = settings.features.capacity.cores
         self.state = RelayState(
             dialect=dialect,
             chooser=chooser,
@@ -133,6 +138,14 @@
             self.state.urgent_first = UrgentFirst(self.state)
             self.state.slots.yields = self.state.urgent_first.yields
             self.state.load_reporters.append(self.state.urgent_first)
+        chooser.uneven.has_channel = self.state.pool.has_idle
+        self._room = RoomReporter(
+            settings.features.capacity, chooser.uneven, self._open_connections, context.metrics
+        )
+        self.state.uneven_reporters += (
+            self._room,
+            PaceReporter(chooser.uneven, context.metrics),
+        )
         self._follower.attach(self.state)
         if settings.features.engine_memory:
             chooser.preferred.spread_hot_keys()
@@ -162,9 +175,14 @@
         log.info("relay.started", listen=self._settings.listen)
 
     def ready(self) -> bool:
-        """Return whether a relay document and servers are known and no drain has begun."""
+        """Return whether a relay document and servers are known and no drain has begun.
+
+        An entry whose room is nearly used up is not ready for a short time either.
+        """
         if self.state.draining or self.state.table is None:
             return False
+        if self._room.room.is_paused and self.state.chooser.uneven.paces.services:
+            return False
         services = self.state.table.service_by_name
         return any(self.state.chooser.servers(name) for name in services)
 
@@ -219,6 +237,10 @@
         for client in list(self._clients):
             client.abort()
 
+    def _open_connections(self) -> int:
+        """Return about how many descriptors the connections of clients and servers use."""
+        return len(self._clients) + self.state.calls_in_flight + self.state.pool.idle()
+
     def _is_fresh(self) -> bool:
         return self._follower.is_fresh(self._context.monotonic())
 
--- a/libs/relay/tarragonhall_relay/_server_records.py
+++ b/libs/relay/tarragonhall_relay/_server_records.py
@@ -32,11 +32,14 @@
         self._state.chooser.run_times(server.service).call_ended(
             server.server_id, self._call.route.name, run_ms, now
         )
+        self._slot.times.on_answer(self._call.route.name, run_ms, now)
 
-    def stream_ended(self, server: BackendRecord, generated_tokens: int) -> None:
+    def stream_ended(self, server: BackendRecord, events: int, generated_tokens: int) -> None:
         """Record how long a stream held its slot, and what it generated."""
-        run_ms = self._slot.held_ms(self._state.monotonic())
+        now = self._state.monotonic()
+        run_ms = self._slot.held_ms(now)
         self._state.chooser.run_times(server.service).stream_ended(run_ms)
+        self._slot.times.on_stream_end(run_ms, events, now)
         if self._state.chooser.memory.has_limit(server.service):
             self._state.expected_output.record(self._call.route.name, generated_tokens)
 
