--- a/libs/decisions/tarragonhall_decisions/_resumption.py
+++ b/libs/decisions/tarragonhall_decisions/_resumption.py
@@ -32,7 +32,7 @@
 MOVE_FACTOR = 4.0
 # Multiple of the usual time to the first event that a silence must exceed for such a move.
 RESTART_FACTOR = 2.0
-# Broken runs from which on a server is not asked again before it has responded to a check.
+# Broken runs from which on a server is not asked again before its health is checked.
 MIN_RUNS_TO_CHECK = 2
 
 
@@ -49,8 +49,8 @@
     """What to do with a stream that broke off.
 
     `SAME_SERVER` asks the last server for the rest; if it cannot be reached, it is gone.
-    `CHECK_SERVER` asks whether that server responds to anything: if so, the stream ends, else the
-    server is gone.
+    `CHECK_SERVER` asks whether that server is healthy: if so, the stream ends, else the server is
+    gone.
     """
 
     MOVE = "move"
--- a/libs/relay/tarragonhall_relay/_call_resumption.py
+++ b/libs/relay/tarragonhall_relay/_call_resumption.py
@@ -80,7 +80,7 @@
         step = after_break(self._broken_stream(failure.server_gone))
         if step is not NextStep.CHECK_SERVER:
             return step
-        if self._responds(server):
+        if self._is_healthy(server):
             return NextStep.END
         self._gone.add(server.server_id)
         return after_break(self._broken_stream(server_gone=True))
@@ -97,12 +97,12 @@
             left_s=self._call.deadline.at - now,
         )
 
-    def _responds(self, server: BackendRecord) -> bool:
-        """Return whether a server responds to its health check, or to nothing."""
+    def _is_healthy(self, server: BackendRecord) -> bool:
+        """Return whether a server passes its health check, or has none."""
         service = self._state.table.service_by_name.get(server.service)
         if service is None or not service.health_path:
             return True
-        return self._state.server_checks.responds(server, service.health_path)
+        return self._state.server_checks.is_healthy(server, service.health_path)
 
     def is_in_service(self, server: BackendRecord) -> bool:
         """Return whether a server may get calls; one that leaves takes none before it ends."""
--- a/libs/relay/tarragonhall_relay/_silence.py
+++ b/libs/relay/tarragonhall_relay/_silence.py
@@ -56,14 +56,14 @@
             self._reached_at_by_id[record.server_id] = now
         return result
 
-    def responds(self, record: BackendRecord, path: str) -> bool:
-        """Return whether a server responds to a health check; True if it is only slow."""
+    def is_healthy(self, record: BackendRecord, path: str) -> bool:
+        """Return whether a server passes its health check; True if it is only slow."""
         connection = None
         try:
             connection = self._pool.open(record)
             connection.send("GET", path.encode(), [(b"host", record.address.encode())], b"")
             with eventlet.Timeout(RESPONSE_TIMEOUT_S, False):
-                connection.read_head()
+                return 200 <= connection.read_head().status_code < 300
         except BackendError:
             return False
         finally:
--- a/libs/relay/tests/resumption_tests.py
+++ b/libs/relay/tests/resumption_tests.py
@@ -113,13 +113,18 @@
     return received.head.startswith(b"GET /health ")
 
 
-def test_server_that_closes_every_connection_is_left(relay):
-    # The program of a server is down, and its machine accepts connections and closes them.
+@pytest.mark.parametrize("is_health_answered", [False, True])
+def test_server_that_breaks_off_every_call_and_is_not_healthy_is_left(relay, is_health_answered):
+    # The program of a server is down: its machine accepts connections and closes them, or says that
+    # it fails.
     down = []
 
     def script(backend, received):
         if not down:
             down.append(backend.server_id)
+        if is_health_answered and is_health_check(received):
+            received.connection.sendall(answer(received, status="503 Service Unavailable"))
+            return None
         if backend.server_id in down:
             return "close"
         return sends_rest(backend, received)
@@ -131,7 +136,7 @@
     assert len(requests) == 4
 
 
-def test_server_that_breaks_off_twice_and_responds_to_checks_ends_the_stream(relay):
+def test_server_that_breaks_off_twice_and_is_healthy_ends_the_stream(relay):
     # A server resets some of its streams and lives on. The route allows no second server, and the
     # caller must be able to send its call again: servers that live were not crashed by it.
     def script(_backend, received):
