Give servers' news and load messages modules of their own, and the platform's benchmark its folder

Change: the follower of backend servers and the messages of load lie in modules of their own; the benchmark of roles lies in the platform's folder. Nothing else changes.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 	$(BIN)/python benchmarks/state_bench.py
 
 bench-roles: setup
-	$(BIN)/python -W ignore benchmarks/roles_bench.py
+	$(BIN)/python -W ignore platform/roles_bench.py
 
 bench-path: setup
 	$(BIN)/python -W ignore benchmarks/path_bench.py
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -119,6 +119,15 @@
 )
 from tarragonhall_model._json import parse_json
 from tarragonhall_model._lazy import lazy_exports
+from tarragonhall_model._load_messages import (
+    EntryLoad,
+    LoadDetail,
+    LoadElsewhere,
+    ProgramSpent,
+    ServerSigns,
+    SuspectCall,
+    ZoneLoad,
+)
 from tarragonhall_model._options import (
     MAX_PORT,
     REQUIRED,
@@ -162,12 +171,8 @@
     ClientLimits,
     ConfirmRetired,
     EngineProfile,
-    EntryLoad,
     FollowBackends,
     FoundStores,
-    LoadDetail,
-    LoadElsewhere,
-    ProgramSpent,
     PublishRelay,
     QueryRelay,
     QueryRetired,
@@ -178,12 +183,9 @@
     RelayPublished,
     RetireStore,
     Route,
-    ServerSigns,
     Service,
     StoreRetiring,
-    SuspectCall,
     WeightedService,
-    ZoneLoad,
     pack_records,
     unpack_records,
 )
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -23,6 +23,7 @@
 from tarragonhall_wire import ControlClient, ProcessContext, split_address
 
 from tarragonhall_relay._backend import BackendPool
+from tarragonhall_relay._backend_follower import BackendFollower
 from tarragonhall_relay._call import RelayedCall
 from tarragonhall_relay._call_memory import EngineMemoryReport
 from tarragonhall_relay._client import ClientConnection, error_body
@@ -33,7 +34,7 @@
     ClientDisconnectedError,
     IncompleteResponseError,
 )
-from tarragonhall_relay._followers import BackendFollower, PeerUpdates, RelayFollower
+from tarragonhall_relay._followers import PeerUpdates, RelayFollower
 from tarragonhall_relay._room import RoomReporter
 from tarragonhall_relay._server_times import PaceReporter
 from tarragonhall_relay._silence import ServerChecks
