--- a/libs/decisions/tarragonhall_decisions/_backend_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_backend_choice.py
@@ -53,15 +53,12 @@
 from tarragonhall_decisions._offers import Offer, choose_cheapest
 from tarragonhall_decisions._other_loads import NO_SIGNS, OtherLoad, OtherLoads
 from tarragonhall_decisions._preferred_servers import PreferredServers
-from tarragonhall_decisions._prompt_holders import PromptHolders
+from tarragonhall_decisions._prompt_holders import PREFILL_TOKENS_PER_MS, PromptHolders
 from tarragonhall_decisions._server_load import ServerLoad
 from tarragonhall_decisions._service_run_times import ServiceRunTimes
 from tarragonhall_decisions._uneven_choice import UnevenChoice
 from tarragonhall_decisions._unresponsive_servers import UnresponsiveServers
 
-# Prompt tokens that an engine reads in a millisecond: the slowest rate that engines publish, so
-# that a long prompt is not read twice for a small gain.
-PREFILL_TOKENS_PER_MS = 30.0
 # Delay that each running call adds to the others on an engine of 12 to 96 slots: its prompt is read
 # between their steps, and each step takes longer. A share of the run time per slot would be too
 # much with 12 slots and too little with 96.
--- a/libs/decisions/tarragonhall_decisions/_entry_room.py
+++ b/libs/decisions/tarragonhall_decisions/_entry_room.py
@@ -1,7 +1,7 @@
 """Decides when an entry says that it is not ready since it has little room left.
 
-Load pattern: entries have 0.29 to 0.95 of a core, and the balancer gives each the same number of
-connections. A small entry is choked in a crowd, and every call there is late, while large entries
+Load pattern: entries have different shares of a core, and the balancer gives each the same number
+of connections. A small entry is choked in a crowd, and every call there is late, while large ones
 have room. If it says in time that it is not ready, new connections go to the others.
 
 An entry does so seldom: the balancer counts it as lost meanwhile. It never does so while much of
--- a/libs/decisions/tarragonhall_decisions/_prompt_holders.py
+++ b/libs/decisions/tarragonhall_decisions/_prompt_holders.py
@@ -6,6 +6,9 @@
 
 from tarragonhall_decisions._call_requirements import CallRequirements, PromptPart
 
+# Prompt tokens that an engine reads in a millisecond: the slowest rate that engines publish, so
+# that a long prompt is not read twice for a small gain.
+PREFILL_TOKENS_PER_MS = 30.0
 # Prompt parts whose holders are remembered; the least recently used is dropped first.
 MAX_REMEMBERED_PARTS = 20_000
 MAX_HOLDERS_PER_PART = 4
--- a/libs/decisions/tarragonhall_decisions/_server_pace.py
+++ b/libs/decisions/tarragonhall_decisions/_server_pace.py
@@ -1,8 +1,8 @@
 """Learns the pace of each server of services whose servers differ in speed.
 
 Load patterns:
-- Engines run at 0.6, 1 and 1.6 of the usual speed. With equal shares the slow ones build queues
-  while the fast ones idle.
+- Engines differ in speed, some nearly threefold. With equal shares the slow ones build queues while
+  the fast ones idle.
 - A server turns five times slower and recovers later. It must lose its calls within a second and
   get them back.
 - A server is 2.5 times slower for a moment. If all entries avoided it, the others would be crowded
@@ -26,6 +26,7 @@
 from tarragonhall_model import LoadDetail
 
 from tarragonhall_decisions._linear_time import LinearTime
+from tarragonhall_decisions._prompt_holders import PREFILL_TOKENS_PER_MS
 
 # Half-lives in seconds of samples of servers with at least `MANY_SAMPLES` over all entries, and of
 # those with fewer.
@@ -47,7 +48,7 @@
 REPORT_INTERVAL_S = 5.0
 # Starting values: time to the first event by 1,000 unread tokens and by call that runs there, and
 # time between events. They are as of a slow engine.
-FIRST_BASE_MS, FIRST_MS_PER_KTOKEN, FIRST_MS_PER_CALL = 15.0, 1000 / 30.0, 4.0
+FIRST_BASE_MS, FIRST_MS_PER_KTOKEN, FIRST_MS_PER_CALL = 15.0, 1000 / PREFILL_TOKENS_PER_MS, 4.0
 GAP_BASE_MS, GAP_MS_PER_CALL = 25.0, 1.0
 # Weight of a new run time of a plain call in the mean of its kind, which starts as a plain mean.
 RUN_SMOOTHING = 0.05
--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -1,13 +1,13 @@
 """The part of the choice of servers that is for services whose servers differ in speed.
 
 Load patterns:
-- Engines run at 0.6, 1 and 1.6 of the usual speed. Calls go where they are expected to be answered
+- Engines differ in speed, some nearly threefold. Calls go where they are expected to be answered
   first, which keeps the fast engines busier than the slow ones.
 - Many entries with the same news choose at once. If each took the best server, it would be crowded
   until the next news. Each compares two servers that it draws at random, the more likely the faster
   they are and the more free slots they have, and one that holds the call's history. With more than
   two, the same fast servers would be crowded; with one, its expected time would not matter.
-- Entries have 0.29 to 0.95 of a core. With equal shares of the slots, the large ones refuse calls
+- Entries have different shares of a core. With equal shares of the slots, the large ones refuse calls
   while slots that the small ones cannot use stay free.
 - Many entries talk to many servers, and opening a connection costs both sides. Servers to which one
   is idle are drawn more often.
@@ -31,6 +31,7 @@
 from tarragonhall_decisions._entry_room import cores_differ
 from tarragonhall_decisions._known_servers import KnownServers
 from tarragonhall_decisions._offers import Offer
+from tarragonhall_decisions._prompt_holders import PREFILL_TOKENS_PER_MS
 from tarragonhall_decisions._server_pace import ServerPaces
 from tarragonhall_decisions._zone_exit import ZoneExit
 
@@ -54,8 +55,6 @@
 # Pace below which a server is no home, and the servers tried as homes of one program.
 MIN_HOME_PACE = 0.8
 HOME_ATTEMPTS = 3
-# Prompt tokens that an engine of the mean pace reads in a millisecond.
-TOKENS_PER_MS = 30.0
 # Pace below which a server gets fewer calls than it has slots, so that they do not all end late.
 SLOW_PACE = 0.5
 
@@ -206,7 +205,9 @@
         if holder is not None and holds_history(holder, requirements):
             return HOME_MS
         # Most likely earlier turns ran at other entries, which chose the home.
-        read_ms = home.unread_tokens / TOKENS_PER_MS / self.paces.pace(home.record.server_id)
+        read_ms = (
+            home.unread_tokens / PREFILL_TOKENS_PER_MS / self.paces.pace(home.record.server_id)
+        )
         return HOME_MS + HELD_AT_HOME * read_ms
 
     def _cheapest_of_few(self, offers: list[Offer]) -> Offer | None:
