--- a/libs/decisions/tarragonhall_decisions/_uneven_choice.py
+++ b/libs/decisions/tarragonhall_decisions/_uneven_choice.py
@@ -7,8 +7,8 @@
   until the next news. Each compares two servers that it draws at random, the more likely the faster
   they are and the more free slots they have, and one that holds the call's history. With more than
   two, the same fast servers would be crowded; with one, its expected time would not matter.
-- Entries have different shares of a core. With equal shares of the slots, the large ones refuse calls
-  while slots that the small ones cannot use stay free.
+- Entries have different shares of a core. With equal shares of the slots, the large ones refuse
+  calls while slots that the small ones cannot use stay free.
 - Many entries talk to many servers, and opening a connection costs both sides. Servers to which one
   is idle are drawn more often.
 - Callers of some programs send the whole history with each turn, through any entry. An entry that
