Tell in logs and metrics how the body of a response was framed and how it ended

What callers saw: nothing changes for them. What operators saw: call.end is the same line for a response that its server ended, one whose connection was closed, and one whose connection was reset, so that none of the three hypotheses of the open incident could be ruled out.

Cause of the missing evidence: a green socket of eventlet returns the end of the connection for a reset, and the relay kept neither the framing of a response nor its size.

--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -15,6 +15,7 @@
 from tarragonhall_relay._dialect import DispatchFacts, Headers, ResponseFacts
 from tarragonhall_relay._errors import BackendError, ResponseTimeoutError, SilentServerError
 from tarragonhall_relay._events import EventError
+from tarragonhall_relay._response_body import ResponseBody
 from tarragonhall_relay._silence import SilenceWatch
 from tarragonhall_relay._state import RelayState
 
@@ -44,6 +45,7 @@
     """
 
     reason: str
+    response_body: ResponseBody
     timed_out: bool = False
     server_gone: bool = False
     cause: BreakCause = BreakCause.CUT
@@ -51,11 +53,12 @@
 
 @dataclass(slots=True, frozen=True)
 class CompleteResponse:
-    """The server's response, read to its end."""
+    """The server's response, read to its end; `response_body` says how its body ended."""
 
     status: int
     headers: Headers
     body: bytes
+    response_body: ResponseBody
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,28 +120,30 @@
             state.pool.release(connection, facts.keep_alive_s)
         return outcome
     except ResponseTimeoutError as error:
-        return MayHaveRun(str(error), timed_out=True, cause=BreakCause.SILENT)
+        return MayHaveRun(
+            str(error), connection.response_body, timed_out=True, cause=BreakCause.SILENT
+        )
     except SilentServerError as error:
-        return broken_stream(error)
+        return broken_stream(error, connection.response_body)
     except BackendError as error:
         if not error.sent:
             return NotRun(str(error))
         reused = "reused" if connection.reused else "new"
-        return MayHaveRun(f"{error} ({reused} connection)")
+        return MayHaveRun(f"{error} ({reused} connection)", connection.response_body)
     finally:
         if not keep_open:
             connection.close()
 
 
-def broken_stream(error: BackendError | EventError) -> MayHaveRun:
+def broken_stream(error: BackendError | EventError, body: ResponseBody) -> MayHaveRun:
     """Return the outcome of a stream that an error has ended."""
     match error:
         case SilentServerError(server_gone=gone):
-            return MayHaveRun(str(error), timed_out=True, server_gone=gone, cause=BreakCause.SILENT)
+            return MayHaveRun(str(error), body, True, gone, BreakCause.SILENT)
         case EventError():
-            return MayHaveRun(str(error), cause=BreakCause.INVALID)
+            return MayHaveRun(str(error), body, cause=BreakCause.INVALID)
         case _:
-            return MayHaveRun(str(error))
+            return MayHaveRun(str(error), body)
 
 
 def _send(
@@ -178,7 +183,7 @@
     if success and call.route.call_type is CallType.STREAMING:
         return OpenStream(status, headers, connection, facts), facts
     body = connection.read_all(MAX_RESPONSE_BYTES)
-    return CompleteResponse(status, headers, body), facts
+    return CompleteResponse(status, headers, body, connection.response_body), facts
 
 
 def _read_own_head(
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -15,6 +15,12 @@
 
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BackendError
+from tarragonhall_relay._response_body import (
+    STATUSES_WITHOUT_BODY,
+    BodyEnd,
+    Framing,
+    ResponseBody,
+)
 from tarragonhall_relay._sockets import is_open_and_idle, set_options
 
 READ_BYTES = 64 * 1024
@@ -34,7 +40,6 @@
 # The head of a chunk without extensions, at most 4 GB long.
 CHUNK_HEAD = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 CHUNKED = (b"transfer-encoding", b"chunked")
-STATUSES_WITHOUT_BODY = (204, 304)
 # Responses to other calls that are skipped before a connection counts as broken.
 MAX_EXTRA_RESPONSES = 3
 
@@ -54,10 +59,12 @@
         "_connection",
         "_cuts_chunks",
         "_http",
+        "_peer_end",
         "_request",
         "_rest",
         "_traffic",
         "_zone",
+        "response_body",
         "reused",
         "server_id",
         "usable_until",
@@ -72,6 +79,9 @@
         # Received bytes that `h11` has not got, and whether whole chunks are cut from them.
         self._rest = b""
         self._cuts_chunks = False
+        # How the server ended the connection; None while it is open.
+        self._peer_end: BodyEnd | None = None
+        self.response_body = ResponseBody()
         self.server_id = record.server_id
         self.reused = False
         self.usable_until = 0.0
@@ -82,6 +92,7 @@
         if body or method in ("POST", "PUT", "PATCH"):
             framing = [(b"content-length", str(len(body)).encode())]
         self._request = h11.Request(method=method, target=target, headers=headers + framing)
+        self.response_body = ResponseBody()
         data = self._http.send(self._request)
         if body:
             data += self._http.send(h11.Data(data=body))
@@ -98,6 +109,7 @@
             event = self._next_event()
             if isinstance(event, h11.Response):
                 self._cuts_chunks = self._is_at_first_chunk(event)
+                self.response_body.begin(self._request.method, event)
                 return event
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -107,12 +119,17 @@
         """Return the next bytes of the body, None at its end; raise `BackendError` if it is cut."""
         data = self._next_chunks()
         if data:
+            self.response_body.size += len(data)
             return data
         event = self._next_event()
         if isinstance(event, h11.Data):
+            self.response_body.size += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            is_stated = self.response_body.framing is not Framing.CONNECTION
+            self.response_body.end = BodyEnd.STATED if is_stated else self._peer_end
             return None
+        self.response_body.end = self._peer_end
         raise BackendError("closed in the middle of its response", sent=True)
 
     def read_all(self, limit: int) -> bytes:
@@ -181,7 +198,7 @@
         try:
             received = self._rest or self._receive()
         except (OSError, EOFError) as error:
-            raise BackendError(f"the connection failed: {error}", sent=True) from error
+            raise self._connection_error(error) from error
         data, self._rest = cut_chunks(received)
         if not data:
             self._cuts_chunks = False
@@ -208,13 +225,24 @@
                     if event is not h11.NEED_DATA:
                         return event
         except (OSError, EOFError) as error:
-            raise BackendError(f"the connection failed: {error}", sent=True) from error
+            raise self._connection_error(error) from error
         except h11.RemoteProtocolError as error:
+            self.response_body.end = self._peer_end or BodyEnd.INVALID
             raise BackendError(f"sent an invalid response: {error}", sent=True) from error
 
+    def _connection_error(self, error: OSError | EOFError) -> BackendError:
+        self.response_body.end = BodyEnd.LOST
+        return BackendError(f"the connection failed: {error}", sent=True)
+
     def _receive(self) -> bytes:
         # What a server sends next comes after a pause: the head of its response, an event.
-        received = wait_and_receive(self._connection, READ_BYTES)
+        try:
+            received = wait_and_receive(self._connection, READ_BYTES)
+        except ConnectionResetError:
+            self._peer_end = BodyEnd.RESET
+            return b""
+        if not received and self._peer_end is None:
+            self._peer_end = BodyEnd.CLOSED
         self._traffic.count(RESPONSE_KIND, len(received), self._zone)
         return received
 
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -160,7 +160,7 @@
             match outcome:
                 case CompleteResponse(status=status) if self._client.response_started:
                     reason = f"the server responded {status} in the middle of the stream"
-                    outcome = MayHaveRun(reason, cause=BreakCause.FAILED)
+                    outcome = MayHaveRun(reason, outcome.response_body, cause=BreakCause.FAILED)
                 case CompleteResponse():
                     self._respond(server, outcome)
                     return None
@@ -172,6 +172,7 @@
                     self._records.not_run(server, outcome)
                     step = self._after_not_run(server, outcome, step)
                     continue
+            self._report.response_body = outcome.response_body
             self._records.failed(server, outcome)
             step = self._after_break(server, outcome)
             if step is NextStep.END:
@@ -196,8 +197,9 @@
 
     def _respond(self, server: BackendRecord, response: CompleteResponse) -> None:
         self._slot.note_response()
+        self._report.response_body = response.response_body
         self._records.call_ended(server)
-        self._records.succeeded(server)
+        self._records.succeeded(server, response.response_body)
         self._slot.release()
         self._client.respond(response.status, response.headers, response.body)
         self._report.end(self._admitted, response.status, "answered")
@@ -237,6 +239,7 @@
 
         Returns why the server's response broke off; None if the call has ended.
         """
+        self._report.response_body = stream.connection.response_body
         watch = None
         if self._resumption is not None:
             self._resumption.begun(server)
@@ -246,7 +249,7 @@
             self._stream.forward(stream, watch, self._turn.is_open, self._slot.note_first_event)
             ended = True
         except (BackendError, EventError) as error:
-            return broken_stream(error)
+            return broken_stream(error, stream.connection.response_body)
         finally:
             if not ended:
                 # The server stops before another one is asked for the rest.
@@ -262,7 +265,7 @@
         self._slot.note_answered()
         self._slot.release()
         self._state.pool.release(stream.connection, stream.facts.keep_alive_s)
-        self._records.succeeded(server)
+        self._records.succeeded(server, stream.connection.response_body)
         self._turn.persist(
             self._request.body, self._stream.output, self._generated_tokens(), server.server_id
         )
--- a/libs/relay/tarragonhall_relay/_report.py
+++ b/libs/relay/tarragonhall_relay/_report.py
@@ -5,6 +5,7 @@
 import structlog
 
 from tarragonhall_relay._admission import AdmittedCall
+from tarragonhall_relay._response_body import ResponseBody
 from tarragonhall_relay._state import RelayState
 
 log = structlog.get_logger(__name__)
@@ -16,7 +17,15 @@
 class CallReport:
     """Collects the times of the steps of one call and logs them at its end."""
 
-    __slots__ = ("_arrived_at", "_ms_by_step", "_state", "attempts", "events", "server_id")
+    __slots__ = (
+        "_arrived_at",
+        "_ms_by_step",
+        "_state",
+        "attempts",
+        "events",
+        "response_body",
+        "server_id",
+    )
 
     def __init__(self, state: RelayState, arrived_at: float) -> None:
         self._state = state
@@ -25,6 +34,8 @@
         self.attempts = 0
         self.events = 0
         self.server_id: str | None = None
+        # The body of the last server's response.
+        self.response_body = ResponseBody()
 
     def step(self, name: str) -> None:
         """Record that a step was reached now, in milliseconds since the arrival."""
@@ -57,6 +68,9 @@
             server=self.server_id,
             attempts=self.attempts,
             events=self.events,
+            framing=self.response_body.framing_name,
+            body_bytes=self.response_body.size,
+            body_end=self.response_body.end_name,
             ms=round(total_ms, 1),
             **self._ms_by_step,
         )
--- a/libs/relay/tarragonhall_relay/_server_records.py
+++ b/libs/relay/tarragonhall_relay/_server_records.py
@@ -9,6 +9,7 @@
 from tarragonhall_relay._admission import AdmittedCall
 from tarragonhall_relay._attempt import MayHaveRun, NotRun
 from tarragonhall_relay._call_slot import CallSlot
+from tarragonhall_relay._response_body import ResponseBody
 from tarragonhall_relay._state import RelayState
 
 log = structlog.get_logger(__name__)
@@ -43,8 +44,9 @@
         if self._state.chooser.memory.has_limit(server.service):
             self._state.expected_output.record(self._call.route.name, generated_tokens)
 
-    def succeeded(self, server: BackendRecord) -> None:
+    def succeeded(self, server: BackendRecord, body: ResponseBody) -> None:
         """Record a whole response."""
+        self._state.metrics.count("relay.whole_responses", labels=body.labels())
         requirements = CallRequirements(server.service, self._call.facts.parts)
         self._state.chooser.answered(server.server_id, requirements)
         self._state.crash_suspects.on_response(self._call.fingerprint)
@@ -75,9 +77,14 @@
             )
             self._state.report_suspect(self._call.fingerprint)
         self._state.metrics.count("relay.may_have_run")
+        body = failure.response_body
+        self._state.metrics.count("relay.broken_responses", labels=body.labels())
         log.info(
             "call.may_have_run",
             id=self._call.facts.attempt_id,
             server=server.server_id,
             reason=failure.reason,
+            framing=body.framing_name,
+            body_bytes=body.size,
+            body_end=body.end_name,
         )
--- /dev/null
+++ b/libs/relay/tests/body_end_tests.py
@@ -0,0 +1,74 @@
+"""How responses end, and what callers get of those that are truncated."""
+
+from __future__ import annotations
+
+import struct
+
+import pytest
+from eventlet.green import socket
+from relay_doubles import answer, event, stream
+from structlog.testing import capture_logs
+
+SIGNED = "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n\r\n"
+
+
+def unframed(received, *parts: bytes) -> bytes:
+    """Return a signed response with neither a length nor chunks."""
+    return SIGNED.format(attempt=received.header("attempt")).encode() + b"".join(parts)
+
+
+def reset(connection) -> None:
+    """Reset a connection, as a server does that crashes with unread input."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+def sends(make, *parts: bytes, resets: bool = False):
+    """Return a script that sends one response, then closes or resets the connection."""
+
+    def script(_backend, received):
+        received.connection.sendall(make(received, *parts))
+        if not resets:
+            return "close"
+        reset(received.connection)
+        return None
+
+    return script
+
+
+def log_line(logs, name: str) -> tuple:
+    (line,) = [one for one in logs if one["event"] == name]
+    return line["framing"], line["body_bytes"], line["body_end"]
+
+
+@pytest.mark.parametrize(
+    ("script", "logged"),
+    [
+        (sends(lambda one: answer(one, b"done")), ("length", 4, "stated")),
+        (sends(lambda one: unframed(one, b"done")), ("connection", 4, "closed")),
+        (sends(lambda one: unframed(one, b"do"), resets=True), ("connection", 2, "reset")),
+        (sends(lambda one: answer(one, b"done")[:-1]), ("length", 3, "closed")),
+        (sends(lambda one: answer(one, b"done")[:-1], resets=True), ("length", 3, "reset")),
+        (sends(lambda one: stream(one, b"one")), ("chunks", 3, "stated")),
+        (sends(lambda one: stream(one, b"one") + b"x"), ("chunks", 3, "stated")),
+        (sends(lambda one: stream(one, b"one", end=False) + b"x\r\n"), ("chunks", 3, "invalid")),
+        (sends(lambda one: b"HTTP/1.1 200 OK\r\n"), ("none", 0, "closed")),
+    ],
+)
+def test_log_tells_how_a_response_ended(relay, script, logged):
+    # Failure: the log line of a truncated response is that of a complete one.
+    relay.backend(script)
+    with capture_logs() as logs:
+        relay.call("/buy/")
+    assert log_line(logs, "call.end") == logged
+
+
+def test_metrics_tell_how_responses_ended(relay):
+    # Failure: nobody sees that a service has begun to send responses without a stated end.
+    relay.backend(sends(unframed, event(1)))
+    relay.call("/talk/")
+    relay.backends[0].script = sends(lambda one: stream(one, event(1), end=False))
+    relay.call("/talk/", attempt="a-2")
+    text = relay.state.metrics.exposition.text()
+    assert 'relay_whole_responses_total{framing="connection",end="closed"} 1' in text
+    assert 'relay_broken_responses_total{framing="chunks",end="closed"} 1' in text
