Add failing tests: responses without length or chunks that are cut off look complete

What callers saw: a stream, or half of a body, as a complete response though its server had crashed.

--- a/libs/relay/tests/body_end_tests.py
+++ b/libs/relay/tests/body_end_tests.py
@@ -72,3 +72,51 @@
     text = relay.state.metrics.exposition.text()
     assert 'relay_whole_responses_total{framing="connection",end="closed"} 1' in text
     assert 'relay_broken_responses_total{framing="chunks",end="closed"} 1' in text
+
+
+@pytest.mark.parametrize("events", [(), (event(1),), (event(1), event(2))])
+def test_stream_that_is_reset_never_looks_complete(relay, events):
+    # Failure: a server crashes in the middle of a stream without length or chunks, and the caller
+    # gets the events before the crash as a complete response.
+    relay.backend(sends(unframed, *events, resets=True))
+    _status, _headers, body = relay.call("/talk/", program="p", budget="99")
+    assert body is None
+    assert relay.turn_store.persisted == []
+
+
+def test_body_that_is_reset_never_looks_complete(relay):
+    # Failure: a server crashes in the middle of a body without length or chunks, and the caller
+    # gets the part before the crash as a complete response.
+    relay.backend(sends(unframed, b"half of", resets=True))
+    status, _headers, body = relay.call("/buy/")
+    assert status == 502
+    assert b"half of" not in body
+
+
+@pytest.mark.parametrize("path", ["/talk/", "/buy/"])
+@pytest.mark.parametrize("make", [unframed, lambda one, body: answer(one, body)])
+def test_whole_response_arrives_however_it_is_framed(relay, make, path):
+    # Failure: the responses of servers that send neither a length nor chunks count as broken.
+    relay.backend(sends(make, event(1) + event(2)))
+    assert relay.call(path)[::2] == (200, event(1) + event(2))
+
+
+def test_stream_that_ends_inside_an_event_never_looks_complete(relay):
+    # Failure: a stream whose connection is closed inside an event passes for a complete one.
+    relay.backend(sends(unframed, event(1), b"id: 2\ndata: wo"))
+    assert relay.call("/talk/")[2] is None
+    assert relay.turn_store.persisted == []
+
+
+def test_closed_stream_without_an_event_never_looks_complete(relay):
+    # Failure: a server closes the connection after the head of a stream that has neither a length
+    # nor chunks, and the caller gets a complete response without an event.
+    relay.backend(sends(unframed))
+    assert relay.call("/talk/")[2] is None
+    assert relay.turn_store.persisted == []
+
+
+def test_empty_stream_whose_end_is_stated_arrives(relay):
+    # Failure: a response that its server has ended properly counts as broken for having no events.
+    relay.backend(sends(stream))
+    assert relay.call("/talk/")[::2] == (200, b"")
