Take a response whose connection is reset for truncated

What callers saw: a stream, or half of a body, that ended with its last chunk or stated length, status 200 and the proof of the server, while the server had crashed. Such a stream was also stored as a turn, and the turns after it were built on it.

Cause: a response with neither a length nor chunks ends with its connection. eventlet's sockets return the end of the connection for ECONNRESET, and h11 takes that for the end of the body. Class of fault: an error of the transport read as the end of a message, so that missing evidence counts as success.

Why it works: only a proper close reaches h11 as the end. A reset is a failed connection, like any other: the call is answered 502 or broken off, a resumable stream goes on behind its last event, nothing is stored.

--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -59,7 +59,7 @@
         "_connection",
         "_cuts_chunks",
         "_http",
-        "_peer_end",
+        "_is_closed",
         "_request",
         "_rest",
         "_traffic",
@@ -79,8 +79,8 @@
         # Received bytes that `h11` has not got, and whether whole chunks are cut from them.
         self._rest = b""
         self._cuts_chunks = False
-        # How the server ended the connection; None while it is open.
-        self._peer_end: BodyEnd | None = None
+        # Whether the server has closed the connection, which is not the case if it was reset.
+        self._is_closed = False
         self.response_body = ResponseBody()
         self.server_id = record.server_id
         self.reused = False
@@ -127,9 +127,9 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             is_stated = self.response_body.framing is not Framing.CONNECTION
-            self.response_body.end = BodyEnd.STATED if is_stated else self._peer_end
+            self.response_body.end = BodyEnd.STATED if is_stated else BodyEnd.CLOSED
             return None
-        self.response_body.end = self._peer_end
+        self.response_body.end = BodyEnd.CLOSED
         raise BackendError("closed in the middle of its response", sent=True)
 
     def read_all(self, limit: int) -> bytes:
@@ -227,22 +227,18 @@
         except (OSError, EOFError) as error:
             raise self._connection_error(error) from error
         except h11.RemoteProtocolError as error:
-            self.response_body.end = self._peer_end or BodyEnd.INVALID
+            self.response_body.end = BodyEnd.CLOSED if self._is_closed else BodyEnd.INVALID
             raise BackendError(f"sent an invalid response: {error}", sent=True) from error
 
     def _connection_error(self, error: OSError | EOFError) -> BackendError:
-        self.response_body.end = BodyEnd.LOST
+        is_reset = isinstance(error, ConnectionResetError)
+        self.response_body.end = BodyEnd.RESET if is_reset else BodyEnd.LOST
         return BackendError(f"the connection failed: {error}", sent=True)
 
     def _receive(self) -> bytes:
         # What a server sends next comes after a pause: the head of its response, an event.
-        try:
-            received = wait_and_receive(self._connection, READ_BYTES)
-        except ConnectionResetError:
-            self._peer_end = BodyEnd.RESET
-            return b""
-        if not received and self._peer_end is None:
-            self._peer_end = BodyEnd.CLOSED
+        received = wait_and_receive(self._connection, READ_BYTES)
+        self._is_closed = not received
         self._traffic.count(RESPONSE_KIND, len(received), self._zone)
         return received
 
--- a/libs/relay/tests/body_end_tests.py
+++ b/libs/relay/tests/body_end_tests.py
@@ -84,6 +84,23 @@
     assert relay.turn_store.persisted == []
 
 
+def test_resumable_stream_that_is_reset_goes_on_at_another_server(relay):
+    # Failure: a resumable stream without length or chunks is taken for complete at a reset, and
+    # nobody asks another server for the rest.
+    seen = []
+
+    def script(_backend, received):
+        seen.append(received.header("last-event-id"))
+        if len(seen) == 1:
+            return sends(unframed, event(1), resets=True)(_backend, received)
+        return sends(unframed, event(2), event(3))(_backend, received)
+
+    relay.backend(script)
+    relay.backend(script)
+    assert relay.call("/pair/")[::2] == (200, event(1) + event(2) + event(3))
+    assert seen == [None, "1"]
+
+
 def test_body_that_is_reset_never_looks_complete(relay):
     # Failure: a server crashes in the middle of a body without length or chunks, and the caller
     # gets the part before the crash as a complete response.
