Take a stream that is closed before its first event for truncated

What callers saw: a complete response without an event, stored as a turn, where the server had sent nothing but the head.

Cause: a body without length or chunks may end with its connection, and the check of events looks for the rest of an unfinished event alone; of a stream that was cut before its first event nothing is left. A process that is killed also closes its connections properly, so that the transport cannot tell. Class of fault: no sign of a truncation counts as a sign of the end.

Why it works: where nothing but the connection says that a stream has ended, its last bytes must be a whole event of the same run. The rest of a resumed stream must have one too; a server that has nothing left says so by its framing. Empty streams with a stated end are complete as before.

--- a/libs/relay/tarragonhall_relay/_stream_relay.py
+++ b/libs/relay/tarragonhall_relay/_stream_relay.py
@@ -12,6 +12,7 @@
 from tarragonhall_relay._client import ClientConnection
 from tarragonhall_relay._events import EventError, EventReader, StreamEvent
 from tarragonhall_relay._report import CallReport
+from tarragonhall_relay._response_body import Framing
 from tarragonhall_relay._silence import SilenceWatch
 
 
@@ -64,6 +65,7 @@
             self._report.step("head_ms")
             self._client.begin(stream.status, stream.headers)
         read = stream.connection.read
+        count_before = self._reader.count
         is_first = True
         while True:
             data = read() if watch is None else watch.read(read)
@@ -77,6 +79,10 @@
             self._reader.check()
         if not self._reader.is_complete():
             raise EventError("the stream ended in the middle of an event")
+        has_events = self._reader.count > count_before
+        if not has_events and stream.connection.response_body.framing is Framing.CONNECTION:
+            # An empty body is also what is left of a stream whose server crashed after the head.
+            raise EventError("the connection was closed before the first event")
 
     def _forward_events(self, events: list[StreamEvent], keeps_output: bool) -> None:
         if not events:
--- a/libs/relay/tests/body_end_tests.py
+++ b/libs/relay/tests/body_end_tests.py
@@ -137,3 +137,16 @@
     # Failure: a response that its server has ended properly counts as broken for having no events.
     relay.backend(sends(stream))
     assert relay.call("/talk/")[::2] == (200, b"")
+
+
+def test_empty_rest_of_a_stream_is_not_taken_for_its_end(relay):
+    # Failure: a server is asked for the rest of a stream and closes the connection after the head,
+    # and the caller gets the part before as a complete response.
+    def script(_backend, received):
+        if received.header("last-event-id") is None:
+            return sends(lambda one: stream(one, event(1), end=False))(_backend, received)
+        return sends(unframed)(_backend, received)
+
+    relay.backend(script)
+    relay.backend(script)
+    assert relay.call("/pair/")[2] is None
