Believe a refusal although its body is truncated

What callers saw: 502, the call may have run, though its server had stated in the head of its response that it did not run; another server would have taken it.

Cause: the body of a refusal, which nobody reads, was read to its end, and an error there counted for the response.

Why it works: the statement stands in the head. The body is only read so that the connection can be reused, and it is closed if that fails.

Measured: the test fails before, for a body without length and for one with a length, and passes now.

--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 
 import eventlet
@@ -172,7 +173,7 @@
     headers = [(name, value) for name, value in head.headers if name not in HOP_HEADERS]
     status = head.status_code
     if facts.not_executed or status == STATUS_MISDIRECTED:
-        connection.read_all(MAX_RESPONSE_BYTES)
+        _discard_body(connection)
         full = status != STATUS_MISDIRECTED
         return NotRun(f"the server responded {status}", full=full), facts
     success = 200 <= status < 300
@@ -186,6 +187,12 @@
     return CompleteResponse(status, headers, body, connection.response_body), facts
 
 
+def _discard_body(connection: BackendConnection) -> None:
+    """Discard a body that does not matter; if it is truncated, the connection is not reused."""
+    with contextlib.suppress(BackendError):
+        connection.read_all(MAX_RESPONSE_BYTES)
+
+
 def _read_own_head(
     state: RelayState,
     call: AdmittedCall,
--- a/libs/relay/tests/body_end_tests.py
+++ b/libs/relay/tests/body_end_tests.py
@@ -111,7 +111,7 @@
 
 
 @pytest.mark.parametrize("path", ["/talk/", "/buy/"])
-@pytest.mark.parametrize("make", [unframed, lambda one, body: answer(one, body)])
+@pytest.mark.parametrize("make", [unframed, answer])
 def test_whole_response_arrives_however_it_is_framed(relay, make, path):
     # Failure: the responses of servers that send neither a length nor chunks count as broken.
     relay.backend(sends(make, event(1) + event(2)))
@@ -139,6 +139,23 @@
     assert relay.call("/talk/")[::2] == (200, b"")
 
 
+@pytest.mark.parametrize(
+    "head_of", [unframed, lambda one: answer(one, b"full")[:-1]], ids=["connection", "length"]
+)
+def test_refusal_counts_although_its_body_is_truncated(relay, head_of):
+    # Failure: a server that is full refuses a call and resets the connection; the caller is told
+    # that the call may have run, and it is not sent to another server.
+    def refuse(received):
+        head = head_of(received).replace(b"200 OK", b"503 Service Unavailable")
+        return head.replace(b"signed: yes", b"not-run: 1")
+
+    relay.backend(sends(refuse, resets=True))
+    relay.backend(sends(answer))
+    for number in range(4):
+        assert relay.call("/buy/", attempt=f"a-{number}")[::2] == (200, b"done")
+    assert relay.backends[0].received
+
+
 def test_empty_rest_of_a_stream_is_not_taken_for_its_end(relay):
     # Failure: a server is asked for the rest of a stream and closes the connection after the head,
     # and the caller gets the part before as a complete response.
