Reset the connection of a truncated response to a client without chunks

What callers saw: a client of HTTP/1.0 gets neither a length nor chunks; a stream that broke off was ended by closing its connection, just as a complete one.

It meant to abort, but closing a socket sends an end unless unread bytes are left.

Why it works: the kernel resets such a connection at its close until the response is finished, so that it is also reset when the process is killed in the middle.

--- a/libs/relay/tarragonhall_relay/_client.py
+++ b/libs/relay/tarragonhall_relay/_client.py
@@ -22,7 +22,7 @@
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BadRequestError, ClientDisconnectedError
 from tarragonhall_relay._routes import host_of
-from tarragonhall_relay._sockets import is_open_and_idle
+from tarragonhall_relay._sockets import is_open_and_idle, set_reset_on_close
 
 READ_BYTES = 64 * 1024
 # A body arrives at once or within a few round trips; a client that pauses for longer has stopped.
@@ -181,6 +181,9 @@
         framing: Headers = [(b"transfer-encoding", b"chunked")]
         # Clients of HTTP/1.0 get no chunks, and nobody gets a body without asking for one.
         self._cuts_chunks = self._is_chunk_reader
+        if not self._is_chunk_reader:
+            # Nothing but the end of the connection ends this body, so only `finish` may close it.
+            set_reset_on_close(self._connection, True)
         response = h11.Response(
             status_code=status, headers=headers + framing + self._connection_headers()
         )
@@ -203,6 +206,8 @@
         """
         self._write(self._http.send(h11.EndOfMessage()))
         self._writer.flush()
+        if not self._is_chunk_reader:
+            set_reset_on_close(self._connection, False)
 
     def next_cycle(self) -> bool:
         """Prepare for the next request; return whether the connection stays open."""
--- a/libs/relay/tarragonhall_relay/_sockets.py
+++ b/libs/relay/tarragonhall_relay/_sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import struct
 
 from eventlet.green import socket
 
@@ -26,6 +27,12 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def set_reset_on_close(connection, enabled: bool) -> None:
+    """Make the kernel reset a connection at its close, also if the process ends; or close it."""
+    option = struct.pack("ii", int(enabled), 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
 def is_open_and_idle(connection) -> bool:
     """Return whether a connection is open and has no unread bytes.
 
