Report resets on connections to backend servers alone

Cause: the sockets of the whole process raised resets. Why this works: the change is made for one connection at a time, where the end of a connection may end a message. Requests always state their length, and links between processes send whole messages.

The tests of resets on the relay and on sockets pass unchanged but for the call on the reading side.

--- a/libs/daemon/tarragonhall_daemon/__main__.py
+++ b/libs/daemon/tarragonhall_daemon/__main__.py
@@ -18,7 +18,6 @@
 
 import click  # noqa: E402
 from tarragonhall_model import TarragonhallError  # noqa: E402
-from tarragonhall_wire import report_resets  # noqa: E402
 
 from tarragonhall_daemon._init import initialise  # noqa: E402
 from tarragonhall_daemon._run import run_daemon  # noqa: E402
@@ -59,7 +58,6 @@
 
 def main() -> None:
     """Run the command; print user errors without a traceback."""
-    report_resets()
     try:
         cli(standalone_mode=False)
     except click.ClickException as error:
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -11,7 +11,7 @@
 import h11
 from eventlet.green import socket
 from tarragonhall_model import BackendRecord
-from tarragonhall_wire import Metrics, Traffic, wait_and_receive
+from tarragonhall_wire import Metrics, Traffic, report_resets, wait_and_receive
 
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BackendError
@@ -329,6 +329,7 @@
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             set_options(connection)
+            report_resets(connection)
             with eventlet.Timeout(CONNECT_TIMEOUT_S, TimeoutError("timed out")):
                 connection.connect((host, int(port)))
         except (OSError, ValueError) as error:
--- a/libs/relay/tests/body_end_tests.py
+++ b/libs/relay/tests/body_end_tests.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 from relay_doubles import WAIT_SECONDS, answer, event, request, stream
 from structlog.testing import capture_logs
+from tarragonhall_wire import report_resets
 
 SIGNED = "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n\r\n"
 
@@ -118,6 +119,7 @@
     # complete one.
     relay.backend(sends(lambda one: stream(one, event(1), end=is_whole)))
     connection = relay.connect()
+    report_resets(connection)
     connection.sendall(request("/talk/").replace(b"HTTP/1.1", b"HTTP/1.0"))
     received = b""
     with eventlet.Timeout(WAIT_SECONDS), contextlib.suppress(ConnectionResetError):
--- a/libs/wire/tarragonhall_wire/__init__.py
+++ b/libs/wire/tarragonhall_wire/__init__.py
@@ -4,12 +4,7 @@
 
 from tarragonhall_wire._context import ProcessContext, Role, make_context
 from tarragonhall_wire._control_client import ControlClient
-from tarragonhall_wire._event_loop import (
-    EventLoop,
-    report_resets,
-    use_event_loop,
-    wait_and_receive,
-)
+from tarragonhall_wire._event_loop import EventLoop, use_event_loop, wait_and_receive
 from tarragonhall_wire._handshake import HandshakeError, Peer
 from tarragonhall_wire._http import HttpRequest, HttpResponse, HttpServer, sse_event
 from tarragonhall_wire._hub import Hub, split_address
@@ -17,6 +12,7 @@
 from tarragonhall_wire._link import Link
 from tarragonhall_wire._logs import configure_logging
 from tarragonhall_wire._metrics import Metrics, make_metrics
+from tarragonhall_wire._sockets import report_resets
 from tarragonhall_wire._timeline import HybridClock, Timeline
 from tarragonhall_wire._traffic import Traffic, report_traffic, report_traffic_loop
 
--- a/libs/wire/tarragonhall_wire/_event_loop.py
+++ b/libs/wire/tarragonhall_wire/_event_loop.py
@@ -16,7 +16,6 @@
 
 from eventlet import hubs
 from eventlet.greenio import GreenSocket
-from eventlet.greenio import base as green_sockets
 from eventlet.hubs import epolls
 from eventlet.hubs.hub import BaseHub
 
@@ -24,8 +23,6 @@
 READ_MASK = select.EPOLLIN | select.EPOLLPRI
 WRITE_MASK = select.EPOLLOUT
 ERROR_MASK = select.EPOLLERR | select.EPOLLHUP
-# Errors after which a green socket returns the end of the connection: its own side was shut down.
-SHUT_DOWN_ERRORS = frozenset({errno.EPIPE, errno.ESHUTDOWN})
 MASK_BY_EVENT = {READ: READ_MASK, WRITE: WRITE_MASK}
 
 
@@ -151,7 +148,7 @@
     """Wait for input on a socket, then read it; empty at the end of the connection.
 
     For a socket whose input was read just now: a read at once, as `recv` tries it first, would
-    nearly always fail. Raises `OSError` or `EOFError` as `recv` does; see `report_resets`.
+    nearly always fail. Raises `OSError` or `EOFError` as `recv` does.
     """
     try:
         connection._read_trampoline()
@@ -160,16 +157,6 @@
     return connection.recv(size)
 
 
-def report_resets() -> None:
-    """Make green sockets raise `ConnectionResetError` for a reset, as plain sockets do.
-
-    By default, eventlet returns the end of the connection instead, and a message that ends with its
-    connection cannot be told from a truncated one.
-    """
-    green_sockets.SOCKET_CLOSED = SHUT_DOWN_ERRORS
-
-
 def use_event_loop() -> None:
     """Make `EventLoop` the hub of this thread; call before any green thread starts."""
     hubs.use_hub(EventLoop)
-    report_resets()
