--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import enum
-import re
 import time
 
 import eventlet
@@ -13,6 +12,7 @@
 from tarragonhall_model import BackendRecord
 from tarragonhall_wire import Metrics, Traffic, report_resets, wait_and_receive
 
+from tarragonhall_relay._chunks import cut_chunks
 from tarragonhall_relay._dialect import Headers
 from tarragonhall_relay._errors import BackendError
 from tarragonhall_relay._response_body import (
@@ -37,8 +37,6 @@
 REQUEST_KIND = "server.request"
 RESPONSE_KIND = "server.answer"
 END_OF_HEAD = b"\r\n\r\n"
-# The head of a chunk without extensions, at most 4 GB long.
-CHUNK_HEAD = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 CHUNKED = (b"transfer-encoding", b"chunked")
 # Responses to other calls that are skipped before a connection counts as broken.
 MAX_EXTRA_RESPONSES = 3
@@ -342,19 +340,5 @@
         return BackendConnection(connection, record, self._traffic)
 
 
-def cut_chunks(received: bytes) -> tuple[bytes, bytes]:
-    """Return the data of the whole chunks at the start of received bytes, and the rest."""
-    parts = []
-    start = 0
-    while (head := CHUNK_HEAD.match(received, start)) is not None:
-        size = int(head[1], 16)
-        end = head.end() + size
-        if not size or received[end : end + 2] != b"\r\n":
-            break
-        parts.append(received[head.end() : end])
-        start = end + 2
-    return b"".join(parts), received[start:]
-
-
 def _new_http() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
