--- a/libs/relay/tarragonhall_relay/_chunks.py
+++ b/libs/relay/tarragonhall_relay/_chunks.py
@@ -1,4 +1,4 @@
-"""Cuts whole chunks from received bytes, which is faster than a parser for each event of a stream."""
+"""Cuts whole chunks from received bytes, faster than a parser for each event of a stream."""
 
 from __future__ import annotations
 
