Take a service's whole answer without a length through the sidecar

What callers saw: "failed" for an action that had taken effect and was answered, if the service sends neither a length nor chunks. Such answers were refused since a truncated one could not be told from a whole one.

The sidecar's connections come from eventlet as well, whose sockets return the end of the connection for a reset, so that the only safe choice was to refuse.

Why it works: the connection reports resets; a body without a length is whole if the service closed the connection, and a reset breaks the run off like any lost connection. The fakes have two new faults, `unframed` and `reset`.

Measured: the test of a whole answer fails before and passes now. With the refusal dropped alone, the test of truncated answers fails for `reset`; with resets reported it passes. libs/sidecar and libs/fakes pass.

--- a/libs/fakes/tarragonhall_fakes/_engine.py
+++ b/libs/fakes/tarragonhall_fakes/_engine.py
@@ -101,6 +101,8 @@
                 exchange.hang()
         if kind is FaultKind.TRUNCATED:
             return
+        if kind is FaultKind.RESET:
+            exchange.reset()
         if kind is FaultKind.LATE:
             eventlet.sleep(fault.seconds)
         end = {
--- a/libs/fakes/tarragonhall_fakes/_faults.py
+++ b/libs/fakes/tarragonhall_fakes/_faults.py
@@ -17,6 +17,8 @@
     DOUBLED = "doubled"
     TRUNCATED = "truncated"
     SILENT = "silent"
+    UNFRAMED = "unframed"
+    RESET = "reset"
 
 
 @dataclass(slots=True)
--- a/libs/fakes/tarragonhall_fakes/_server.py
+++ b/libs/fakes/tarragonhall_fakes/_server.py
@@ -5,6 +5,7 @@
 import json
 import os
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler
@@ -132,6 +133,22 @@
         if missing:
             self.close_connection = True
 
+    def reply_unframed(self, body: bytes, headers: dict | None = None) -> None:
+        """Send a response with neither a length nor chunks; closing the connection ends it."""
+        self.send_response(200)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.write(body)
+        self.close_connection = True
+
+    def reset(self) -> None:
+        """Reset the connection at its close, as at a crash with unread input."""
+        option = struct.pack("ii", 1, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        self.connection.close()
+        raise CrashedError
+
     def start_event_stream(self) -> None:
         """Start a response of server-sent events; closing the connection ends it."""
         self.send_response(200)
--- a/libs/fakes/tarragonhall_fakes/_service.py
+++ b/libs/fakes/tarragonhall_fakes/_service.py
@@ -69,6 +69,12 @@
         if kind is FaultKind.TRUNCATED:
             exchange.reply_bytes(body[: len(body) // 2], headers=headers, missing=len(body) // 2)
             return
+        if kind is FaultKind.UNFRAMED:
+            exchange.reply_unframed(body, headers)
+            return
+        if kind is FaultKind.RESET:
+            exchange.reply_unframed(body[: len(body) // 2], headers)
+            exchange.reset()
         exchange.reply_bytes(body, headers=headers)
         if kind is FaultKind.DOUBLED:
             exchange.reply_bytes(body, headers=headers)
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -23,6 +23,7 @@
     EngineOrder,
     TarragonhallError,
 )
+from tarragonhall_wire import report_resets
 from urllib3.connection import HTTPConnection
 
 from tarragonhall_sidecar._answers import AnswerError, AnswerStream
@@ -219,6 +220,8 @@
         except TRANSPORT_ERRORS as error:
             connection.close()
             raise _NotSentError(str(error)) from (error.__cause__ or error)
+        # A response without a length ends with its connection, which a reset must not pass for.
+        report_resets(connection.sock)
         connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
         return connection
@@ -265,8 +268,6 @@
         # A service that does not echo the header is matched by its connection, used only once.
         if response.headers.get(ATTEMPT_HEADER, key) != key:
             raise AnswerError("the service sent the answer to another attempt")
-        if response.length_remaining is None and not response.chunked:
-            raise AnswerError("the service's answer has neither a length nor chunked encoding")
         data = response.read(MAX_ANSWER_BYTES + 1)
     if len(data) > MAX_ANSWER_BYTES:
         raise AnswerError(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
--- a/libs/sidecar/tests/failures_tests.py
+++ b/libs/sidecar/tests/failures_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import eventlet
 import pytest
 from tarragonhall_fakes import Fault, FaultKind, answer_to
@@ -28,6 +30,7 @@
     ("kind", "detail"),
     [
         (FaultKind.TRUNCATED, "broke"),
+        (FaultKind.RESET, "broke"),
         (FaultKind.CROSSED, "another attempt"),
     ],
 )
@@ -104,7 +107,7 @@
     assert len(service_harness.fake.ledger) == 1
 
 
-@pytest.mark.parametrize("kind", [FaultKind.TRUNCATED, FaultKind.CROSSED])
+@pytest.mark.parametrize("kind", [FaultKind.TRUNCATED, FaultKind.CROSSED, FaultKind.RESET])
 def test_a_service_answer_that_is_truncated_or_of_another_attempt_is_not_forwarded(
     service_harness, kind
 ):
@@ -116,6 +119,16 @@
     assert (end.outcome, end.answer) == (AttemptOutcome.FAILED, None)
 
 
+def test_a_whole_service_answer_without_a_length_arrives(service_harness):
+    """A service sends neither a length nor chunks and closes the connection after its answer. The
+    caller would be told that the call failed, though it took effect and was answered.
+    """
+    service_harness.fake.faults.add(Fault(FaultKind.UNFRAMED))
+    end = service_harness.end_of(service_harness.send("p1", '{"a":1}'))
+    assert end.outcome is AttemptOutcome.ANSWERED
+    assert json.loads(end.answer.text) == {"service": "bill", "did": '{"a":1}'}
+
+
 def test_a_service_answer_sent_twice_is_read_once(service_harness):
     """A service sends its response twice on one connection. The second one must not become the
     answer to the next call.
