Check every way to frame, cut and end a response, and requests that break off

The new property draws a framing (length, chunks, connection), a cut, a close or a reset, and the sizes of what is sent at once, for streams and plain bodies. A response may look complete only if its end was stated, or if the connection was closed properly with the last event whole; a stream is stored as a turn only then.

--- a/libs/relay/tests/body_end_tests.py
+++ b/libs/relay/tests/body_end_tests.py
@@ -3,12 +3,25 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import struct
+import termios
 
 import eventlet
 import pytest
 from eventlet.green import socket
-from relay_doubles import WAIT_SECONDS, answer, event, request, stream
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from relay_doubles import (
+    WAIT_SECONDS,
+    Relay,
+    answer,
+    event,
+    read_all,
+    request,
+    stream,
+    wait_until,
+)
 from structlog.testing import capture_logs
 from tarragonhall_wire import report_resets
 
@@ -20,8 +33,14 @@
     return SIGNED.format(attempt=received.header("attempt")).encode() + b"".join(parts)
 
 
+def bytes_on_the_way(connection) -> int:
+    """Return how many sent bytes the peer's kernel has not acknowledged."""
+    return struct.unpack("i", fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+
+
 def reset(connection) -> None:
-    """Reset a connection, as a server does that crashes with unread input."""
+    """Reset a connection, as a server does that crashes, once all that was sent has arrived."""
+    wait_until(lambda: not bytes_on_the_way(connection))
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     connection.close()
 
@@ -188,3 +207,80 @@
     relay.backend(script)
     relay.backend(script)
     assert relay.call("/pair/")[2] is None
+
+
+EVENTS = [event(number, "word " * number) for number in range(1, 5)]
+BODY = b"".join(EVENTS)
+EVENT_ENDS = {len(b"".join(EVENTS[:count])) for count in range(1, len(EVENTS) + 1)}
+FRAMINGS = {
+    "connection": lambda received: unframed(received, BODY),
+    "length": lambda received: answer(received, BODY),
+    "chunks": lambda received: stream(received, *EVENTS),
+}
+
+
+def may_look_complete(framing: str, missing: int, resets: bool, path: str) -> bool:
+    """Return whether nothing that arrives tells a response from a whole one.
+
+    `missing` is how many bytes of it are not sent before the connection is closed or reset.
+    """
+    if framing != "connection":
+        return not missing
+    is_between_events = len(BODY) - missing in EVENT_ENDS
+    return not resets and (path == "/buy/" or is_between_events)
+
+
+@settings(max_examples=80, deadline=None)
+@given(
+    st.sampled_from(sorted(FRAMINGS)),
+    st.integers(0, len(BODY)),
+    st.booleans(),
+    st.sampled_from(["/talk/", "/buy/"]),
+    st.integers(1, 200),
+)
+@example("connection", len(BODY), False, "/talk/", 200)
+@example("connection", len(BODY), True, "/talk/", 200)
+@example("connection", 0, True, "/buy/", 200)
+@example("connection", len(BODY) - len(EVENTS[0]), True, "/talk/", 200)
+def test_response_looks_complete_only_if_its_end_was_seen(framing, missing, resets, path, size):
+    # Failure: some way to frame, cut and end a response makes a truncated one look complete, or a
+    # complete one look truncated.
+    def script(_backend, received):
+        data = FRAMINGS[framing](received)
+        data = data[: len(data) - missing]
+        for start in range(0, len(data), size):
+            received.connection.sendall(data[start : start + size])
+        return sends(lambda _received: b"", resets=resets)(_backend, received)
+
+    relay = Relay()
+    try:
+        relay.backend(script)
+        status, _headers, body = relay.call(path)
+        sent = BODY[: len(BODY) - missing]
+        is_complete = status == 200 and body is not None
+        assert is_complete == may_look_complete(framing, missing, resets, path)
+        assert not is_complete or body == sent
+        assert bool(relay.turn_store.persisted) == (is_complete and path == "/talk/")
+    finally:
+        relay.stop()
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize(
+    "start",
+    [b"content-length: 10\r\n\r\nfive.", b"transfer-encoding: chunked\r\n\r\n5\r\nfive.\r\n"],
+)
+def test_truncated_request_reaches_no_server(relay, start, resets):
+    # Failure: a client breaks off in the middle of its request, and the part before runs as a whole
+    # request.
+    backend = relay.backend(sends(answer))
+    connection = relay.connect()
+    connection.sendall(request("/buy/").partition(b"content-length")[0] + start)
+    eventlet.sleep(0.02)
+    if resets:
+        reset(connection)
+    else:
+        connection.shutdown(socket.SHUT_WR)
+        assert b" 200 " not in read_all(connection)
+    eventlet.sleep(0.02)
+    assert backend.received == []
