Count only events with data as a sign that a stream has begun

What callers saw: a complete response of nothing but a comment or a retry interval, where the server had crashed before its first event.

Cause: the check of closed streams without an event counted every block between blank lines. A server may send a comment at once, so that the connection stays open, and generate later. Why this works: a block without data is no event, by the standard of event streams.

Measured: two cases of the test fail before and pass now; libs/relay passes.

--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -140,7 +140,9 @@
     """Return the outcome of a stream that an error has ended."""
     match error:
         case SilentServerError(server_gone=gone):
-            return MayHaveRun(str(error), body, True, gone, BreakCause.SILENT)
+            return MayHaveRun(
+                str(error), body, timed_out=True, server_gone=gone, cause=BreakCause.SILENT
+            )
         case EventError():
             return MayHaveRun(str(error), body, cause=BreakCause.INVALID)
         case _:
--- a/libs/relay/tarragonhall_relay/_events.py
+++ b/libs/relay/tarragonhall_relay/_events.py
@@ -31,8 +31,8 @@
     """Splits the bytes of a stream into events and checks their order.
 
     `last_id` is the id of the last event; None before the first one. The first event must follow
-    it if it is given. `is_resumable` says whether a server can be asked for the rest of the stream,
-    which takes an id for each event.
+    it if it is given. `count` is the number of events with data; comments have none. `is_resumable`
+    says whether a server can be asked for the rest of the stream, which takes an id for each event.
     """
 
     __slots__ = ("_buffer", "_error", "count", "is_resumable", "last_id")
@@ -87,7 +87,8 @@
             if name == b"id":
                 event_id = value
         self._check_order(event_id)
-        self.count += 1
+        if lines:
+            self.count += 1
         return StreamEvent(raw, b"\n".join(lines))
 
     def _check_order(self, event_id: bytes | None) -> None:
--- a/libs/relay/tests/body_end_tests.py
+++ b/libs/relay/tests/body_end_tests.py
@@ -165,10 +165,11 @@
     assert relay.turn_store.persisted == []
 
 
-def test_closed_stream_without_an_event_never_looks_complete(relay):
+@pytest.mark.parametrize("parts", [(), (b": ping\n\n",), (b"retry: 100\n\n", b"\n")])
+def test_closed_stream_without_an_event_never_looks_complete(relay, parts):
     # Failure: a server closes the connection after the head of a stream that has neither a length
     # nor chunks, and the caller gets a complete response without an event.
-    relay.backend(sends(unframed))
+    relay.backend(sends(unframed, *parts))
     assert relay.call("/talk/")[2] is None
     assert relay.turn_store.persisted == []
 
