Tell by which version of the relay document a call was refused, and how long a version takes

Callers were refused as only an older version allows; logs did not tell which version had decided, nor when that was last confirmed, and nobody measured the time from a commit to an entry.

call.end has config_version and config_age_ms, and names the attempt of calls that were not admitted. The leader writes relay.committed, relay.sent and relay.reported and keeps control.relay_reported and control.relay_behind; entries have relay.config_version and relay.config_age_s; link.silent says for how long, leader.unanswered each request that a member did not answer. All times of a delay come from one process, so clocks that differ do not matter.

Decides nothing differently. Tests: relay_progress_tests (control), configuration_tests (relay).

--- a/libs/control/tarragonhall_control/_followers.py
+++ b/libs/control/tarragonhall_control/_followers.py
@@ -164,17 +164,21 @@
     def __len__(self) -> int:
         return len(self._sent_by_link)
 
-    def push(self) -> None:
-        """Send each follower the updates it lacks; equal updates are computed once."""
+    def push(self) -> int:
+        """Send each follower the updates it lacks; equal updates are computed once.
+
+        Returns to how many followers the relay document was sent.
+        """
         newest = SentVersions(
             self._state.revision, self._state.epoch, relay_version=self._state.relay_version
         )
         # Called after every step of the log, and each heartbeat causes a step: visiting all
         # followers each time would cost the square of their number per second.
         if self._pushed == newest:
-            return
+            return 0
         self._pushed = newest
         update_by_missing: dict[MissingUpdates, News] = {}
+        relay_sent = 0
         for link, sent in list(self._sent_by_link.items()):
             missing = self._missing_updates(sent, newest)
             if missing.is_empty():
@@ -188,10 +192,12 @@
                 self.forget(link)
                 continue
             self._metrics.count("control.news_sent")
+            relay_sent += missing.relay
             relay_version = None if sent.relay_version is None else newest.relay_version
             self._sent_by_link[link] = SentVersions(
                 newest.revision, newest.epoch, sent.admits_callers, relay_version
             )
+        return relay_sent
 
     def _missing_updates(self, sent: SentVersions, newest: SentVersions) -> MissingUpdates:
         return MissingUpdates(
--- a/libs/control/tarragonhall_control/_link_service.py
+++ b/libs/control/tarragonhall_control/_link_service.py
@@ -43,6 +43,7 @@
 from tarragonhall_control._confirmation import SharedConfirmation
 from tarragonhall_control._followers import policy_for
 from tarragonhall_control._member import ControlMember
+from tarragonhall_control._nodes import node_key
 
 # Commands that other processes may propose. Operators' commands go through the admin API, which
 # checks their tokens; a process that knows the link secret must not bypass that.
@@ -113,6 +114,7 @@
             return self._not_leader()
         member.on_heartbeat(heartbeat.node, link)
         member.followers.add_link(link)
+        member.relay_progress.on_heartbeat(node_key(heartbeat.node), heartbeat.relay_version)
         if not isinstance(heartbeat.node, StoreRecord):
             member.orders.record_load(heartbeat.node, heartbeat.load)
         if not self._confirmation.join():
--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -45,6 +45,7 @@
 from tarragonhall_control._nodes import Node, NodeMonitor, node_key
 from tarragonhall_control._order_sender import OrderSender
 from tarragonhall_control._program_stop import stop_ended_programs
+from tarragonhall_control._relay_progress import RelayProgress
 from tarragonhall_control._settings import ControlSettings
 
 log = structlog.get_logger(__name__)
@@ -73,6 +74,7 @@
         "group",
         "nodes",
         "orders",
+        "relay_progress",
         "state",
         "stopped",
     )
@@ -83,6 +85,7 @@
         self.context = context
         self.state = ControlState()
         self.followers = Followers(self.state, context.metrics)
+        self.relay_progress = RelayProgress(context.metrics, context.monotonic)
         self.nodes = NodeMonitor(
             settings.entry_timeout_ms / 1000, settings.server_timeout_ms / 1000
         )
@@ -220,6 +223,7 @@
 
     def remove(self, node: Node, stopped: bool = False) -> object:
         """Remove an incarnation of a node from the view; `stopped` as in `RemoveEntry`."""
+        self.relay_progress.forget(node_key(node))
         match node:
             case EntryRecord():
                 return self.commit(RemoveEntry(node.entry_id, node.incarnation, stopped))
@@ -290,13 +294,17 @@
         leads = changed.leads
         if leads and not self._leads:
             self.nodes.reset_timeouts(self.context.monotonic())
+            self.relay_progress.start(self.state.relay_version)
         if not leads:
             self.followers.clear()
         self._leads = leads
 
     def _after_step(self) -> None:
-        if self._leads:
-            self.followers.push()
+        if not self._leads:
+            return
+        version = self.state.relay_version
+        self.relay_progress.on_step(version)
+        self.relay_progress.on_sent(version, self.followers.push())
 
 
 def _announcement(node: Node) -> AnnounceEntry | AnnounceServer | AnnounceStore:
--- a/libs/relay/tarragonhall_relay/_admission.py
+++ b/libs/relay/tarragonhall_relay/_admission.py
@@ -119,6 +119,14 @@
     return AdmittedCall(request, facts, route, organisation, deadline, request_fingerprint, homes)
 
 
+def attempt_id_of(state: RelayState, request: ClientRequest) -> str | None:
+    """Return the client's name for the attempt, None if its headers cannot be read."""
+    try:
+        return state.dialect.read_call(request.headers).attempt_id
+    except InputError:
+        return None
+
+
 def take_rate_token(state: RelayState, call: AdmittedCall, service: str) -> Rejection | None:
     """Wait for a token of the organisation's rate; return a rejection if none comes in time.
 
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -16,6 +16,7 @@
     AdmittedCall,
     Rejection,
     admit,
+    attempt_id_of,
     return_rate_token,
     take_rate_token,
 )
@@ -92,6 +93,7 @@
         wait_until(
             self._state, self._arrived_at + MAX_READY_WAIT_S, lambda: self._state.table is not None
         )
+        self._report.record_config()
         admitted = admit(self._state, self._request, self._arrived_at)
         if isinstance(admitted, Rejection):
             self._reject(admitted)
@@ -306,7 +308,11 @@
             extra = [(b"retry-after", f"{rejection.retry_after_s:.3f}".encode())]
         self._respond_error(rejection.status, rejection.error, rejection.message, extra)
         self._report.end(
-            self._admitted, rejection.status, rejection.message, rejection.retry_after_s
+            self._admitted,
+            rejection.status,
+            rejection.message,
+            rejection.retry_after_s,
+            attempt_id_of(self._state, self._request) if self._admitted is None else None,
         )
 
     def _fail(self, reason: str) -> None:
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -94,6 +94,7 @@
             service.name for service in config.services if service.uneven
         )
         self._state.table = RouteTable(config)
+        self._context.metrics.gauge("relay.config_version", config.version)
         log.info("relay.in_force", version=config.version, routes=len(config.routes))
         return True
 
--- a/libs/relay/tarragonhall_relay/_report.py
+++ b/libs/relay/tarragonhall_relay/_report.py
@@ -19,6 +19,8 @@
 
     __slots__ = (
         "_arrived_at",
+        "_config_age_ms",
+        "_config_version",
         "_ms_by_step",
         "_state",
         "attempts",
@@ -31,12 +33,21 @@
         self._state = state
         self._arrived_at = arrived_at
         self._ms_by_step: dict[str, float] = {}
+        self._config_version: int | None = None
+        self._config_age_ms: float | None = None
         self.attempts = 0
         self.events = 0
         self.server_id: str | None = None
         # The body of the last server's response.
         self.response_body = ResponseBody()
 
+    def record_config(self) -> None:
+        """Record the version of the configuration by which the call is admitted or refused."""
+        table = self._state.table
+        self._config_version = table.config.version if table is not None else None
+        age_s = self._state.config_age_s()
+        self._config_age_ms = round(age_s * 1000, 1) if age_s is not None else None
+
     def step(self, name: str) -> None:
         """Record that a step was reached now, in milliseconds since the arrival."""
         self._ms_by_step[name] = round(self._elapsed_ms(), 1)
@@ -47,8 +58,12 @@
         status: int | None,
         reason: str,
         retry_after_s: float | None = None,
+        attempt_id: str | None = None,
     ) -> None:
-        """Report how the call ended; `status` is None for a response that broke off."""
+        """Report how the call ended; `status` is None for a response that broke off.
+
+        `attempt_id` names a call that was not admitted.
+        """
         total_ms = self._elapsed_ms()
         outcome = (("status", str(status) if status is not None else "broken"),)
         self._state.metrics.count("relay.calls", labels=outcome)
@@ -58,13 +73,15 @@
                 self._state.metrics.timing(f"relay.{name}", self._ms_by_step[name])
         log.info(
             "call.end",
-            id=call.facts.attempt_id if call is not None else None,
+            id=call.facts.attempt_id if call is not None else attempt_id,
             program=call.facts.program_id if call is not None else None,
             route=call.route.name if call is not None else None,
             organisation=call.org_id if call is not None else None,
             status=status,
             reason=reason,
             retry_after_s=retry_after_s,
+            config_version=self._config_version,
+            config_age_ms=self._config_age_ms,
             server=self.server_id,
             attempts=self.attempts,
             events=self.events,
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -132,6 +132,7 @@
             availability_zone=context.availability_zone,
             region_by_zone=settings.region_by_zone,
             store_zones=self._follower.store_zones,
+            config_age_s=self._config_age_s,
             cold_slack=settings.cold_slack,
             features=settings.features,
         )
@@ -245,6 +246,9 @@
     def _is_fresh(self) -> bool:
         return self._follower.is_fresh(self._context.monotonic())
 
+    def _config_age_s(self) -> float | None:
+        return self._follower.confirmed_age_s(self._context.monotonic())
+
     def _accept_loop(self) -> None:
         while True:
             try:
@@ -312,3 +316,6 @@
             eventlet.sleep(SWEEP_INTERVAL_SECONDS)
             self.state.pool.close_expired()
             self.state.waiting_bytes.report()
+            age_s = self._config_age_s()
+            if age_s is not None:
+                self._context.metrics.gauge("relay.config_age_s", age_s)
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -44,7 +44,8 @@
     """The components that a call uses.
 
     `table` is None until the first relay document has arrived. `is_fresh` returns whether control
-    has confirmed recently that it is the latest. `store_zones` returns the availability zones of
+    has confirmed recently that it is the latest, `config_age_s` for how many seconds control has
+    not confirmed it, None before the first time. `store_zones` returns the availability zones of
     the stores. `load_reporters` are the parts that are switched on and add to the load messages,
     `uneven_reporters` those that do so while the relay document names uneven services.
     `urgent_first` is None unless it is switched on.
@@ -68,6 +69,7 @@
     availability_zone: str
     region_by_zone: Mapping[str, str]
     store_zones: Callable[[], set[str]]
+    config_age_s: Callable[[], float | None] = lambda: None
     cold_slack: ColdSlack = ColdSlack()
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     exhausted_programs: ExhaustedPrograms = field(default_factory=ExhaustedPrograms)
--- a/libs/state/tarragonhall_state/_follower.py
+++ b/libs/state/tarragonhall_state/_follower.py
@@ -122,6 +122,10 @@
         """Return whether this process may act on its replica. Check right before every use."""
         return self._lease_start is not None and now - self._lease_start < self.lease_seconds
 
+    def confirmed_age_s(self, now: float) -> float | None:
+        """Return for how long nothing newer was confirmed, in seconds; None before the first."""
+        return None if self._lease_start is None else now - self._lease_start
+
     def _merge(self, delta: PolicyDelta) -> None:
         for organisation in delta.organisations:
             self.organisation_by_id[organisation.org_id] = organisation
--- a/libs/wire/tarragonhall_wire/_leader_client.py
+++ b/libs/wire/tarragonhall_wire/_leader_client.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import eventlet
+import structlog
 from tarragonhall_model import (
     Busy,
     LinkError,
@@ -20,6 +21,8 @@
 from tarragonhall_wire._context import ProcessContext
 from tarragonhall_wire._link import Link
 
+log = structlog.get_logger(__name__)
+
 # An unresponsive member must not use up the whole timeout of a request: the next one is tried. An
 # election takes about this long, so a heartbeat finds the next leader before its lease ends.
 ATTEMPT_SECONDS = 1.0
@@ -96,7 +99,8 @@
             sent_at = self._context.monotonic()
             try:
                 reply = member.link.request(message, min(remaining_s, attempt_timeout_s))
-            except LinkError:
+            except LinkError as error:
+                log.info("leader.unanswered", address=member.address, error=str(error))
                 attempt_timeout_s = min(ATTEMPT_SECONDS, 2 * attempt_timeout_s)
                 self._avoid(member.address)
                 eventlet.sleep(RETRY_SECONDS)
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -168,7 +168,8 @@
         if self.closed:
             return
         if now - self._last_received > RECEIVE_TIMEOUT_SECONDS:
-            log.warning("link.silent", peer=self.peer.instance)
+            silent_s = round(now - self._last_received, 3)
+            log.warning("link.silent", peer=self.peer.instance, silent_s=silent_s)
             self.close()
             return
         if now - self._last_sent < HEARTBEAT_SECONDS / 2:
