--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -14,12 +14,13 @@
 import urllib3  # noqa: E402
 from tarragonhall_consensus import Limits  # noqa: E402
 from tarragonhall_control import OPTIONS, initialise, start_control  # noqa: E402
-from tarragonhall_fakes import free_address  # noqa: E402
+from tarragonhall_fakes import Relay, free_address  # noqa: E402
 from tarragonhall_model import EntryRecord  # noqa: E402
 from tarragonhall_state import FRESHNESS_LEASE_SECONDS, Follower  # noqa: E402
 from tarragonhall_wire import ControlClient, make_context, make_metrics  # noqa: E402
 
 WAIT_SECONDS = 5.0
+HEARTBEAT_SECONDS = 1.0
 # The shortest election timeouts that a busy machine allows, to keep failure tests short.
 FAST_LIMITS = Limits(
     election_seconds=0.4, lease_seconds=0.35, heartbeat_seconds=0.08, retry_seconds=0.1
@@ -126,10 +127,18 @@
     def admin(self, name: str | None = None) -> Admin:
         return Admin(self.admin_by_name[name or self.leader()], self.token)
 
-    def client(self, name: str):
+    def client(self, name: str, heartbeat_s: float = HEARTBEAT_SECONDS):
         context = make_process(name, list(self.address_by_name.values()))
         self.clients.append(context)
-        return context, ControlClient(context)
+        return context, ControlClient(context, heartbeat_s)
+
+    def relay_follower(self, name: str, heartbeat_s: float = HEARTBEAT_SECONDS) -> Follower:
+        """Return the follower of a process that follows the relay document like an entry."""
+        context, client = self.client(name, heartbeat_s)
+        node = EntryRecord(name, context.incarnation, context.link_address, "tx-waco")
+        follower = Follower()
+        client.follow(lambda: node, follower, include_relay=True)
+        return follower
 
     def stop_all(self) -> None:
         for name in list(self.role_by_name):
@@ -138,12 +147,49 @@
             context.hub.stop()
 
 
+class RelayedGroup(Group):
+    """A group whose links all pass through relays, which can drop the packets of open links."""
+
+    def __init__(self, folder, names: list[str]) -> None:
+        super().__init__(folder, names)
+        self.relays: list[Relay] = []
+
+    def start(self, name: str) -> None:
+        context = make_process(name, [])
+        address = self.address_by_name[name]
+        self.relays.append(Relay(context.link_address, int(address.rpartition(":")[2])))
+        context.link_address = address
+        context.hub.local_peer = dataclasses.replace(context.hub.local_peer, address=address)
+        self.context_by_name[name] = context
+        self.role_by_name[name] = start_control(self.settings(name), context, FAST_LIMITS)
+
+    def silence(self) -> None:
+        """Drop everything that is sent on open links from now on; new links work."""
+        for relay in self.relays:
+            relay.silence()
+
+    def stop_all(self) -> None:
+        super().stop_all()
+        for relay in self.relays:
+            relay.stop()
+
+
+@pytest.fixture
+def group_class() -> type[Group]:
+    return Group
+
+
+@pytest.fixture
+def relayed_group_class() -> type[RelayedGroup]:
+    return RelayedGroup
+
+
 @pytest.fixture
-def start_group(tmp_path):
+def start_group(tmp_path, group_class):
     started = []
 
     def start(*names: str) -> Group:
-        group = Group(tmp_path, list(names))
+        group = group_class(tmp_path, list(names))
         started.append(group)
         for name in names:
             group.start(name)
--- a/libs/control/tests/relay_tests.py
+++ b/libs/control/tests/relay_tests.py
@@ -13,12 +13,10 @@
     BackendRecord,
     BackendsChanged,
     BackendsKnown,
-    EntryRecord,
     FollowBackends,
     RelayDocument,
     encode,
 )
-from tarragonhall_state import Follower
 
 SERVER = BackendRecord("i-1", "desk", "10.0.0.1:80", "tx-waco", 6, born_ms=1_000, sequence=4)
 
@@ -27,15 +25,6 @@
     return RelayDocument(version, f"document {version}".encode())
 
 
-def relay_follower(group, name: str):
-    """Return a process that follows the relay document like an entry."""
-    context, client = group.client(name)
-    node = EntryRecord(name, context.incarnation, context.link_address, "tx-waco")
-    follower = Follower()
-    client.follow(lambda: node, follower, include_relay=True)
-    return follower
-
-
 def test_highest_document_version_wins_at_any_member(start_group):
     # Two operators publish at two members, and an older document is resent after a lost response.
     # It is acknowledged without effect: applying it would restore routes that were removed.
@@ -51,13 +40,13 @@
 
 def test_followers_get_new_documents_and_ignore_older_ones(start_group):
     group = start_group("one", "two", "three")
-    follower = relay_follower(group, "entry-1")
+    follower = group.relay_follower("entry-1")
     group.role_by_name["one"].relay.publish(document(2))
     group.wait_until(lambda: follower.relay_version == 2)
     group.role_by_name["two"].relay.publish(document(5))
     group.wait_until(lambda: follower.relay == document(5))
     assert not follower.apply_relay(document(4))
-    late = relay_follower(group, "entry-2")
+    late = group.relay_follower("entry-2")
     group.wait_until(lambda: late.relay == document(5))
 
 
--- a/libs/fakes/tarragonhall_fakes/_relay.py
+++ b/libs/fakes/tarragonhall_fakes/_relay.py
@@ -19,9 +19,10 @@
 
     __slots__ = ("_connections", "_listener", "_drop_new", "address", "target")
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, port: int = 0) -> None:
+        """Listen on a loopback port; 0 means any free one."""
         self.target = target
-        self._listener = eventlet.listen(("127.0.0.1", 0), reuse_port=False)
+        self._listener = eventlet.listen(("127.0.0.1", port), reuse_port=False)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._connections: list[_Connection] = []
         self._drop_new = False
--- a/libs/wire/tests/leader_client_tests.py
+++ b/libs/wire/tests/leader_client_tests.py
@@ -22,12 +22,21 @@
         # Reply delay of each member; None for a machine without power.
         self.delay_by_address: dict[str, float | None] = dict.fromkeys(MEMBERS, 0.001)
         self.requested: list[str] = []
+        self.link_by_address: dict[str, object] = {}
         hub = SimpleNamespace(link_to=self.link_to)
         context = SimpleNamespace(hub=hub, rng=random.Random(1), monotonic=lambda: self.now)
         self.client = LeaderClient(context, lambda: MEMBERS)
 
     def link_to(self, address: str):
-        return SimpleNamespace(request=lambda message, timeout_s: self.answer(address, timeout_s))
+        if address not in self.link_by_address:
+            self.link_by_address[address] = SimpleNamespace(
+                request=lambda message, timeout_s: self.answer(address, timeout_s)
+            )
+        return self.link_by_address[address]
+
+    def replace_link(self, address: str) -> None:
+        """Let the next request to a member use another connection than the ones before."""
+        self.link_by_address.pop(address, None)
 
     def answer(self, address: str, timeout_s: float) -> object:
         self.requested.append(address)
@@ -73,6 +82,22 @@
     assert group.now < 2.5
 
 
+def test_a_leader_with_a_new_link_is_tried_at_once(group):
+    # Guards against a second without changes after a silent connection was replaced: the failure
+    # belonged to the old connection.
+    group.reply_by_address["a:1"] = Proposed("x")
+    group.reply_by_address["b:1"] = group.reply_by_address["c:1"] = NotLeader("a:1")
+    assert group.client.propose("x", 1.5, "r-1") == "x"
+    group.delay_by_address["a:1"] = None
+    with pytest.raises(UnavailableError):
+        group.client.propose("x", 0.3, "r-2")
+    group.delay_by_address["a:1"] = 0.001
+    group.replace_link("a:1")
+    started = group.now
+    assert group.client.propose("x", 1.5, "r-3") == "x"
+    assert group.now - started < 0.2
+
+
 def test_without_a_leader_the_request_times_out(group):
     with pytest.raises(UnavailableError):
         group.client.propose("x", 1.0, "r-1")
