Test cancelled timers on an event loop of the test's own

test_cancelled_timers_wake_nobody failed once, in a run of the tests of control and wire on. It counted all cancelled timers of the loop that all tests share, and allowed fewer than 50: those of other tests, behind a timer that is still due, count as well.

The loop is now the test's own, and no cancelled timer at all may be left: stricter than before. It fails if the loop stops dropping cancelled timers (seen with that loop disabled in a working copy).

--- a/libs/wire/tests/event_loop_tests.py
+++ b/libs/wire/tests/event_loop_tests.py
@@ -97,14 +97,16 @@
         writer.wait()
 
 
-def test_cancelled_timers_wake_nobody(loop):
+def test_cancelled_timers_wake_nobody(monkeypatch):
     # Failure: each cancelled timeout of a finished call wakes the process once more, later.
-    pending = eventlet.spawn_after(0.2, int)
-    for number in range(50):
-        with eventlet.Timeout(0.001 + number / 1000):
-            pass
+    # A loop of its own: other tests leave cancelled timers behind.
+    loop = EventLoop()
+    monkeypatch.setattr(hubs, "get_hub", lambda: loop)
+    pending = loop.schedule_call_global(0.2, int)
+    timeouts = [loop.schedule_call_global(0.001 + n / 1000, int) for n in range(50)]
     loop.prepare_timers()
-    due = [timer for _at, timer in loop.timers if timer.called]
-    assert not loop.timers[0][1].called
-    assert len(due) < 50
-    pending.wait()
+    for timeout in timeouts:
+        timeout.cancel()
+    loop.prepare_timers()
+    assert [timer for _at, timer in loop.timers] == [pending]
+    assert loop.timers_canceled == 0
