Replace a link on which messages stay unanswered, before its silence closes it

Callers of the Agency were refused as only an older version of the relay document allows, later than the deployment's bound after it was acknowledged.

Cause: an open connection can lose all packets without a reset while new ones work. A link was given up after 3.5 s without a byte, checked once a second; until then an entry got neither a push nor an answer to a heartbeat, and the members of control neither appends nor votes. Processes count as connected again after 3 s.

Now a link whose messages are unanswered for half a second is probed: the peer's link answers by itself, so a slow handler does not count. If the probe is not answered either, a new connection is dialled, and takes over once the peer has answered there and still not on the old one. Heartbeats do not count as answers, since they arrive as well where only the packets to the peer are lost. Of two links to a peer the newest is used: the peer dialled again as the earlier one no longer worked for it. Links that are silent and cannot be dialled are closed as before.

New tests: a slow answer does not replace a link, losses in one direction do, a peer out of reach keeps its link.

--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -30,6 +30,14 @@
 # After all processes were killed, those that dialled too early dial again within this time, and
 # elections wait for it: with 2 s a leader was elected up to 1 s after its voters had started.
 RECONNECT_MAX_SECONDS = 0.5
+# Links are checked this many times in each interval of heartbeats.
+CHECKS_PER_HEARTBEAT = 4
+# A link on which messages are unanswered for this long is probed, and replaced if the peer answers
+# on a new connection only. Most messages are answered within milliseconds, and a change of settings
+# must pass within seconds of a fault of the network.
+UNANSWERED_SECONDS = 0.5
+# Ten round trips between distant zones.
+PROBE_SECONDS = 0.2
 
 
 class Hub:
@@ -39,6 +47,10 @@
     it from then on until `disconnect`. If the peer has already dialled, its link is used: two links
     between two processes would double the heartbeats, and a restarted process is reachable as soon
     as it has dialled instead of after the delay before the next dial.
+
+    An open connection can lose all packets without a reset while new ones work. A link on which
+    messages stay unanswered is therefore replaced by one over a new connection, long before its
+    silence alone would close it.
     """
 
     __slots__ = (
@@ -51,6 +63,7 @@
         "_link_closed_callbacks",
         "_link_open_callbacks",
         "_listener",
+        "_replacing",
         "_rng",
         "_secret",
         "_stopped",
@@ -81,6 +94,7 @@
         self._link_open_callbacks: list[Callable[[Link], None]] = []
         self._dialled_by_address: dict[str, Link] = {}
         self._dial_targets: set[str] = set()
+        self._replacing: set[Link] = set()
         self._listener = None
         self._acceptor = None
         self._stopped = False
@@ -130,12 +144,18 @@
         return link
 
     def _find_open_link(self, address: str) -> Link | None:
-        """Return the open link to an address, whichever end dialled it."""
+        """Return the newest open link to an address, whichever end dialled it.
+
+        A peer that has dialled again did so since the earlier link no longer works for it.
+        """
+        newest = None
         for by_address in (self._dialled_by_address, self._accepted_by_address):
             link = by_address.get(address)
-            if link is not None and not link.closed:
-                return link
-        return None
+            if link is None or link.closed:
+                continue
+            if newest is None or link.opened_at > newest.opened_at:
+                newest = link
+        return newest
 
     def wait_for_link(self, address: str, timeout_s: float) -> Link:
         """Return the link to an address, waiting for it to open."""
@@ -207,18 +227,54 @@
         if self._accepted_by_address.get(peer.address) is link:
             del self._accepted_by_address[peer.address]
 
-    def _heartbeat_loop(self) -> None:
-        """Send the heartbeats of all links: one wake-up a second, however many links there are."""
+    def _check_loop(self) -> None:
+        """Check all links and send their heartbeats: one loop, however many links there are."""
+        checks = 0
         while not self._stopped:
-            eventlet.sleep(HEARTBEAT_SECONDS)
+            eventlet.sleep(HEARTBEAT_SECONDS / CHECKS_PER_HEARTBEAT)
+            checks += 1
             now = time.monotonic()
             for link in self.links():
-                link.send_heartbeat(now)
+                if checks % CHECKS_PER_HEARTBEAT == 0:
+                    link.send_heartbeat(now)
+                if link.unanswered_s(now) > UNANSWERED_SECONDS and link not in self._replacing:
+                    self._replacing.add(link)
+                    eventlet.spawn_n(self._replace_unanswered, link)
+
+    def _replace_unanswered(self, link: Link) -> None:
+        """Probe a link, and replace it if its peer answers on a new connection first."""
+        try:
+            replacement = self._dial_replacement(link)
+        finally:
+            self._replacing.discard(link)
+        if replacement is None:
+            return
+        silent_s = round(link.unanswered_s(time.monotonic()), 3)
+        log.warning("link.replaced", peer=link.peer.instance, unanswered_s=silent_s)
+        self._dialled_by_address[link.peer.address] = replacement
+        link.close()
+        self._run_dialled(link.peer.address, replacement)
+
+    def _dial_replacement(self, link: Link) -> Link | None:
+        """Return a new link to the peer of a link that is still unanswered, None otherwise."""
+        while not self._stopped:
+            link.send_probe()
+            eventlet.sleep(PROBE_SECONDS)
+            if not link.unanswered_s(time.monotonic()):
+                return None
+            replacement = self._dial(link.peer.address)
+            if replacement is None:
+                continue
+            if link.unanswered_s(time.monotonic()):
+                return replacement
+            replacement.close()
+            return None
+        return None
 
     def _run_link(self, link: Link) -> None:
         if not self._heartbeats_started:
             self._heartbeats_started = True
-            eventlet.spawn_n(self._heartbeat_loop)
+            eventlet.spawn_n(self._check_loop)
         log.info("link.up", peer=link.peer.instance)
         for callback in self._link_open_callbacks:
             callback(link)
@@ -248,10 +304,13 @@
         if link is None:
             return False
         self._dialled_by_address[address] = link
+        self._run_dialled(address, link)
+        return True
+
+    def _run_dialled(self, address: str, link: Link) -> None:
         self._run_link(link)
         if self._dialled_by_address.get(address) is link:
             del self._dialled_by_address[address]
-        return True
 
     def _dial(self, address: str) -> Link | None:
         websocket: WebSocket | None = None
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import itertools
 import time
 from collections.abc import Callable
@@ -34,6 +35,9 @@
 # a reset, and the kernel would keep retransmitting for minutes.
 RECEIVE_TIMEOUT_SECONDS = 3.5
 SEND_QUEUE_MESSAGES = 10_000
+# A request with this correlation is a probe: the peer's link answers it at once, without a handler.
+# Processes of earlier releases answer it with a failure, which shows as well that they receive.
+PROBE_CORRELATION = 0
 
 ONE_WAY, REQUEST, REPLY, FAILURE, PING = range(5)
 
@@ -81,9 +85,11 @@
         "_send_queue",
         "_socket",
         "_traffic",
+        "_unanswered_since",
         "_wake",
         "_writer_waits",
         "closed",
+        "opened_at",
         "peer",
         "received_bytes",
         "sent_bytes",
@@ -106,7 +112,9 @@
         self._send_queue: collections.deque[bytes] = collections.deque()
         self._wake = eventlet.semaphore.Semaphore(0)
         self._writer_waits = False
-        self._last_received = self._last_sent = time.monotonic()
+        self._last_received = self._last_sent = self.opened_at = time.monotonic()
+        # When the first message was sent since the peer last sent one; heartbeats do not count.
+        self._unanswered_since: float | None = None
         self.peer = peer
         self.closed = False
         self.sent_bytes = 0
@@ -155,11 +163,28 @@
 
     def _enqueue_message(self, kind: int, correlation: int, message: object) -> None:
         self._check_open()
+        if self._unanswered_since is None and kind in (ONE_WAY, REQUEST):
+            self._unanswered_since = time.monotonic()
         encoded, name = _last_encoded.encode(message)
         stamp = self._clock.now()
         head = cbor2.dumps([kind, correlation, stamp.wall_ms, stamp.counter])
         self._queue_data(b"".join((ENVELOPE_HEAD, head[1:], encoded)), name)
 
+    def unanswered_s(self, now: float) -> float:
+        """Return for how many seconds messages were sent and none has arrived; 0 if closed.
+
+        The peer's heartbeats do not count as messages: they arrive as well where only the packets
+        to the peer are lost.
+        """
+        if self.closed or self._unanswered_since is None:
+            return 0.0
+        return now - self._unanswered_since
+
+    def send_probe(self) -> None:
+        """Ask the peer for a sign that it receives; it comes as a message."""
+        with contextlib.suppress(LinkError):
+            self._enqueue(REQUEST, PROBE_CORRELATION, None)
+
     def send_heartbeat(self, now: float) -> None:
         """Ping a peer to which nothing was sent lately, and close a link that is silent.
 
@@ -234,9 +259,13 @@
         self._clock.observe(wall_ms, counter)
         if kind == PING:
             return
+        self._unanswered_since = None
         if kind in (REPLY, FAILURE):
             self._resolve(kind, correlation, plain)
             return
+        if kind == REQUEST and correlation == PROBE_CORRELATION:
+            self._answer_probe()
+            return
         message = from_plain(plain)
         if kind == REQUEST:
             eventlet.spawn_n(self._reply, correlation, message)
@@ -269,6 +298,10 @@
             log.exception("link.request_failed", kind=type(message).__name__)
             self._reply_failure(correlation, f"{type(error).__name__}: {error}")
 
+    def _answer_probe(self) -> None:
+        with contextlib.suppress(LinkError):
+            self._enqueue(REPLY, PROBE_CORRELATION, None)
+
     def _reply_failure(self, correlation: int, text: str) -> None:
         try:
             self._enqueue(FAILURE, correlation, text)
--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import time
 
 import eventlet
@@ -14,6 +15,7 @@
     RequestTimeoutError,
 )
 from tarragonhall_wire import make_context, make_metrics
+from tarragonhall_wire._hub import PROBE_SECONDS, UNANSWERED_SECONDS
 from tarragonhall_wire._link import RECEIVE_TIMEOUT_SECONDS, SEND_QUEUE_MESSAGES
 
 
@@ -236,3 +238,77 @@
     eventlet.sleep(0.05)
     again = one.hub.wait_for_link(two.link_address, 2)
     assert again.request(QueryLiving(["prog-1"]), 2).program_ids == ["prog-1"]
+
+
+def replaced(hub, link) -> bool:
+    return link.closed and any(one is not link for one in hub.links())
+
+
+def test_a_link_whose_answers_are_slow_is_not_replaced(start):
+    # Guards against requests that are broken off since their handler needs longer than a probe.
+    one, two = start("one"), start("two")
+
+    def slow(_link, query: QueryLiving) -> Living:
+        eventlet.sleep(3 * (UNANSWERED_SECONDS + PROBE_SECONDS))
+        return Living(query.program_ids)
+
+    two.hub.handle(QueryLiving, slow)
+    link = one.hub.wait_for_link(two.link_address, 2)
+    assert link.request(QueryLiving(["prog-1"]), 10) == Living(["prog-1"])
+    assert one.hub.links() == [link]
+
+
+@pytest.mark.parametrize("lost", [{"forth": True, "back": True}, {"forth": True, "back": False}])
+def test_a_link_that_loses_packets_is_replaced_before_its_silence_closes_it(start, lost):
+    # Guards against seconds without changes. Where only the packets to the peer are lost, its
+    # heartbeats still arrive and would hide that it receives nothing.
+    one, two = start("one"), start("two")
+    two.hub.handle(QueryLiving, echo)
+    relay = Relay(two.link_address)
+    two.hub.local_peer = dataclasses.replace(two.hub.local_peer, address=relay.address)
+    link = one.hub.wait_for_link(relay.address, 2)
+    relay.silence(**lost)
+    with pytest.raises(RequestTimeoutError):
+        link.request(QueryLiving(["prog-1"]), 0.1)
+    with eventlet.Timeout(RECEIVE_TIMEOUT_SECONDS / 2):
+        while not replaced(one.hub, link):
+            eventlet.sleep(0.01)
+    again = one.hub.link_to(relay.address)
+    assert again.request(QueryLiving(["prog-1"]), 1) == Living(["prog-1"])
+    relay.stop()
+
+
+def test_a_peer_uses_the_new_link_although_it_has_not_noticed_the_loss(start):
+    # Guards against answers of a log member that go to the lost connection that it opened itself.
+    one, two = start("one"), start("two")
+    two.hub.handle(QueryLiving, echo)
+    relay = Relay(one.link_address)
+    one.hub.local_peer = dataclasses.replace(one.hub.local_peer, address=relay.address)
+    lost = two.hub.wait_for_link(relay.address, 2)
+    relay.silence()
+    one.hub.accepted[0].send(Chunk("prog-1/1/1", 0, "x"))
+    with eventlet.Timeout(RECEIVE_TIMEOUT_SECONDS / 2):
+        while two.hub.link_to(relay.address) is lost:
+            eventlet.sleep(0.01)
+    assert not lost.closed
+    relay.stop()
+
+
+def test_a_link_to_a_peer_out_of_reach_is_not_replaced(start):
+    # Guards against dials that go on for ever, and against a link that is closed while its peer
+    # cannot be reached on another one either.
+    one, two = start("one"), start("two")
+    two.hub.handle(QueryLiving, echo)
+    relay = Relay(two.link_address)
+    two.hub.local_peer = dataclasses.replace(two.hub.local_peer, address=relay.address)
+    link = one.hub.wait_for_link(relay.address, 2)
+    relay.silence(new=True)
+    with pytest.raises(RequestTimeoutError):
+        link.request(QueryLiving(["prog-1"]), 0.1)
+    eventlet.sleep(2 * UNANSWERED_SECONDS + PROBE_SECONDS)
+    assert not link.closed
+    relay.heal()
+    assert link.request(QueryLiving(["prog-1"]), 5) == Living(["prog-1"])
+    eventlet.sleep(3 * PROBE_SECONDS)
+    assert not link.closed
+    relay.stop()
