Probe all links once one is unanswered, and take only a message since the probe for an answer

A link that had answered its probe and sent again within the same milliseconds counted as silent, so two members replaced their links in turns, once a second; - an entry noticed the loss for one member after the other, as it turned to them, and a request on a lost link that its peer had replaced meanwhile waited for its whole timeout.

Now a link is replaced only if no message has arrived since its probe was sent; the first unanswered link lets all links be probed, at most once a second; and where the peer has dialled again, the earlier link is probed and closed.

--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -32,12 +32,14 @@
 RECONNECT_MAX_SECONDS = 0.5
 # Links are checked this many times in each interval of heartbeats.
 CHECKS_PER_HEARTBEAT = 4
-# A link on which messages are unanswered for this long is probed, and replaced if the peer answers
-# on a new connection only. Most messages are answered within milliseconds, and a change of settings
-# must pass within seconds of a fault of the network.
+# Once messages are unanswered for this long on one link, all links are probed: the same fault of
+# the network may have hit them. Most messages are answered within milliseconds, and a change of
+# settings must pass within seconds of such a fault.
 UNANSWERED_SECONDS = 0.5
-# Ten round trips between distant zones.
+# Ten round trips between distant zones. A link whose probe is unanswered for longer is replaced if
+# the peer answers on a new connection.
 PROBE_SECONDS = 0.2
+PROBE_ALL_INTERVAL_SECONDS = 1.0
 
 
 class Hub:
@@ -48,9 +50,9 @@
     between two processes would double the heartbeats, and a restarted process is reachable as soon
     as it has dialled instead of after the delay before the next dial.
 
-    An open connection can lose all packets without a reset while new ones work. A link on which
-    messages stay unanswered is therefore replaced by one over a new connection, long before its
-    silence alone would close it.
+    An open connection can lose all packets without a reset while new ones work. Links on which
+    messages stay unanswered are therefore replaced by new connections, long before their silence
+    alone would close them.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         "_link_closed_callbacks",
         "_link_open_callbacks",
         "_listener",
+        "_probed_all_at",
         "_replacing",
         "_rng",
         "_secret",
@@ -95,6 +98,7 @@
         self._dialled_by_address: dict[str, Link] = {}
         self._dial_targets: set[str] = set()
         self._replacing: set[Link] = set()
+        self._probed_all_at = 0.0
         self._listener = None
         self._acceptor = None
         self._stopped = False
@@ -220,8 +224,11 @@
                 websocket.close()
             return
         link = Link(websocket, peer, self._dispatch, self.timeline.clock, self.traffic)
+        earlier = self._find_open_link(peer.address)
         self.accepted.append(link)
         self._accepted_by_address[peer.address] = link
+        if earlier is not None:
+            self._start_probe(earlier)
         self._run_link(link)
         self.accepted.remove(link)
         if self._accepted_by_address.get(peer.address) is link:
@@ -234,41 +241,57 @@
             eventlet.sleep(HEARTBEAT_SECONDS / CHECKS_PER_HEARTBEAT)
             checks += 1
             now = time.monotonic()
-            for link in self.links():
-                if checks % CHECKS_PER_HEARTBEAT == 0:
+            links = self.links()
+            if checks % CHECKS_PER_HEARTBEAT == 0:
+                for link in links:
                     link.send_heartbeat(now)
-                if link.unanswered_s(now) > UNANSWERED_SECONDS and link not in self._replacing:
-                    self._replacing.add(link)
-                    eventlet.spawn_n(self._replace_unanswered, link)
+            if now - self._probed_all_at < PROBE_ALL_INTERVAL_SECONDS:
+                continue
+            if any(link.unanswered_s(now) > UNANSWERED_SECONDS for link in links):
+                self._probed_all_at = now
+                self._probe_all(links)
+
+    def _probe_all(self, links: list[Link]) -> None:
+        for link in links:
+            self._start_probe(link)
+
+    def _start_probe(self, link: Link) -> None:
+        if link in self._replacing:
+            return
+        self._replacing.add(link)
+        eventlet.spawn_n(self._probe, link)
 
-    def _replace_unanswered(self, link: Link) -> None:
-        """Probe a link, and replace it if its peer answers on a new connection first."""
+    def _probe(self, link: Link) -> None:
+        """Probe a link, and replace it if its peer answers on another connection only."""
         try:
             replacement = self._dial_replacement(link)
         finally:
             self._replacing.discard(link)
         if replacement is None:
             return
-        silent_s = round(link.unanswered_s(time.monotonic()), 3)
-        log.warning("link.replaced", peer=link.peer.instance, unanswered_s=silent_s)
+        log.warning("link.replaced", peer=link.peer.instance)
         self._dialled_by_address[link.peer.address] = replacement
         link.close()
         self._run_dialled(link.peer.address, replacement)
 
     def _dial_replacement(self, link: Link) -> Link | None:
-        """Return a new link to the peer of a link that is still unanswered, None otherwise."""
-        while not self._stopped:
-            link.send_probe()
-            eventlet.sleep(PROBE_SECONDS)
-            if not link.unanswered_s(time.monotonic()):
+        """Return a new link to the peer of a link whose probe is not answered, None otherwise."""
+        probed_at = time.monotonic()
+        link.send_probe()
+        eventlet.sleep(PROBE_SECONDS)
+        while not (self._stopped or link.closed or link.has_message_since(probed_at)):
+            if self._find_open_link(link.peer.address) is not link:
+                # The peer has dialled meanwhile. Requests that wait on this link must not wait for
+                # its silence to close it.
+                link.close()
                 return None
             replacement = self._dial(link.peer.address)
             if replacement is None:
+                eventlet.sleep(RECONNECT_MIN_SECONDS)
                 continue
-            if link.unanswered_s(time.monotonic()):
+            if not (link.closed or link.has_message_since(probed_at)):
                 return replacement
             replacement.close()
-            return None
         return None
 
     def _run_link(self, link: Link) -> None:
--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -79,6 +79,7 @@
         "_clock",
         "_correlations",
         "_handler",
+        "_last_message",
         "_last_received",
         "_last_sent",
         "_pending",
@@ -113,6 +114,7 @@
         self._wake = eventlet.semaphore.Semaphore(0)
         self._writer_waits = False
         self._last_received = self._last_sent = self.opened_at = time.monotonic()
+        self._last_message = self.opened_at
         # When the first message was sent since the peer last sent one; heartbeats do not count.
         self._unanswered_since: float | None = None
         self.peer = peer
@@ -180,6 +182,10 @@
             return 0.0
         return now - self._unanswered_since
 
+    def has_message_since(self, then: float) -> bool:
+        """Return whether the peer has sent a message since a monotonic time."""
+        return self._last_message >= then
+
     def send_probe(self) -> None:
         """Ask the peer for a sign that it receives; it comes as a message."""
         with contextlib.suppress(LinkError):
@@ -260,6 +266,7 @@
         if kind == PING:
             return
         self._unanswered_since = None
+        self._last_message = self._last_received
         if kind in (REPLY, FAILURE):
             self._resolve(kind, correlation, plain)
             return
