--- a/libs/wire/tarragonhall_wire/_leader_client.py
+++ b/libs/wire/tarragonhall_wire/_leader_client.py
@@ -32,7 +32,7 @@
 # attempt waits twice as long, for a slow leader. With 1 s for each attempt, turns that start as
 # their leader loses power are refused, although another one leads after 0.5 s.
 FIRST_ATTEMPT_SECONDS = 0.3
-# How long a member that did not answer is tried only after all others.
+# How long a member that did not answer is tried only after all others, unless it has a new link.
 AVOID_SECONDS = 1.0
 
 
@@ -56,17 +56,25 @@
     link: Link
 
 
+@dataclass(slots=True, frozen=True)
+class UnansweredLink:
+    """A link on which a member did not answer; the member is avoided until then (monotonic)."""
+
+    link: Link
+    until: float
+
+
 class LeaderClient:
     """Sends requests to the leader of one group; `addresses` returns its members' addresses."""
 
-    __slots__ = ("_addresses", "_avoid_until_by_address", "_context", "_leader", "_next_index")
+    __slots__ = ("_addresses", "_context", "_leader", "_next_index", "_unanswered_by_address")
 
     def __init__(self, context: ProcessContext, addresses: Callable[[], list[str]]) -> None:
         self._context = context
         self._addresses = addresses
         self._leader: str | None = None
         self._next_index = 0
-        self._avoid_until_by_address: dict[str, float] = {}
+        self._unanswered_by_address: dict[str, UnansweredLink] = {}
 
     def propose(self, body: object, timeout_s: float, request_id: str | None = None) -> object:
         """Commit a command and return its result.
@@ -102,10 +110,10 @@
             except LinkError as error:
                 log.info("leader.unanswered", address=member.address, error=str(error))
                 attempt_timeout_s = min(ATTEMPT_SECONDS, 2 * attempt_timeout_s)
-                self._avoid(member.address)
+                self._avoid(member)
                 eventlet.sleep(RETRY_SECONDS)
                 continue
-            self._avoid_until_by_address.pop(member.address, None)
+            self._unanswered_by_address.pop(member.address, None)
             match reply:
                 case NotLeader(leader=leader):
                     # Members keep naming a dead leader until the next one is elected.
@@ -138,10 +146,17 @@
         self._next_index += 1
         return (preferred or members)[self._next_index % len(preferred or members)]
 
-    def _avoid(self, address: str) -> None:
+    def _avoid(self, member: ReachableMember) -> None:
         self._leader = None
-        self._avoid_until_by_address[address] = self._context.monotonic() + AVOID_SECONDS
+        until = self._context.monotonic() + AVOID_SECONDS
+        self._unanswered_by_address[member.address] = UnansweredLink(member.link, until)
 
     def _is_avoided(self, address: str | None) -> bool:
-        until = self._avoid_until_by_address.get(address or "")
-        return until is not None and self._context.monotonic() < until
+        unanswered = self._unanswered_by_address.get(address or "")
+        if unanswered is None or self._context.monotonic() >= unanswered.until:
+            return False
+        try:
+            return self._context.hub.link_to(address) is unanswered.link
+        except LinkError:
+            # Not reachable at all: the failure of before still holds.
+            return True
