Deny routes and keys no longer than the deployment's bound after a confirmation

Callers were refused as only an older version of the relay document allows. An entry answered 404 and 401 for up to 4 s after control had last confirmed its version; deployments state 2 to 3 s by which an acknowledged change must be in force, and the setting was not read.

The lease of the relay is now the stated bound. The confirmation counts from when its heartbeat was sent, so a version acknowledged after that is denied no longer than the bound; beyond it the answer is 503 with a time to come back, which promises no more than the entry knows. The lease of entries of the product's own callers stays at 4 s below their bound of 5 s, since they refuse every call without it.

A route is still denied within the bound.

--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -46,8 +46,8 @@
 
     __slots__ = ("_context", "_state")
 
-    def __init__(self, context: ProcessContext) -> None:
-        super().__init__()
+    def __init__(self, context: ProcessContext, lease_s: float) -> None:
+        super().__init__(lease_s)
         self._context = context
         self._state: RelayState | None = None
 
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -20,6 +20,7 @@
 )
 from tarragonhall_model import ClientLimits
 from tarragonhall_rates import Rates
+from tarragonhall_state import FRESHNESS_LEASE_SECONDS
 from tarragonhall_wire import ControlClient, ProcessContext, split_address
 
 from tarragonhall_relay._backend import BackendPool
@@ -66,7 +67,9 @@
     `rate_lease_s` must be the same on all entries: it is how long an owner of rates may act after
     control has confirmed it, and how long its successor waits. `region_by_zone` gives the region of
     each availability zone, for calls that must stay in their home regions. `reader_limits` bound
-    what is held for clients that read slowly.
+    what is held for clients that read slowly. `freshness_lease_s` is for how long after a
+    confirmation an entry may say that a route or key does not exist: no longer than changes may
+    take to be in force.
     """
 
     listen: str
@@ -76,6 +79,7 @@
     region_by_zone: Mapping[str, str] = field(default_factory=dict)
     features: Features = Features()
     reader_limits: ReaderLimits = ReaderLimits()
+    freshness_lease_s: float = FRESHNESS_LEASE_SECONDS
 
 
 class RelayRole:
@@ -107,7 +111,7 @@
         self._settings = settings
         self._context = context
         self._control = control
-        self._follower = RelayFollower(context)
+        self._follower = RelayFollower(context, settings.freshness_lease_s)
         cold = ColdServers(context.instance)
         chooser = BackendChooser(context.availability_zone, context.rng, cold)
         pool = BackendPool(context.hub.traffic, context.metrics)
--- a/libs/state/tarragonhall_state/_follower.py
+++ b/libs/state/tarragonhall_state/_follower.py
@@ -20,9 +20,10 @@
     apply_view_delta,
 )
 
-# How long a process may act on settings that were current when it sent its last request. Below the
-# 5 s within which a change must be in force everywhere. Above a heartbeat (1 s) and an election
-# (up to 2 s): with 3 s, entries refused callers as stale after the leader was killed.
+# How long a process may act on settings that were current when it sent its last request, unless its
+# deployment states an earlier time by which changes must be in force. Below the 5 s that hold
+# otherwise. Above a heartbeat (1 s) and an election (up to 2 s): with 3 s, entries refused callers
+# as stale after the leader was killed.
 FRESHNESS_LEASE_SECONDS = 4.0
 
 
