Count leases, timeouts and deadlines by the clock that goes on while a machine is suspended

A machine that was suspended woke up with the leases that it had before: the monotonic clock does not count that time. An entry denied routes and keys by the version of before, and an owner of rates could grant beside its successor.

Links and idle connections keep the monotonic clock, on which they compare nothing but their own times.

--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from dataclasses import replace
 
 import eventlet
@@ -49,7 +48,14 @@
     View,
     secret_hash,
 )
-from tarragonhall_wire import HybridClock, Metrics, Peer, ProcessContext, Timeline
+from tarragonhall_wire import (
+    HybridClock,
+    Metrics,
+    Peer,
+    ProcessContext,
+    Timeline,
+    elapsed_seconds,
+)
 
 KEY = "thk_test"
 POLICY = PolicyDelta(
@@ -131,7 +137,7 @@
     def confirm(self) -> None:
         follower = self.follower
         fresh = Fresh(follower.settings_revision or 1, follower.view.epoch, 1, policy=POLICY)
-        follower.confirm(fresh, time.monotonic())
+        follower.confirm(fresh, elapsed_seconds())
 
     def leave(self, _node, _timeout_s) -> None:
         self.left = True
--- a/libs/wire/tarragonhall_wire/__init__.py
+++ b/libs/wire/tarragonhall_wire/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tarragonhall_wire._clock import elapsed_seconds
 from tarragonhall_wire._context import ProcessContext, Role, make_context
 from tarragonhall_wire._control_client import ControlClient
 from tarragonhall_wire._event_loop import EventLoop, use_event_loop, wait_and_receive
@@ -35,6 +36,7 @@
     "Traffic",
     "UnavailableError",
     "configure_logging",
+    "elapsed_seconds",
     "make_context",
     "make_metrics",
     "report_resets",
--- a/libs/wire/tarragonhall_wire/_context.py
+++ b/libs/wire/tarragonhall_wire/_context.py
@@ -11,6 +11,7 @@
 
 from tarragonhall_model import EntryRecord
 
+from tarragonhall_wire._clock import elapsed_seconds
 from tarragonhall_wire._handshake import Peer
 from tarragonhall_wire._hub import Hub
 from tarragonhall_wire._metrics import Metrics
@@ -24,7 +25,8 @@
 
     `seed_addresses` are the link addresses of control members from the settings,
     `control_addresses` those currently known. `started_at` is the start of this process by
-    `monotonic`: any earlier process at `link_address` had ended by then.
+    `monotonic`: any earlier process at `link_address` had ended by then. `monotonic` counts the
+    time for which the machine is suspended.
     """
 
     instance: str
@@ -37,9 +39,9 @@
     timeline: Timeline
     rng: random.Random
     seed_addresses: list[str] = field(default_factory=list)
-    monotonic: Callable[[], float] = time.monotonic
+    monotonic: Callable[[], float] = elapsed_seconds
     wall_ms: Callable[[], int] = lambda: int(time.time() * 1000)
-    started_at: float = field(default_factory=time.monotonic)
+    started_at: float = field(default_factory=elapsed_seconds)
 
     def entry_record(self) -> EntryRecord:
         """Return the record by which an entry in this process announces itself."""
@@ -92,5 +94,5 @@
         timeline=timeline,
         rng=rng,
         seed_addresses=list(control_addresses),
-        started_at=time.monotonic() if started_at is None else started_at,
+        started_at=elapsed_seconds() if started_at is None else started_at,
     )
--- a/libs/wire/tests/suspension_tests.py
+++ b/libs/wire/tests/suspension_tests.py
@@ -41,3 +41,13 @@
     machine.suspended_s += 3_600.0
     assert not follower.is_fresh(context.monotonic())
     context.hub.stop()
+
+
+def test_a_process_that_started_before_a_suspension_has_started_by_the_same_clock(machine):
+    # Guards against two clocks that are compared: a member would owe its silence for ever, or not.
+    machine.suspended_s = 60.0
+    context = make_context(
+        "entry-1", "zona-a", free_address(), [], b"secret", make_metrics(None, 0, "entry-1")
+    )
+    assert 0.0 <= context.monotonic() - context.started_at < 10.0
+    context.hub.stop()
