Hold a version of the relay document only once it can be used

An entry recorded the number of a document before it read it. After an error on the way the old table stayed in force under the new number: the next heartbeat reported that number, so control sent nothing again and confirmed it, and calls were refused as only the older version allows until the next change. Class: a state that is reported before it is reached.

During an upgrade the two are of different releases.

The table is now built first, the version is recorded after; relay.unreadable and relay.config_unreadable tell. test_a_version_that_cannot_be_read_is_not_held failed before (the error was raised with the version recorded).

--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -83,17 +83,28 @@
         return True
 
     def apply_relay(self, document: RelayDocument) -> bool:
-        """Put a document of a higher version in force; return whether it was higher."""
-        if not super().apply_relay(document):
+        """Put a document of a higher version in force; return whether it is in force now.
+
+        A version counts as held only once its table is built: control sends it again until then,
+        and confirms no other.
+        """
+        if document.version <= self.relay_version:
+            return False
+        try:
+            config = self._state.dialect.read_config(document)
+            table = RouteTable(config)
+        except Exception:  # noqa: BLE001 - whatever is wrong with it, the version is not in force
+            log.exception("relay.unreadable", version=document.version, held=self.relay_version)
+            self._context.metrics.count("relay.config_unreadable")
             return False
-        config = self._state.dialect.read_config(document)
+        super().apply_relay(document)
         self._set_rates(config)
         self._set_cold_limits(config)
         self._set_memory_limits(config)
         self._state.chooser.uneven.paces.set_services(
             service.name for service in config.services if service.uneven
         )
-        self._state.table = RouteTable(config)
+        self._state.table = table
         self._context.metrics.gauge("relay.config_version", config.version)
         log.info("relay.in_force", version=config.version, routes=len(config.routes))
         return True
--- a/libs/relay/tests/configuration_tests.py
+++ b/libs/relay/tests/configuration_tests.py
@@ -4,6 +4,7 @@
 
 import pytest
 from structlog.testing import capture_logs
+from tarragonhall_model import RelayConfig, RelayDocument
 
 
 @pytest.mark.parametrize(
@@ -17,3 +18,29 @@
     (end,) = [line for line in lines if line["event"] == "call.end"]
     assert (end["id"], end["status"]) == ("a-7", status)
     assert (end["config_version"], end["config_age_ms"]) == (1, 1250.0)
+
+
+class UnreadableError(Exception):
+    """What a reader of relay documents raises for one that it does not understand."""
+
+
+def config(version: int) -> RelayConfig:
+    return RelayConfig(version, (), ())
+
+
+def test_a_version_that_cannot_be_read_is_not_held(relay, monkeypatch):
+    # Guards against an entry that reports a version, and is never sent it again, while it goes on
+    # with the table of the version before.
+    follower = relay.role._follower
+    monkeypatch.setattr(relay.state.dialect, "read_config", lambda one: config(one.version), False)
+    assert follower.apply_relay(RelayDocument(2, b""))
+
+    def fail(_document):
+        raise UnreadableError("a field of a later release")
+
+    monkeypatch.setattr(relay.state.dialect, "read_config", fail, False)
+    assert not follower.apply_relay(RelayDocument(3, b""))
+    assert (follower.relay_version, relay.state.table.config.version) == (2, 2)
+    monkeypatch.setattr(relay.state.dialect, "read_config", lambda one: config(one.version), False)
+    assert follower.apply_relay(RelayDocument(3, b""))
+    assert (follower.relay_version, relay.state.table.config.version) == (3, 3)
