Confirm an entry only if it holds the relay document that the leader named

The reply to a heartbeat confirmed settings and view; the relay document was left out. An entry that could not use the document in the reply, or did not get it, had its lease extended all the same and went on to deny routes and keys by the version before, without an end.

The reply now names the version in force, and the lease is extended only if the follower holds it. Leaders of an earlier release name none, and followers of an earlier release ignore it.

test_a_version_that_is_not_in_force_is_not_confirmed failed before: the reply could not name the version at all.

--- a/libs/control/tarragonhall_control/_link_service.py
+++ b/libs/control/tarragonhall_control/_link_service.py
@@ -142,6 +142,7 @@
             view_delta=delta,
             relay=state.relay if relay_outdated else None,
             controls=member.member_addresses(),
+            relay_version=None if heartbeat.relay_version is None else state.relay_version,
         )
 
     def on_leaving(self, _link: Link, message: Leaving) -> Proposed | NotLeader | Busy:
--- a/libs/model/tarragonhall_model/_control_messages.py
+++ b/libs/model/tarragonhall_model/_control_messages.py
@@ -177,6 +177,7 @@
     clock, so that neither clock differences nor a slow reply can make old settings look fresh.
     `policy`, `view` and `relay` are set if the receiver is behind; `view_delta` replaces `view` if
     the receiver's view is known. `controls` are the link addresses of all control members.
+    `relay_version` is the version of the relay document in force, for a receiver that takes it.
     """
 
     settings_revision: int
@@ -187,6 +188,7 @@
     relay: RelayDocument | None = None
     controls: tuple[str, ...] = ()
     view_delta: ViewDelta | None = None
+    relay_version: int | None = None
 
 
 @record
--- a/libs/relay/tests/configuration_tests.py
+++ b/libs/relay/tests/configuration_tests.py
@@ -4,7 +4,7 @@
 
 import pytest
 from structlog.testing import capture_logs
-from tarragonhall_model import RelayConfig, RelayDocument
+from tarragonhall_model import Fresh, RelayConfig, RelayDocument
 
 
 @pytest.mark.parametrize(
@@ -44,3 +44,11 @@
     monkeypatch.setattr(relay.state.dialect, "read_config", lambda one: config(one.version), False)
     assert follower.apply_relay(RelayDocument(3, b""))
     assert (follower.relay_version, relay.state.table.config.version) == (3, 3)
+
+
+def test_a_version_that_is_not_in_force_is_not_confirmed(relay):
+    # Guards against a confirmation of settings and view that passes for one of the relay document.
+    follower = relay.role._follower
+    now = relay.state.monotonic()
+    follower.confirm(Fresh(0, 0, 1, relay_version=4), now)
+    assert not follower.is_fresh(now)
--- a/libs/state/tarragonhall_state/_follower.py
+++ b/libs/state/tarragonhall_state/_follower.py
@@ -116,6 +116,8 @@
         self.fencing = max(self.fencing, fresh.fencing)
         if self.settings_revision < fresh.settings_revision or self.view.epoch < fresh.view_epoch:
             return
+        if fresh.relay_version is not None and self.relay_version < fresh.relay_version:
+            return
         if self._lease_start is None or sent_at > self._lease_start:
             self._lease_start = sent_at
 
