Go on with heartbeats after an update that could not be applied

The first error of a follower ended the loop of its heartbeats: the process then heard of changes only by pushes of the leader that it last reported to, and of none after a change of leader, until it was restarted. An entry refused no change, it just stayed where it was; its lease ended as well, so it denied nothing, but ran calls by the old version.

The error is logged and counted, and the next heartbeat brings the update again.

--- a/libs/wire/tarragonhall_wire/_control_client.py
+++ b/libs/wire/tarragonhall_wire/_control_client.py
@@ -23,7 +23,12 @@
 )
 
 from tarragonhall_wire._context import ProcessContext
-from tarragonhall_wire._leader_client import ATTEMPT_SECONDS, LeaderClient, UnavailableError
+from tarragonhall_wire._leader_client import (
+    ATTEMPT_SECONDS,
+    LeaderClient,
+    TimedReply,
+    UnavailableError,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -120,10 +125,18 @@
                 self._context.metrics.count("control.heartbeat_failed")
                 continue
             if isinstance(timed_reply.reply, Fresh):
-                follower.confirm(timed_reply.reply, timed_reply.sent_at)
                 self._update_addresses(timed_reply.reply.controls)
+                self._confirm(follower, timed_reply)
             eventlet.sleep(self._heartbeat_s * self._context.rng.uniform(0.8, 1.0))
 
+    def _confirm(self, follower: FollowerApi, timed_reply: TimedReply) -> None:
+        """Apply a reply; an error must not end the heartbeats, which bring the next update."""
+        try:
+            follower.confirm(timed_reply.reply, timed_reply.sent_at)
+        except Exception:  # noqa: BLE001 - the loop must go on, and the error is logged
+            log.exception("control.update_failed")
+            self._context.metrics.count("control.update_failed")
+
     def _update_addresses(self, controls: tuple[str, ...]) -> None:
         """Adopt the current member addresses: those of the settings may all have been replaced.
 
--- a/libs/wire/tests/control_client_tests.py
+++ b/libs/wire/tests/control_client_tests.py
@@ -3,6 +3,7 @@
 import eventlet
 from tarragonhall_model import (
     EntryRecord,
+    Fresh,
     Heartbeat,
     Leaving,
     Proposed,
@@ -50,3 +51,28 @@
     eventlet.sleep(1.2)
     context.hub.stop()
     assert {type(node) for node in nodes} == {ServerRecord}
+
+
+def test_heartbeats_go_on_after_an_update_that_could_not_be_applied():
+    # Guards against a process that never hears of a change again, since an error of one update has
+    # ended its heartbeats.
+    heartbeats = []
+
+    class FailingFollower(PassiveFollower):
+        def confirm(self, _fresh, _sent_at) -> None:
+            raise ValueError("cannot be applied")
+
+    def on_heartbeat(_link, heartbeat: Heartbeat) -> Fresh:
+        heartbeats.append(heartbeat)
+        return Fresh(0, 0, 1)
+
+    context = make_context(
+        "one", "zone", "127.0.0.1:0", [], b"s" * 32, make_metrics(None, 0, "one")
+    )
+    context.hub.handle(Heartbeat, on_heartbeat)
+    context.control_addresses.append(f"127.0.0.1:{context.hub.port}")
+    ControlClient(context, 0.05).follow(lambda: ENTRY, FailingFollower())
+    eventlet.sleep(0.5)
+    context.hub.stop()
+    assert len(heartbeats) >= 3
+    assert context.metrics.counts["control.update_failed"] >= 3
