--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -121,6 +121,11 @@
                 return name
         return None
 
+    def has_operator(self) -> bool:
+        """Return whether there is a leader that knows the first operator."""
+        leader = self.leader()
+        return leader is not None and bool(self.state(leader).configuration.operators.by_name)
+
     def state(self, name: str):
         return self.role_by_name[name].member.state
 
@@ -152,12 +157,14 @@
 
     def __init__(self, folder, names: list[str]) -> None:
         super().__init__(folder, names)
-        self.relays: list[Relay] = []
+        self.relay_by_name: dict[str, Relay] = {}
 
     def start(self, name: str) -> None:
-        context = make_process(name, [])
         address = self.address_by_name[name]
-        self.relays.append(Relay(context.link_address, int(address.rpartition(":")[2])))
+        if name not in self.relay_by_name:
+            port = int(address.rpartition(":")[2])
+            self.relay_by_name[name] = Relay(free_address(), port)
+        context = make_process(name, [], self.relay_by_name[name].target)
         context.link_address = address
         context.hub.local_peer = dataclasses.replace(context.hub.local_peer, address=address)
         self.context_by_name[name] = context
@@ -165,12 +172,12 @@
 
     def silence(self) -> None:
         """Drop everything that is sent on open links from now on; new links work."""
-        for relay in self.relays:
+        for relay in self.relay_by_name.values():
             relay.silence()
 
     def stop_all(self) -> None:
         super().stop_all()
-        for relay in self.relays:
+        for relay in self.relay_by_name.values():
             relay.stop()
 
 
@@ -193,8 +200,8 @@
         started.append(group)
         for name in names:
             group.start(name)
-        wait_until(group.leader)
-        wait_until(lambda: group.state(group.leader()).configuration.operators.by_name)
+        # The first leader may step down again before it has committed anything.
+        wait_until(group.has_operator)
         return group
 
     yield start
