--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -295,6 +295,10 @@
         return None
 
     def _run_link(self, link: Link) -> None:
+        if self._stopped:
+            # The handshake was under way when the hub was stopped.
+            link.close()
+            return
         if not self._heartbeats_started:
             self._heartbeats_started = True
             eventlet.spawn_n(self._check_loop)
--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import time
 
@@ -312,3 +313,18 @@
     eventlet.sleep(3 * PROBE_SECONDS)
     assert not link.closed
     relay.stop()
+
+
+@pytest.mark.parametrize("turns", range(12))
+def test_a_stopped_process_serves_no_link_that_was_being_opened(start, turns):
+    # Guards against a stopped member that goes on answering on a link whose handshake was under way.
+    one, two = start("one"), start("two")
+    opening = eventlet.spawn(one.hub.wait_for_link, two.link_address, 0.3)
+    for _ in range(turns):
+        eventlet.sleep(0)
+    two.hub.stop()
+    with contextlib.suppress(LinkClosedError):
+        opening.wait()
+    eventlet.sleep(0.05)
+    assert two.hub.links() == []
+    assert one.hub.links() == []
