Probe the other links only once a probe stays unanswered

One-way messages to a peer that has nothing to say left their link unanswered for half a second, which let all links of the process be probed, each second: on a deployment of hundreds of machines as many messages as there are links.

Such a link is now probed alone; the others only if this probe is unanswered.

--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -32,12 +32,12 @@
 RECONNECT_MAX_SECONDS = 0.5
 # Links are checked this many times in each interval of heartbeats.
 CHECKS_PER_HEARTBEAT = 4
-# Once messages are unanswered for this long on one link, all links are probed: the same fault of
-# the network may have hit them. Most messages are answered within milliseconds, and a change of
-# settings must pass within seconds of such a fault.
+# A link on which messages are unanswered for this long is probed. Most messages are answered within
+# milliseconds, and a change of settings must pass within seconds of a fault of the network.
 UNANSWERED_SECONDS = 0.5
 # Ten round trips between distant zones. A link whose probe is unanswered for longer is replaced if
-# the peer answers on a new connection.
+# the peer answers on a new connection, and all other links are probed: the same fault of the
+# network may have hit them.
 PROBE_SECONDS = 0.2
 PROBE_ALL_INTERVAL_SECONDS = 1.0
 
@@ -245,14 +245,16 @@
             if checks % CHECKS_PER_HEARTBEAT == 0:
                 for link in links:
                     link.send_heartbeat(now)
-            if now - self._probed_all_at < PROBE_ALL_INTERVAL_SECONDS:
-                continue
-            if any(link.unanswered_s(now) > UNANSWERED_SECONDS for link in links):
-                self._probed_all_at = now
-                self._probe_all(links)
+            for link in links:
+                if link.unanswered_s(now) > UNANSWERED_SECONDS:
+                    self._start_probe(link)
 
-    def _probe_all(self, links: list[Link]) -> None:
-        for link in links:
+    def _probe_all(self) -> None:
+        now = time.monotonic()
+        if now - self._probed_all_at < PROBE_ALL_INTERVAL_SECONDS:
+            return
+        self._probed_all_at = now
+        for link in self.links():
             self._start_probe(link)
 
     def _start_probe(self, link: Link) -> None:
@@ -279,6 +281,8 @@
         probed_at = time.monotonic()
         link.send_probe()
         eventlet.sleep(PROBE_SECONDS)
+        if not (link.closed or link.has_message_since(probed_at)):
+            self._probe_all()
         while not (self._stopped or link.closed or link.has_message_since(probed_at)):
             if self._find_open_link(link.peer.address) is not link:
                 # The peer has dialled meanwhile. Requests that wait on this link must not wait for
--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -17,7 +17,7 @@
 )
 from tarragonhall_wire import make_context, make_metrics
 from tarragonhall_wire._hub import PROBE_SECONDS, UNANSWERED_SECONDS
-from tarragonhall_wire._link import RECEIVE_TIMEOUT_SECONDS, SEND_QUEUE_MESSAGES
+from tarragonhall_wire._link import RECEIVE_TIMEOUT_SECONDS, SEND_QUEUE_MESSAGES, Link
 
 
 @pytest.fixture
@@ -317,7 +317,7 @@
 
 @pytest.mark.parametrize("turns", range(12))
 def test_a_stopped_process_serves_no_link_that_was_being_opened(start, turns):
-    # Guards against a stopped member that goes on answering on a link whose handshake was under way.
+    # Guards against a stopped member that goes on answering on a link that was being opened.
     one, two = start("one"), start("two")
     opening = eventlet.spawn(one.hub.wait_for_link, two.link_address, 0.3)
     for _ in range(turns):
@@ -328,3 +328,24 @@
     eventlet.sleep(0.05)
     assert two.hub.links() == []
     assert one.hub.links() == []
+
+
+def test_one_way_messages_that_nothing_answers_let_only_their_link_be_probed(start, monkeypatch):
+    # Guards against probes of all links, each second, since one peer has nothing to say.
+    probed = set()
+    send_probe = Link.send_probe
+
+    def record_probe(link: Link) -> None:
+        probed.add(link.peer.instance)
+        send_probe(link)
+
+    monkeypatch.setattr(Link, "send_probe", record_probe)
+    one, two, three = start("one"), start("two"), start("three")
+    two.hub.handle(Chunk, lambda _link, _chunk: None)
+    links = [one.hub.wait_for_link(peer.link_address, 2) for peer in (two, three)]
+    with eventlet.Timeout(4 * UNANSWERED_SECONDS, False):
+        while True:
+            links[0].send(Chunk("prog-1/1/1", 0, "x"))
+            eventlet.sleep(0.05)
+    assert probed == {"two"}
+    assert not any(link.closed for link in links)
