--- a/libs/control/tarragonhall_control/_member.py
+++ b/libs/control/tarragonhall_control/_member.py
@@ -253,6 +253,7 @@
 
     def _remove_unresponsive_nodes(self) -> None:
         self.context.metrics.gauge("control.followers", len(self.followers))
+        self.relay_progress.report_behind()
         now = self.context.monotonic()
         for node in self.nodes.expired(self.state.view(), now):
             elapsed_s = self.nodes.seconds_since_heartbeat(node, now)
--- a/libs/control/tarragonhall_control/_relay_progress.py
+++ b/libs/control/tarragonhall_control/_relay_progress.py
@@ -50,14 +50,17 @@
         if version is None or self._version_by_node.get(node) == version:
             return
         self._version_by_node[node] = version
-        behind = sum(1 for held in self._version_by_node.values() if held < self._version)
-        self._metrics.gauge("control.relay_behind", behind)
         if version < self._version or self._committed_at is None:
             return
         after_ms = (self._monotonic() - self._committed_at) * 1000
         self._metrics.timing("control.relay_reported", after_ms)
         log.info("relay.reported", version=version, node=node, after_ms=round(after_ms, 1))
 
+    def report_behind(self) -> None:
+        """Set the gauge of followers that last reported an older version than the newest."""
+        behind = sum(1 for held in self._version_by_node.values() if held < self._version)
+        self._metrics.gauge("control.relay_behind", behind)
+
     def forget(self, node: str) -> None:
         """Drop a node that left the view."""
         self._version_by_node.pop(node, None)
--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -66,7 +66,7 @@
         "_link_open_callbacks",
         "_listener",
         "_probed_all_at",
-        "_replacing",
+        "_probing",
         "_rng",
         "_secret",
         "_stopped",
@@ -97,7 +97,7 @@
         self._link_open_callbacks: list[Callable[[Link], None]] = []
         self._dialled_by_address: dict[str, Link] = {}
         self._dial_targets: set[str] = set()
-        self._replacing: set[Link] = set()
+        self._probing: set[Link] = set()
         self._probed_all_at = 0.0
         self._listener = None
         self._acceptor = None
@@ -250,6 +250,7 @@
                     self._start_probe(link)
 
     def _probe_all(self) -> None:
+        """Probe every link, at most once in `PROBE_ALL_INTERVAL_SECONDS`."""
         now = time.monotonic()
         if now - self._probed_all_at < PROBE_ALL_INTERVAL_SECONDS:
             return
@@ -258,9 +259,9 @@
             self._start_probe(link)
 
     def _start_probe(self, link: Link) -> None:
-        if link in self._replacing:
+        if link in self._probing:
             return
-        self._replacing.add(link)
+        self._probing.add(link)
         eventlet.spawn_n(self._probe, link)
 
     def _probe(self, link: Link) -> None:
@@ -268,7 +269,7 @@
         try:
             replacement = self._dial_replacement(link)
         finally:
-            self._replacing.discard(link)
+            self._probing.discard(link)
         if replacement is None:
             return
         log.warning("link.replaced", peer=link.peer.instance)
