Probe links with a request that earlier releases answer as well

The probe had no message in it.

The probe is now a query of the time line for no event, which every process answers at once. The reply needs no code of its own any more. The test names the request, since no old release runs in the tests.

--- a/libs/wire/tarragonhall_wire/_link.py
+++ b/libs/wire/tarragonhall_wire/_link.py
@@ -17,6 +17,7 @@
     LinkClosedError,
     LinkError,
     LinkOverloadedError,
+    QueryTimeline,
     RequestTimeoutError,
     TarragonhallError,
     from_plain,
@@ -35,8 +36,9 @@
 # a reset, and the kernel would keep retransmitting for minutes.
 RECEIVE_TIMEOUT_SECONDS = 3.5
 SEND_QUEUE_MESSAGES = 10_000
-# A request with this correlation is a probe: the peer's link answers it at once, without a handler.
-# Processes of earlier releases answer it with a failure, which shows as well that they receive.
+# The request of a probe, which every process answers at once, those of earlier releases included.
+PROBE = QueryTimeline(limit=0)
+# Nobody waits for the reply to a request with this correlation.
 PROBE_CORRELATION = 0
 
 ONE_WAY, REQUEST, REPLY, FAILURE, PING = range(5)
@@ -189,7 +191,7 @@
     def send_probe(self) -> None:
         """Ask the peer for a sign that it receives; it comes as a message."""
         with contextlib.suppress(LinkError):
-            self._enqueue(REQUEST, PROBE_CORRELATION, None)
+            self._enqueue_message(REQUEST, PROBE_CORRELATION, PROBE)
 
     def send_heartbeat(self, now: float) -> None:
         """Ping a peer to which nothing was sent lately, and close a link that is silent.
@@ -270,9 +272,6 @@
         if kind in (REPLY, FAILURE):
             self._resolve(kind, correlation, plain)
             return
-        if kind == REQUEST and correlation == PROBE_CORRELATION:
-            self._answer_probe()
-            return
         message = from_plain(plain)
         if kind == REQUEST:
             eventlet.spawn_n(self._reply, correlation, message)
@@ -305,10 +304,6 @@
             log.exception("link.request_failed", kind=type(message).__name__)
             self._reply_failure(correlation, f"{type(error).__name__}: {error}")
 
-    def _answer_probe(self) -> None:
-        with contextlib.suppress(LinkError):
-            self._enqueue(REPLY, PROBE_CORRELATION, None)
-
     def _reply_failure(self, correlation: int, text: str) -> None:
         try:
             self._enqueue(FAILURE, correlation, text)
--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -13,11 +13,13 @@
     LinkOverloadedError,
     Living,
     QueryLiving,
+    QueryTimeline,
     RequestTimeoutError,
+    TimelineEvents,
 )
-from tarragonhall_wire import make_context, make_metrics
+from tarragonhall_wire import HybridClock, Timeline, make_context, make_metrics
 from tarragonhall_wire._hub import PROBE_SECONDS, UNANSWERED_SECONDS
-from tarragonhall_wire._link import RECEIVE_TIMEOUT_SECONDS, SEND_QUEUE_MESSAGES, Link
+from tarragonhall_wire._link import PROBE, RECEIVE_TIMEOUT_SECONDS, SEND_QUEUE_MESSAGES, Link
 
 
 @pytest.fixture
@@ -349,3 +351,10 @@
             eventlet.sleep(0.05)
     assert probed == {"two"}
     assert not any(link.closed for link in links)
+
+
+def test_a_probe_is_a_request_that_earlier_releases_answer():
+    # Guards against links that are closed and replaced all the time while releases are mixed: a
+    # process closes a link on which it receives what it cannot decode.
+    assert QueryTimeline("", 0, 0) == PROBE
+    assert Timeline(HybridClock("one")).find(PROBE) == TimelineEvents([], 0)
