--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -35,9 +35,9 @@
 # A link on which messages are unanswered for this long is probed. Most messages are answered within
 # milliseconds, and a change of settings must pass within seconds of a fault of the network.
 UNANSWERED_SECONDS = 0.5
-# Several round trips between distant regions. A link whose probe is unanswered for longer is replaced if
-# the peer answers on a new connection, and all other links are probed: the same fault of the
-# network may have hit them.
+# Several round trips between distant regions. A link whose probe is unanswered for longer is
+# replaced if the peer answers on a new connection, and all other links are probed: the same fault
+# of the network may have hit them.
 PROBE_SECONDS = 0.2
 PROBE_ALL_INTERVAL_SECONDS = 1.0
 
