--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
-"""A request that crashes every replica that runs it comes again after rolling restarts."""
+"""A replica leaves, the core restarts, and a heartbeat of the replica arrives late."""
 
 import asyncio
-import contextlib
+import json
 import random
 import sys
 from pathlib import Path
@@ -9,9 +9,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "harness"))
 
 from harness import (
+    CONTROL_PORT,
     FRONTEND_PORT,
     PREFIX,
-    Answer,
+    CannotRunError,
     Deployment,
     Record,
     Request,
@@ -21,26 +22,22 @@
 )
 
 LIVENESS_S = 3.0
-# "reaches replicas in more than three retries"
-MAX_RETRIES = 3
-SERVERS = 10
-# A crashed replica "is back after some seconds".
-RESTART_S = 2.0
-ROLL_GAP_S = 1.3
-ROLLS = 2
-ATTEMPT_GAP_S = 1.0
-ATTEMPTS = 8
-# Proper requests beside it, not idempotent either, and the time for which each is worked on.
-PROPER_A_SECOND = 30.0
-PROPER_WORK_S = 0.4
+DRAIN_S = 2.0
+SERVERS = 4
+CALLS_A_SECOND = 30.0
+# The heartbeat that is late arrives this long after it was sent.
+LATE_S = 6.0
+# The replica serves on for this long after the confirmation that it leaves.
+SERVES_ON_S = 9.0
+DOWN_S = 0.5
 
 MANIFEST = {
     "version": 1,
     "routes": [
         {
-            "name": "charge",
+            "name": "book",
             "host": "fair.example",
-            "pathPrefix": "/charge/",
+            "pathPrefix": "/book/",
             "type": "non_idempotent",
             "timeoutMs": 3000,
             "targetLatencyMs": 500,
@@ -49,7 +46,7 @@
         }
     ],
     "services": [{"name": "app", "healthPath": "/healthz", "maxConnections": 130}],
-    "tenants": [{"name": "org", "apiKeys": ["key-1"], "ratePerS": 200, "burst": 200}],
+    "tenants": [{"name": "org", "apiKeys": ["key-1"], "ratePerS": 500, "burst": 500}],
 }
 
 
@@ -58,108 +55,101 @@
         self.record = record
         self.deployment = Deployment(record)
         self.servers: list[Server] = []
-        self.crashed_at: list[float] = []
-        # Crashes after the third that count, by the rule's own terms.
-        self.counted = 0
-        self.sent_through = None
-        self.signalled_at: dict[str, float] = {}
-        self.restarts: set[asyncio.Task] = set()
-        self.cut_by_crashes = 0
-        self.proper: dict[object, int] = {}
+        self.leaving: Server | None = None
+        self.confirmed_at: float | None = None
+        self.in_touch_from = float("inf")
+        # Requests that reach the replica too late: (time, attempt, time at which they were sent).
+        self.late: list[str] = []
+        self.sent_at: dict[str, float] = {}
+        self.status_by_attempt: dict[str, object] = {}
         self.stopped = False
 
     async def work(self, server: Server, request: Request) -> bytes | None:
-        if request.body != b"poison":
-            await asyncio.sleep(PROPER_WORK_S)
-            return b"done"
-        self.crashed_at.append(self.record.now())
-        entry = self.sent_through
-        counts = (
-            len(self.crashed_at) > 3
-            and self.is_in_touch(entry)
-            and (self.record.now() > self.crashed_at[2] + LIVENESS_S)
-        )
-        self.counted += counts
-        self.record.add(
-            f"{server.server_id} runs {request.attempt_id} from {entry.name} and crashes: crash "
-            f"{len(self.crashed_at)}{', counts' if counts else ''}"
-        )
-        self.cut_by_crashes += server.running - 1
-        task = asyncio.create_task(self.crash(server))
-        self.restarts.add(task)
-        return None
-
-    async def crash(self, server: Server) -> None:
-        await server.end()
-        await asyncio.sleep(RESTART_S)
-        server.new_boot()
-        await server.start()
-
-    def is_in_touch(self, entry) -> bool:
-        """Return whether nothing was done to the entry's machine for `livenessMs`."""
-        touched_at = max(entry.started_at, self.signalled_at.get(entry.name, 0.0))
-        return self.record.now() - touched_at > LIVENESS_S
-
-    async def send(self, entry, number: int, body: bytes, tell: bool = True) -> Answer | None:
-        attempt = f"{number:016x}"
+        now = self.record.now()
+        if server is self.leaving and self.confirmed_at is not None:
+            sent_at = self.sent_at[request.attempt_id]
+            counts = now > self.confirmed_at + DRAIN_S and sent_at > self.in_touch_from
+            if counts:
+                self.late.append(request.attempt_id)
+            if counts and len(self.late) <= 20:
+                after_s = now - self.confirmed_at
+                self.record.add(
+                    f"{server.server_id} runs {request.attempt_id}, {after_s:.2f} s after the "
+                    "confirmation that it leaves: too late"
+                )
+        await asyncio.sleep(random.uniform(0.05, 0.2))
+        return b"booked"
+
+    async def call(self, number: int) -> None:
+        attempt = f"{number:08x}{random.getrandbits(32):08x}"
+        entry = random.choice(self.deployment.entries)
         headers = {
             "host": "fair.example",
             PREFIX + "attempt-id": attempt,
             PREFIX + "deadline-ms": "3000",
             "authorization": "Bearer key-1",
         }
+        self.sent_at[attempt] = self.record.now()
+        self.record.note(f"client sends {attempt} to {entry.name}")
         try:
-            return await http(entry.ip, FRONTEND_PORT, "POST", "/charge/1", body, headers, 3.5)
+            answer = await http(entry.ip, FRONTEND_PORT, "POST", "/book/1", b"{}", headers, 4.0)
+            self.status_by_attempt[attempt] = answer.status
         except (TimeoutError, OSError, EOFError) as error:
-            if tell:
-                self.record.add(f"client: {attempt} to {entry.name} fails: {type(error).__name__}")
-            return None
+            self.status_by_attempt[attempt] = type(error).__name__
+        self.record.note(f"{attempt} is answered {self.status_by_attempt[attempt]}")
 
     async def traffic(self) -> None:
-        """Send proper requests through the entries that the platform has in rotation."""
         tasks = set()
         number = 0
         while not self.stopped:
             number += 1
-            task = asyncio.create_task(self.proper_request(number))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            await asyncio.sleep(random.expovariate(PROPER_A_SECOND))
+            tasks.add(asyncio.create_task(self.call(number)))
+            await asyncio.sleep(random.expovariate(CALLS_A_SECOND))
         await asyncio.gather(*tasks)
 
-    async def proper_request(self, number: int) -> None:
-        open_entries = [one for one in self.deployment.entries if self.is_in_touch(one)]
-        if not open_entries:
-            return
-        answer = await self.send(random.choice(open_entries), number << 32, b"proper", False)
-        status = answer.status if answer is not None else None
-        self.proper[status] = self.proper.get(status, 0) + 1
-
-    async def come_again(self, label: str) -> None:
-        """Send the request some times, at one machine after the other, as a requester does."""
-        for number in range(ATTEMPTS):
-            entry = self.deployment.entries[number % len(self.deployment.entries)]
-            self.sent_through = entry
-            answer = await self.send(entry, random.getrandbits(63), b"poison")
-            status = answer.status if answer is not None else None
-            self.record.add(f"client: {label}, attempt {number + 1} at {entry.name}: {status}")
-            await asyncio.sleep(ATTEMPT_GAP_S)
-
-    async def roll(self) -> None:
-        """Stop and start the entries in turn."""
-
-        async def restart(entry) -> None:
-            self.signalled_at[entry.name] = self.record.now()
-            await self.deployment.terminate(entry)
-            self.deployment.start(entry)
-
-        tasks = []
-        for entry in self.deployment.entries:
-            tasks.append(asyncio.create_task(restart(entry)))
-            await asyncio.sleep(ROLL_GAP_S)
-        await asyncio.gather(*tasks)
-        await self.deployment.wait_until_ready()
-        await asyncio.sleep(LIVENESS_S + 0.5)
+    async def late_heartbeat(self, body: dict, control) -> None:
+        """Deliver a heartbeat that was sent in time and is held up on its way."""
+        await asyncio.sleep(LATE_S)
+        answer = await http(
+            control.ip,
+            CONTROL_PORT,
+            "PUT",
+            f"/api/replicas/{self.leaving.server_id}",
+            json.dumps(body).encode(),
+            {"content-type": "application/json"},
+            2.0,
+        )
+        self.record.add(
+            f"the late heartbeat, seq {body['seq']}, arrives at {control.name}: {answer.status}"
+        )
+
+    async def leave(self) -> None:
+        """Take a replica out: it sends its DELETE, serves on, and ends."""
+        server = self.leaving = self.servers[0]
+        await server.stop_heartbeats()
+        # The last heartbeat gets no confirmation within a second; the next one goes to other nodes.
+        held_up = server.heartbeat()
+        self.record.add(f"{server.server_id} sends heartbeat {held_up['seq']}, which is held up")
+        late = asyncio.create_task(self.late_heartbeat(held_up, self.deployment.controls[0]))
+        await asyncio.sleep(1.0)
+        await self.deployment.call_control(
+            "PUT", f"/api/replicas/{server.server_id}", server.heartbeat()
+        )
+        answer = await self.deployment.call_control(
+            "DELETE", f"/api/replicas/{server.server_id}", {"born": server.born_ms}
+        )
+        if answer is None or answer.status != 200:
+            raise CannotRunError("the leave notice is not confirmed")
+        self.confirmed_at = self.record.now()
+        self.record.add(f"{server.server_id} leaves: its notice is confirmed")
+        self.late_task = late
+
+    async def kill_core(self) -> None:
+        """Kill all control processes at the same moment; they are back within a second."""
+        await asyncio.gather(*(self.deployment.kill(one) for one in self.deployment.controls))
+        await asyncio.sleep(DOWN_S)
+        for one in self.deployment.controls:
+            self.deployment.start(one)
 
     async def run(self, trouble: bool) -> bool:
         traffic = None
@@ -171,28 +161,32 @@
                 self.servers.append(server)
                 await server.start()
             await self.deployment.wait_until_ready()
-            await asyncio.sleep(LIVENESS_S + 0.5)
             traffic = asyncio.create_task(self.traffic())
-            await asyncio.sleep(3.0)
-            await self.come_again("first time")
-            for number in range(ROLLS):
-                if trouble:
-                    await self.roll()
-                else:
-                    await asyncio.sleep(8.0)
-                await self.come_again(f"after roll {number + 1}")
+            await asyncio.sleep(LIVENESS_S + 1.0)
+            await self.leave()
+            self.in_touch_from = self.record.now()
+            if trouble:
+                await asyncio.sleep(0.3)
+                await self.kill_core()
+                self.in_touch_from = self.record.now() + LIVENESS_S
+            await asyncio.sleep(self.confirmed_at + SERVES_ON_S - self.record.now())
+            self.record.add(
+                f"{self.leaving.server_id} ends, {self.leaving.running} requests are running there"
+            )
+            running = self.leaving.running
+            await self.leaving.end()
+            await asyncio.sleep(4.0)
             self.stopped = True
             await traffic
-            self.record.add(f"answers to proper requests: {self.proper}")
-            self.record.add(f"proper requests cut by the crashes: {self.cut_by_crashes}")
-            self.record.add(f"crashes: {len(self.crashed_at)}, retries that count: {self.counted}")
-            return self.counted > MAX_RETRIES
+            await self.late_task
+            counts: dict[object, int] = {}
+            for status in self.status_by_attempt.values():
+                counts[status] = counts.get(status, 0) + 1
+            self.record.add(f"answers: {counts}; requests cut at the replica's end: {running}")
+            self.record.add(f"requests that reached the replica too late: {len(self.late)}")
+            return bool(self.late)
         finally:
             self.stopped = True
-            if traffic is not None:
-                traffic.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await traffic
             for server in self.servers:
                 await server.end()
             self.deployment.end_all()
--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -99,8 +99,12 @@
         """Return the seconds since the start."""
         return time.monotonic() - self._started
 
+    def note(self, text: str) -> None:
+        """Write one line to the file alone."""
+        self._file.write(f"{self.now():8.3f}  {text}\n")
+
     def add(self, text: str) -> None:
-        """Write one line."""
+        """Write one line to the file and to standard output."""
         line = f"{self.now():8.3f}  {text}"
         self._file.write(line + "\n")
         self._file.flush()
@@ -340,6 +344,41 @@
             writer.close()
 
 
+class KeptChannel:
+    """A requester that keeps its channel to one entry and sends one request after the other."""
+
+    def __init__(self, ip: str) -> None:
+        self._ip = ip
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def send(self, path: str, body: bytes, headers: dict[str, str], timeout_s: float) -> int:
+        """Send a POST request; return the status, 0 if the channel ends without an answer."""
+        lines = [f"POST {path} HTTP/1.1", f"content-length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._writer is None:
+                    opened = await asyncio.open_connection(self._ip, FRONTEND_PORT)
+                    self._reader, self._writer = opened
+                self._writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
+                await self._writer.drain()
+                first, answer_headers = await read_head(self._reader)
+                await read_body(self._reader, answer_headers)
+        except (OSError, EOFError, TimeoutError):
+            self.close()
+            return 0
+        if answer_headers.get("connection", "").lower() == "close":
+            self.close()
+        return int(first.split(" ")[1])
+
+    def close(self) -> None:
+        """Close the channel."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+
 class Request:
     """A request as it reached a server."""
 
@@ -362,12 +401,16 @@
         service: str,
         work: Callable[[Server, Request], Awaitable[bytes | None]],
         slots: int = 6,
+        queue: int = 24,
     ) -> None:
         self.deployment = deployment
         self.record = deployment.record
         self.ip = f"127.{deployment.net}.4.{number + 1}"
         self.zone = ZONES[number % len(ZONES)]
-        self.service, self.slots, self.work = service, slots, work
+        self.service, self.slots, self.queue, self.work = service, slots, queue, work
+        # Returns whether an answer is sent once more, late.
+        self.sends_twice: Callable[[], bool] = lambda: False
+        self._slots = asyncio.Semaphore(slots)
         self.server_id = f"i-{random.getrandbits(40):010x}"
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
@@ -443,13 +486,22 @@
         self._tasks.add(task)
         self._writers.add(writer)
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        late = b""
         try:
             while True:
                 first, headers = await read_head(reader)
                 method, path, _version = first.split(" ")
                 request = Request(method, path, headers, await read_body(reader, headers))
-                writer.write(await self._answer(request))
+                if late:
+                    self.record.note(f"{self.server_id} sends its last answer once more")
+                    # The second copy of the answer before, where the next one is expected.
+                    writer.write(late)
+                    late = b""
+                answer = await self._answer(request)
+                writer.write(answer)
                 await writer.drain()
+                if self.sends_twice():
+                    late = answer
         except (EOFError, OSError, asyncio.CancelledError):
             pass
         finally:
@@ -465,11 +517,14 @@
         own = {PREFIX + "attempt-id": request.attempt_id}
         if expected not in (None, self.server_id):
             return _response(421, own, b"")
-        if self.running >= self.slots * 4:
+        if self.running >= self.slots + self.queue:
+            self.record.note(f"{self.server_id} refuses {request.attempt_id} as full")
             return _response(503, own | {PREFIX + "not-executed": "full"}, b"")
         self.running += 1
         try:
-            body = await self.work(self, request)
+            async with self._slots:
+                self.record.note(f"{self.server_id} runs {request.attempt_id}")
+                body = await self.work(self, request)
         finally:
             self.running -= 1
         if body is None:
