Open a data folder again after its disk was full

Callers and operators saw: after two control disks had been full for 4.5 s each, one after the other, no change was acknowledged and no read of the settings answered any more, and entries refused a third of all calls, with every disk writable again.

Cause: the loop of the replicated log ended at the first write or sync that the system refused, and the process went on without its member until somebody restarted it. A store started on a full disk stayed without its member too, as the error ended the green thread that opens the folder.

Why it works: errors that can pass are told apart from those of the content. After one, the replica and everything in memory is dropped, waiting requests are answered as unknown, and the folder is read from the start as after a crash, so term, vote and log are what is stored. Nothing of the failed step has left the member. A small write is tried before the log is read.

--- a/libs/consensus/tarragonhall_consensus/_files.py
+++ b/libs/consensus/tarragonhall_consensus/_files.py
@@ -10,7 +10,20 @@
 from pathlib import Path
 from typing import Protocol
 
-from tarragonhall_model import StorageError
+from tarragonhall_model import StorageError, StorageUnavailableError
+
+_DISK_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
+# Errors of a device or of the process's limits. Others, such as a missing permission, last until an
+# operator changes something.
+_UNAVAILABLE = _DISK_FULL | {
+    errno.EIO,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOMEM,
+    errno.EROFS,
+    errno.ESTALE,
+    errno.ETIMEDOUT,
+}
 
 
 class AppendFile(Protocol):
@@ -27,7 +40,11 @@
 
 
 class Files(Protocol):
-    """A file system. Every method raises `StorageError` when the call fails."""
+    """A file system.
+
+    Every method raises `StorageError` when the call fails, `StorageUnavailableError` if it may
+    succeed later.
+    """
 
     def make_folder(self, path: str) -> None:
         """Create the folder and its parents if they are missing."""
@@ -159,6 +176,9 @@
     try:
         yield
     except OSError as error:
-        if error.errno in (errno.ENOSPC, errno.EDQUOT):
-            raise StorageError(f"{path}: disk full ({action}); free space and restart") from error
-        raise StorageError(f"{path}: {action} failed: {error.strerror}") from error
+        if error.errno in _DISK_FULL:
+            raise StorageUnavailableError(f"{path}: disk full ({action}); free space") from error
+        text = f"{path}: {action} failed: {error.strerror}"
+        if error.errno in _UNAVAILABLE:
+            raise StorageUnavailableError(text) from error
+        raise StorageError(text) from error
--- a/libs/consensus/tarragonhall_consensus/_interface.py
+++ b/libs/consensus/tarragonhall_consensus/_interface.py
@@ -31,9 +31,10 @@
     """The current role of a member.
 
     OUTSIDE: not in the member list under the identity of its data folder. LEARNER: holds the log
-    but does not vote.
+    but does not vote. OFFLINE: its data folder cannot be used at present.
     """
 
+    OFFLINE = "offline"
     OUTSIDE = "outside"
     LEARNER = "learner"
     FOLLOWER = "follower"
--- a/libs/consensus/tarragonhall_consensus/_replica.py
+++ b/libs/consensus/tarragonhall_consensus/_replica.py
@@ -57,6 +57,7 @@
     limits: Limits | None = None,
     files: Files | None = None,
     started_at: float | None = None,
+    initial_state: bytes | None = None,
 ) -> Replica:
     """Open the data folder and return the member in its stored state.
 
@@ -64,14 +65,18 @@
     if the folder is new. With an empty list the member waits to be added to a group.
     `started_at` is the start time of this process on the clock of `now`, after which no earlier
     process used the folder; it defaults to `now`. `rng` must differ at every start: the identity of
-    a new folder is drawn from it.
-    Raises `StorageError` if the folder cannot be used.
+    a new folder is drawn from it. `initial_state` is a snapshot of the machine before its first
+    entry, for a machine that an earlier replica of this process has changed.
+    Raises `StorageError` if the folder cannot be used, `StorageUnavailableError` if it may be
+    usable later; the machine is unchanged then.
     """
     limits = limits or Limits()
     storage = open_storage(files or disk_files(), folder, member_id, rng, limits.segment_bytes)
     if storage.snapshot is not None:
         machine.restore(storage.snapshot_data)
         storage.snapshot_data = b""
+    elif initial_state is not None:
+        machine.restore(initial_state)
     core = Core(storage, machine, rng, limits, now, now if started_at is None else started_at)
     return Replica(core, bootstrap, address)
 
@@ -103,8 +108,9 @@
     def step(self, events: list[Event], now: float) -> list[Output]:
         """Handle a batch of events and return the outputs, after at most one sync.
 
-        Raises `StorageError` if the data folder fails. The member must then be stopped: no output
-        of the step has left it, and every later step raises again.
+        Raises `StorageError` if the data folder fails. The replica must then be closed: no output
+        of the step has left it, and every later step raises again. After a
+        `StorageUnavailableError` the folder can be opened again.
         """
         core = self._core
         core.now = max(now, core.now)
--- a/libs/consensus/tarragonhall_consensus/_storage.py
+++ b/libs/consensus/tarragonhall_consensus/_storage.py
@@ -33,6 +33,10 @@
 from tarragonhall_consensus._snapshots import TEMPORARY_SUFFIX, SnapshotStore
 
 LOCK_NAME = "lock"
+# Written before the log is read: reading hundreds of megabytes at every attempt to open a folder on
+# a full disk would stall the process.
+PROBE_NAME = "probe"
+PROBE_BYTES = 4096
 # 48 bits make two equal identities among the few folders of a deployment's lifetime practically
 # impossible. Identities of folders and groups are short because every heartbeat carries three: of
 # the group, the sender and the receiver.
@@ -50,11 +54,11 @@
     """Open the data folder, or create it with a new identity."""
     files.make_folder(folder)
     lock = files.lock(f"{folder}/{LOCK_NAME}")
+    storage = Storage(files, folder, lock, segment_bytes)
     try:
-        storage = Storage(files, folder, lock, segment_bytes)
         storage._recover(member_id, rng)
     except BaseException:
-        lock.close()
+        storage.close()
         raise
     return storage
 
@@ -201,6 +205,7 @@
 
     def _recover(self, member_id: str, rng: random.Random) -> None:
         self._remove_temporary_files()
+        self._check_writable()
         self.member_id = member_id
         found = self._snapshots.load()
         reader = SegmentReader()
@@ -285,6 +290,16 @@
             raise
         return file
 
+    def _check_writable(self) -> None:
+        path = f"{self._folder}/{PROBE_NAME}{TEMPORARY_SUFFIX}"
+        file = self._files.create(path)
+        try:
+            file.write(bytes(PROBE_BYTES))
+            file.sync()
+        finally:
+            file.close()
+        self._files.remove(path)
+
     def _remove_temporary_files(self) -> None:
         for name in self._files.names(self._folder):
             if name.endswith(TEMPORARY_SUFFIX):
--- a/libs/control/tarragonhall_control/_admin_system.py
+++ b/libs/control/tarragonhall_control/_admin_system.py
@@ -120,6 +120,7 @@
             | {
                 "leader": member.member_id == status.leader,
                 "match_index": _match_index(status, member.member_id),
+                "silent_s": _silent_seconds(status, member.member_id),
             }
             for member in status.members
         ]
@@ -238,6 +239,16 @@
     return peer.match_index if peer else None
 
 
+def _silent_seconds(status: Status, member_id: str) -> float | None:
+    """Return the seconds since the leader heard of the member; None without contact."""
+    if status.leader == status.member_id == member_id:
+        return 0.0
+    peer = status.peer_by_id.get(member_id)
+    if peer is None or peer.seconds_since_contact is None:
+        return None
+    return round(peer.seconds_since_contact, 3)
+
+
 def _event_value(event: TimelineEvent) -> dict:
     """Return an event with the fields of its stamp at the top level, as the tool prints it."""
     shown = as_json(event)
--- /dev/null
+++ b/libs/control/tests/disk_tests.py
@@ -0,0 +1,137 @@
+"""Control members whose disks refuse writes for a while, one after the other and at once."""
+
+from __future__ import annotations
+
+import time
+
+import eventlet
+import pytest
+from tarragonhall_control._member import LOG_FOLDER
+from tarragonhall_fakes import Disks
+from tarragonhall_group import OutcomeUnknownError
+from tarragonhall_model import Budget, OpenProgram, ProgramInfo
+from tarragonhall_wire import UnavailableError
+
+WAIT_SECONDS = 10.0
+THREE = ("one", "two", "three")
+
+
+@pytest.fixture
+def disks():
+    made = Disks()
+    made.install()
+    yield made
+    made.restore()
+
+
+def open_program(group, number: int, seconds: float = WAIT_SECONDS) -> ProgramInfo:
+    _, client = group.client(f"entry-{number}")
+    body = OpenProgram(f"prog-{number}", "school", Budget(), 60)
+    return client.propose(body, seconds, f"req-{number}")
+
+
+def folder_of(group, name: str):
+    return group.folder / name / LOG_FOLDER
+
+
+def loop_of(group, name: str):
+    return group.role_by_name[name].member.loop
+
+
+def is_caught_up(group, name: str) -> bool:
+    leader = group.leader()
+    if leader is None or loop_of(group, name).failure is not None:
+        return False
+    applied = loop_of(group, name).replica.status().applied_index
+    return applied == loop_of(group, leader).replica.status().commit_index
+
+
+@pytest.mark.parametrize("failure", ["fill", "break_down"])
+def test_the_second_disk_that_fails_for_a_while_does_not_end_the_group(start_group, disks, failure):
+    # A member whose disk had refused a write stayed out until its process was restarted. The next
+    # disk that was full for some seconds then took the majority, and no change was accepted.
+    group = start_group(*THREE)
+    for number, name in enumerate(THREE):
+        getattr(disks, failure)(folder_of(group, name))
+        assert isinstance(open_program(group, number), ProgramInfo)
+        group.wait_until(lambda name=name: loop_of(group, name).failure is not None, WAIT_SECONDS)
+        disks.repair(folder_of(group, name))
+        group.wait_until(lambda name=name: is_caught_up(group, name), WAIT_SECONDS)
+    for name in THREE:
+        group.wait_until(lambda name=name: group.state(name).program_count() == 3)
+    assert isinstance(open_program(group, 9), ProgramInfo)
+
+
+def test_a_group_whose_disks_were_all_full_goes_on_with_what_it_had_accepted(start_group, disks):
+    # All disks fill up at once and get room again, one of them later than the others.
+    group = start_group(*THREE)
+    accepted = open_program(group, 1)
+    for name in THREE:
+        disks.fill(folder_of(group, name))
+    with pytest.raises(UnavailableError):
+        open_program(group, 9, 0.5)
+    # The last of the three has nothing to write without a majority.
+    group.wait_until(lambda: sum(loop_of(group, n).failure is not None for n in THREE) >= 2)
+    assert group.leader() is None
+    disks.repair(folder_of(group, "one"))
+    disks.repair(folder_of(group, "two"))
+    assert isinstance(open_program(group, 2, 20.0), ProgramInfo)
+    assert group.state(group.leader()).program("prog-1", "school").info == accepted
+    disks.repair(folder_of(group, "three"))
+    group.wait_until(lambda: is_caught_up(group, "three"), WAIT_SECONDS)
+    assert group.state("three").program("prog-1", "school").info == accepted
+
+
+def test_changes_in_flight_at_a_full_disk_are_reported_as_unknown_at_once(start_group, disks):
+    # The leader's disk fills up under a change. Its sender must neither be told that the change is
+    # in force nor wait for the time limit.
+    group = start_group("one")
+    member = group.role_by_name["one"].member
+    disks.fill(folder_of(group, "one"))
+    started = time.monotonic()
+    with pytest.raises(OutcomeUnknownError):
+        member.commit(OpenProgram("prog-1", "school", Budget(), 60))
+    assert time.monotonic() - started < 1.0
+    assert not member.is_leader()
+    assert not member.confirm()
+    assert not group.role_by_name["one"].ready()
+    disks.repair(folder_of(group, "one"))
+    group.wait_until(member.is_leader, WAIT_SECONDS)
+    assert isinstance(open_program(group, 2), ProgramInfo)
+    assert group.role_by_name["one"].ready()
+
+
+def test_a_member_started_on_a_full_disk_takes_part_once_there_is_room(start_group, disks):
+    # The process of a member ends and is started again before its disk has room.
+    group = start_group(*THREE)
+    open_program(group, 1)
+    name = next(name for name in THREE if name != group.leader())
+    group.stop(name)
+    disks.fill(folder_of(group, name))
+    group.start(name)
+    eventlet.sleep(0.5)
+    assert loop_of(group, name).failure is not None
+    assert not group.role_by_name[name].ready()
+    disks.repair(folder_of(group, name))
+    group.wait_until(lambda: is_caught_up(group, name), WAIT_SECONDS)
+    assert group.state(name).program_count() == 1
+
+
+def test_a_full_disk_is_reported_to_operators(start_group, disks):
+    # Without a sign of it, the loss of redundancy is found only when the next disk fails.
+    group = start_group(*THREE)
+    name = next(name for name in THREE if name != group.leader())
+    disks.fill(folder_of(group, name))
+    open_program(group, 1)
+    group.wait_until(lambda: loop_of(group, name).failure is not None, WAIT_SECONDS)
+
+    def storage_by_id():
+        listed = group.admin()("GET", "/members")[1]["members"]
+        return {one["member_id"]: one["silent_s"] for one in listed}
+
+    group.wait_until(lambda: (storage_by_id()[name] or 0) > 1.0, WAIT_SECONDS)
+    exposition = group.context_by_name[name].metrics.exposition
+    assert "tarragonhall_group_storage_failed 1\n" in exposition.text()
+    disks.repair(folder_of(group, name))
+    group.wait_until(lambda: storage_by_id()[name] < 0.5, WAIT_SECONDS)
+    assert "tarragonhall_group_storage_failed 0\n" in exposition.text()
--- a/libs/fakes/tarragonhall_fakes/__init__.py
+++ b/libs/fakes/tarragonhall_fakes/__init__.py
@@ -4,6 +4,7 @@
 
 from tarragonhall_fakes._addresses import free_address
 from tarragonhall_fakes._batch import EngineOptions, answer_to
+from tarragonhall_fakes._disks import Disks
 from tarragonhall_fakes._engine import Engine, start_engine
 from tarragonhall_fakes._faults import Fault, FaultKind
 from tarragonhall_fakes._load_results import LoadResult, table
@@ -24,6 +25,7 @@
 __all__ = [
     "ATTEMPT_HEADER",
     "Deployment",
+    "Disks",
     "Engine",
     "EngineOptions",
     "FakeServer",
--- a/libs/group/tarragonhall_group/_loop.py
+++ b/libs/group/tarragonhall_group/_loop.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import eventlet
 import structlog
 from eventlet.event import Event as Waiter
 from eventlet.queue import Empty, LightQueue
@@ -23,12 +24,15 @@
     ReadLost,
     Received,
     ReplicaApi,
+    Role,
     RoleChanged,
     SendTo,
     TakeSnapshot,
     Tick,
 )
-from tarragonhall_model import StorageError, TarragonhallError
+from tarragonhall_model import StorageError, StorageUnavailableError, TarragonhallError
+
+from tarragonhall_group._offline import OfflineReplica
 
 log = structlog.get_logger(__name__)
 
@@ -36,6 +40,12 @@
 # ones would be answered only after their senders had timed out.
 MAX_WAITING_PROPOSALS = 2_000
 BUSY_RETRY_MS = 100
+# Attempts to open a data folder again, at growing intervals. Each one reads the whole log once a
+# small write succeeds, and a disk with room again should be used within a second.
+FIRST_REOPEN_SECONDS = 0.1
+MAX_REOPEN_SECONDS = 0.8
+# A disk can be full for days.
+REOPEN_LOG_SECONDS = 10.0
 
 
 class LoopBusyError(TarragonhallError):
@@ -48,15 +58,25 @@
 
 @dataclass(slots=True)
 class LoopHooks:
-    """Callbacks of the loop: to send to a peer, on a role change, and after each step."""
+    """Callbacks of the loop: to send to a peer, on a role change, and after each step.
+
+    `on_storage` is called with True when the data folder has become unusable, and with False when
+    the member takes part again. `reopen` opens the folder as at a start of the process; without it
+    the loop ends at the first failure.
+    """
 
     send: Callable[[str, object], None]
     on_role: Callable[[RoleChanged], None]
     after_step: Callable[[], None]
+    on_storage: Callable[[bool], None] = lambda _failed: None
+    reopen: Callable[[], ReplicaApi] | None = None
 
 
 class LogLoop:
-    """Queues events for the replica and passes its outputs to the waiting callers."""
+    """Queues events for the replica and passes its outputs to the waiting callers.
+
+    `failure` says why the data folder cannot be used at present, None if it can.
+    """
 
     __slots__ = (
         "_hooks",
@@ -70,10 +90,14 @@
     )
 
     def __init__(
-        self, replica: ReplicaApi, monotonic: Callable[[], float], hooks: LoopHooks
+        self,
+        replica: ReplicaApi,
+        monotonic: Callable[[], float],
+        hooks: LoopHooks,
+        failure: StorageUnavailableError | None = None,
     ) -> None:
         self.replica = replica
-        self.failure: StorageError | None = None
+        self.failure: StorageError | None = failure
         self._hooks = hooks
         self._monotonic = monotonic
         self._queue = LightQueue()
@@ -82,16 +106,26 @@
         self._stopped = False
 
     def run(self) -> None:
-        """Step the replica until `stop` is called or its data folder fails."""
+        """Step the replica until `stop` is called or its data folder fails for good.
+
+        While the folder is unavailable the member takes no part.
+        """
         try:
+            if self.failure is not None:
+                self._go_offline(self.failure)
+                self._reopen(self.failure)
             while not self._stopped:
-                self._step(self._gather())
+                try:
+                    self._step(self._gather())
+                except StorageUnavailableError as error:
+                    self._go_offline(error)
+                    if self._hooks.reopen is None:
+                        break
+                    self._reopen(error)
         except StorageError as error:
-            # Unsynced data was not acknowledged to anyone. With a failed folder this member could
-            # acknowledge data that is not stored, so it stops taking part.
-            log.error("group.storage_failed", error=str(error))
-            self.failure = error
+            self._go_offline(error)
         finally:
+            self._stopped = True
             self._release_waiters()
             self.replica.close()
 
@@ -142,8 +176,9 @@
         return isinstance(outcome, ReadConfirmed)
 
     def receive(self, peer: str, message: object) -> None:
-        """Queue a message received from a peer."""
-        self._queue.put(Received(peer, message))
+        """Queue a message received from a peer; it is dropped while the data folder is unusable."""
+        if self.failure is None:
+            self._queue.put(Received(peer, message))
 
     def take_snapshot(self) -> None:
         """Queue a request to write a snapshot and compact the log."""
@@ -190,7 +225,46 @@
         if waiter is not None:
             waiter.send(output)
 
+    def _go_offline(self, error: StorageError) -> None:
+        """Drop all of the replica's state: nothing that the failed step did has left this member.
+
+        After a failed write, only the folder tells what is stored.
+        """
+        log.error("group.storage_failed", error=str(error))
+        self.failure = error
+        offline = OfflineReplica(self.replica.status())
+        self.replica.close()
+        self.replica = offline
+        self._release_waiters()
+        self._hooks.on_storage(True)
+        self._hooks.on_role(RoleChanged(Role.OFFLINE, offline.term(), None))
+
+    def _reopen(self, error: StorageUnavailableError) -> None:
+        """Open the data folder again as soon as it can be used, or return after `stop`."""
+        failed_at = logged_at = self._monotonic()
+        wait_s = FIRST_REOPEN_SECONDS
+        attempts = 0
+        while not self._stopped:
+            eventlet.sleep(wait_s)
+            wait_s = min(wait_s * 2, MAX_REOPEN_SECONDS)
+            attempts += 1
+            if self._monotonic() - logged_at >= REOPEN_LOG_SECONDS:
+                logged_at = self._monotonic()
+                log.warning("group.storage_unavailable", error=str(error), attempts=attempts)
+            try:
+                replica = self._hooks.reopen()
+            except StorageUnavailableError as again:
+                error = self.failure = again
+                continue
+            # Events from before the failure: their senders have been answered.
+            self._queue.queue.clear()
+            self.replica = replica
+            self.failure = None
+            offline_s = round(self._monotonic() - failed_at, 3)
+            log.warning("group.storage_reopened", offline_s=offline_s, attempts=attempts)
+            self._hooks.on_storage(False)
+            return
+
     def _release_waiters(self) -> None:
-        self._stopped = True
         for token in list(self._waiter_by_token):
             self._resolve(token, None)
--- a/libs/group/tarragonhall_group/_member.py
+++ b/libs/group/tarragonhall_group/_member.py
@@ -7,12 +7,20 @@
 
 import eventlet
 import structlog
-from tarragonhall_consensus import Limits, Member, RoleChanged, StateMachine, open_replica
-from tarragonhall_model import LinkError
+from tarragonhall_consensus import (
+    Limits,
+    Member,
+    ReplicaApi,
+    RoleChanged,
+    StateMachine,
+    open_replica,
+)
+from tarragonhall_model import LinkError, StorageUnavailableError
 from tarragonhall_wire import Link, ProcessContext
 
 from tarragonhall_group._loop import LogLoop, LoopHooks
 from tarragonhall_group._messages import LogMessage
+from tarragonhall_group._offline import offline_replica
 
 log = structlog.get_logger(__name__)
 
@@ -34,13 +42,21 @@
 
     `bootstrap_addresses` maps the ids of the initial members to their link addresses; it is empty
     for a member that waits to be added.
+
+    While the data folder is unavailable, at the start or later, the process goes on without its
+    member, which takes part again once the folder can be opened.
     """
 
     __slots__ = (
         "_address_by_peer",
         "_bootstrap_addresses",
         "_context",
+        "_folder",
         "_hooks",
+        "_initial_state",
+        "_limits",
+        "_machine",
+        "_was_in_group",
         "loop",
         "member_id",
     )
@@ -60,19 +76,21 @@
         self._hooks = hooks or GroupHooks()
         self._bootstrap_addresses = bootstrap_addresses
         self._address_by_peer: dict[str, str] = {}
-        replica = open_replica(
-            folder,
-            member_id,
-            context.link_address,
-            _bootstrap_members(member_id, bootstrap_addresses),
-            machine,
-            context.rng,
-            context.monotonic(),
-            limits,
-            started_at=context.started_at,
+        self._folder = folder
+        self._machine = machine
+        self._initial_state = machine.snapshot()
+        self._limits = limits
+        self._was_in_group = False
+        loop_hooks = LoopHooks(
+            self._send, self._on_role, self._hooks.after_step, self._on_storage, self._reopen
         )
-        loop_hooks = LoopHooks(self._send, self._on_role, self._hooks.after_step)
-        self.loop = LogLoop(replica, context.monotonic, loop_hooks)
+        failure = None
+        try:
+            replica = self._open(context.started_at)
+        except StorageUnavailableError as error:
+            failure = error
+            replica = offline_replica(member_id, context.link_address)
+        self.loop = LogLoop(replica, context.monotonic, loop_hooks, failure)
 
     def start(self) -> None:
         """Start to take part in the group."""
@@ -105,6 +123,31 @@
         """Return whether a majority confirmed after the call that this member is the leader."""
         return self.is_leader() and self.loop.confirm(CONFIRM_TIMEOUT_SECONDS)
 
+    def _open(self, opened_at: float) -> ReplicaApi:
+        """Open the folder; `opened_at` is when the use of it before this one had ended."""
+        # A folder that was emptied after this member had voted must not count as a new one.
+        bootstrap = {} if self._was_in_group else self._bootstrap_addresses
+        return open_replica(
+            self._folder,
+            self.member_id,
+            self._context.link_address,
+            _bootstrap_members(self.member_id, bootstrap),
+            self._machine,
+            self._context.rng,
+            self._context.monotonic(),
+            self._limits,
+            started_at=opened_at,
+            initial_state=self._initial_state,
+        )
+
+    def _reopen(self) -> ReplicaApi:
+        return self._open(self._context.monotonic())
+
+    def _on_storage(self, failed: bool) -> None:
+        self._context.metrics.gauge("group.storage_failed", int(failed))
+        self._context.metrics.count("group.storage_failures" if failed else "group.storage_reopens")
+        self._context.timeline.add("group_storage", failed=failed)
+
     def _send(self, peer: str, message: object) -> None:
         address = self.address_of(peer)
         if address is None:
@@ -123,6 +166,7 @@
         self.loop.receive(log_message.sender, log_message.message)
 
     def _on_role(self, changed: RoleChanged) -> None:
+        self._was_in_group = self._was_in_group or changed.term > 0
         log.info("group.role", role=changed.role, term=changed.term, leader=changed.leader)
         self._context.timeline.add("group_role", role=changed.role, term=changed.term)
         self._hooks.on_role(changed)
--- a/libs/group/tests/loop_tests.py
+++ b/libs/group/tests/loop_tests.py
@@ -10,9 +10,11 @@
     ReadConfirmed,
     RoleChanged,
     SendTo,
+    Status,
 )
 from tarragonhall_group import _loop
 from tarragonhall_group._loop import LogLoop, LoopBusyError, LoopHooks, OutcomeUnknownError
+from tarragonhall_model import StorageError, StorageUnavailableError
 
 
 class Replica:
@@ -106,3 +108,78 @@
     made.stop()
     eventlet.sleep(0.1)
     assert seen[:3] == ["two", role, "step"]
+
+
+class FailingReplica(Replica):
+    """Fails its first step with an error of the data folder."""
+
+    def __init__(self, error: StorageError) -> None:
+        super().__init__()
+        self.error = error
+
+    def step(self, _events, _now):
+        raise self.error
+
+    def status(self):
+        return Status("one", "leader", 7, "one", 9, 9, 9, [], "id", "10.0.0.1:1")
+
+
+def run_on_failing_folder(error: StorageError, reopen):
+    roles = []
+    hooks = LoopHooks(lambda _p, _m: None, roles.append, lambda: None, reopen=reopen)
+    made = LogLoop(FailingReplica(error), lambda: 0.0, hooks)
+    eventlet.spawn_n(made.run)
+    return made, roles
+
+
+def test_a_folder_that_is_corrupt_ends_the_member_for_good():
+    # Opened again, a corrupt log would be read as a shorter one or fail for ever.
+    opened = []
+    made, roles = run_on_failing_folder(StorageError("corrupt at byte 7"), opened.append)
+    eventlet.sleep(0.3)
+    assert opened == []
+    assert str(made.failure) == "corrupt at byte 7"
+    assert [(role.role, role.term, role.leads) for role in roles] == [("offline", 7, False)]
+    with pytest.raises(OutcomeUnknownError):
+        made.propose(b"a", 1.0)
+
+
+def test_a_folder_that_turns_out_corrupt_when_opened_again_ends_the_member():
+    # The disk is full, and what is then found in the folder cannot be read.
+    def reopen():
+        raise StorageError("the snapshot is missing")
+
+    made, _ = run_on_failing_folder(StorageUnavailableError("disk full"), reopen)
+    eventlet.sleep(0.3)
+    assert str(made.failure) == "the snapshot is missing"
+
+
+def test_a_folder_that_stays_full_is_tried_less_and_less_often_until_the_stop():
+    # A disk can be full for days. Each attempt reads the whole log.
+    attempts = []
+
+    def reopen():
+        attempts.append(1)
+        raise StorageUnavailableError("disk full")
+
+    made, _ = run_on_failing_folder(StorageUnavailableError("disk full"), reopen)
+    eventlet.sleep(2.0)
+    assert 3 <= len(attempts) <= 5
+    made.stop()
+    eventlet.sleep(1.0)
+    stopped_at = len(attempts)
+    eventlet.sleep(1.0)
+    assert len(attempts) == stopped_at
+
+
+def test_what_was_queued_before_a_failure_is_not_logged_after_it():
+    # The sender was told that the outcome is unknown, and may have sent it elsewhere since.
+    again = Replica()
+    made, _ = run_on_failing_folder(StorageUnavailableError("disk full"), lambda: again)
+    with pytest.raises(OutcomeUnknownError):
+        made.propose(b"a", 1.0)
+    eventlet.sleep(0.5)
+    assert made.failure is None
+    assert made.propose(b"b", 1.0) == b"B"
+    assert again.batches == [1]
+    made.stop()
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -99,6 +99,7 @@
     LinkOverloadedError,
     RequestTimeoutError,
     StorageError,
+    StorageUnavailableError,
     TarragonhallError,
 )
 from tarragonhall_model._findings import (
@@ -348,6 +349,7 @@
     "Stamp",
     "StartAttempt",
     "StorageError",
+    "StorageUnavailableError",
     "StoreRecord",
     "StoreRetiring",
     "SuspectCall",
--- a/libs/model/tarragonhall_model/_errors.py
+++ b/libs/model/tarragonhall_model/_errors.py
@@ -39,3 +39,10 @@
 
 class StorageError(TarragonhallError):
     """The data folder is unusable: disk full, failed sync, corruption or use by another process."""
+
+
+class StorageUnavailableError(StorageError):
+    """The operating system refused an operation on the data folder, as when the disk is full.
+
+    What the folder holds is as sound as after a crash, so it can be opened again later.
+    """
--- a/libs/store/tests/role_tests.py
+++ b/libs/store/tests/role_tests.py
@@ -6,6 +6,7 @@
 
 import pytest
 from store_deployment import Deployment
+from tarragonhall_fakes import Disks
 from tarragonhall_model import (
     EndTurn,
     KeepTurn,
@@ -127,3 +128,36 @@
     link = waiting.control.member.context.hub.wait_for_link(context.link_address, 2.0)
     assert link.request(Propose("r-1", EndTurn("a", "org", "p", 0, 1)), 1.0) == NotLeader()
     waiting.stop()
+
+
+@pytest.fixture
+def disks():
+    made = Disks()
+    made.install()
+    yield made
+    made.restore()
+
+
+def test_a_store_started_on_a_full_disk_takes_part_once_there_is_room(deployment, disks):
+    # The store stayed without its member although its process went on. With two of three stores
+    # left, the next lost disk could take the only other whole copy of a stored turn.
+    store_turn(deployment, "a")
+    full = next(name for name in deployment.store_by_name if name != deployment.leader())
+    deployment.stop_store(full)
+    disks.fill(deployment.folder / full)
+    deployment.start_store(full, first_start=False)
+    store_turn(deployment, "b", "a")
+    disks.repair(deployment.folder / full)
+    deployment.wait_until(lambda: "b" in deployment.store_by_name[full].state.turn_by_id)
+
+
+def test_a_store_whose_disk_was_full_holds_every_turn_again(deployment, disks):
+    # Its member ended at the first write that was refused, and later turns were on two stores only.
+    store_turn(deployment, "a")
+    full = deployment.leader()
+    disks.fill(deployment.folder / full)
+    store_turn(deployment, "b", "a")
+    disks.repair(deployment.folder / full)
+    role = deployment.store_by_name[full]
+    deployment.wait_until(lambda: {"a", "b"} <= set(role.state.turn_by_id))
+    deployment.wait_until(lambda: role.member.loop.failure is None)
