Keep departures of backend servers in the replicated log

Cause: control members kept a departure in memory only, and an entry dropped its own as soon as no member listed the server. After all members were restarted, an announcement from before the leave notice was the only thing known of the server.

Why it works: the leader commits the last record of an incarnation that left or drains, and members merge the log's departures into their registries, so a restart of all of them, or of all processes, brings nothing back but a later incarnation. A leave notice of an incarnation that a member has not heard of marks that one.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -108,6 +108,7 @@
     "_registry": (
         "BackendTable",
         "Registry",
+        "is_departure",
     ),
     "_resumption": (
         "BreakCause",
--- a/libs/decisions/tarragonhall_decisions/_registry.py
+++ b/libs/decisions/tarragonhall_decisions/_registry.py
@@ -39,6 +39,11 @@
     return record.sequence > known.sequence
 
 
+def is_departure(record: BackendRecord) -> bool:
+    """Return whether a known incarnation left or drains, not just one that nobody knows."""
+    return (record.gone or record.draining) and bool(record.born_ms or record.address)
+
+
 def is_unchanged(record: BackendRecord, known: BackendRecord) -> bool:
     """Return whether two announcements differ in their sequence and warm-up alone."""
     return replace(record, sequence=0, warmup_ms=0) == replace(known, sequence=0, warmup_ms=0)
@@ -86,10 +91,22 @@
             return self._changed(record)
         if born_ms is not None and born_ms < known.record.born_ms:
             return known.record
+        if born_ms is not None and born_ms > known.record.born_ms:
+            # The incarnation that leaves has announced itself elsewhere only.
+            known.record = replace(known.record, born_ms=born_ms, sequence=0)
         known.record = replace(known.record, gone=True)
         known.received_at = now
         return self._changed(known.record)
 
+    def departures(self) -> list[BackendRecord]:
+        """Return the servers that left or drain, except those of which nothing else is known."""
+        return [one.record for one in self._known_by_id.values() if is_departure(one.record)]
+
+    def is_departed(self, record: BackendRecord) -> bool:
+        """Return whether the incarnation of an announcement is known to have left, or a later."""
+        known = self._known_by_id.get(record.server_id)
+        return known is not None and known.record.gone and record.born_ms <= known.record.born_ms
+
     def changes_since(self, version: int, now: float) -> list[BackendRecord]:
         """Return the records that changed after a version, for a follower that has the others.
 
@@ -142,10 +159,17 @@
 
     A server that one member cannot reach may be reachable for another: it counts as reachable while
     any member reports it so. `gone` and `draining` count as soon as any member reports them for the
-    current incarnation.
+    current incarnation, and go on to count after all members have forgotten them: a restarted
+    member knows a server by nothing but the next announcement, which may be late.
     """
 
-    __slots__ = ("_ids_by_address", "_records_by_source", "by_id")
+    __slots__ = (
+        "_departed_by_id",
+        "_departed_listed_at",
+        "_ids_by_address",
+        "_records_by_source",
+        "by_id",
+    )
 
     def __init__(self) -> None:
         self.by_id: dict[str, BackendRecord] = {}
@@ -153,6 +177,8 @@
         # square of their number when they all start at once.
         self._ids_by_address: dict[str, set[str]] = {}
         self._records_by_source: dict[str, dict[str, BackendRecord]] = {}
+        self._departed_by_id: dict[str, BackendRecord] = {}
+        self._departed_listed_at: dict[str, float] = {}
 
     def replace_source(self, source: str, records: list[BackendRecord]) -> set[str]:
         """Replace all that a member knows; return the ids whose merged record changed."""
@@ -182,7 +208,7 @@
                 for record_by_id in self._records_by_source.values()
                 if server_id in record_by_id
             ]
-            merged = _merged(known) if known else None
+            merged = self._with_departure(_merged(known)) if known else None
             before = self.by_id.get(server_id)
             if merged is None and before is not None:
                 # All members forgot it or restarted: the server may still run.
@@ -190,11 +216,32 @@
             if merged is None or merged == before:
                 continue
             self._put(merged)
+            self._keep_departure(merged, known)
             changed.add(server_id)
         for address in {self.by_id[server_id].address for server_id in changed}:
             changed |= self._drop_replaced_at(address)
         return changed
 
+    def _with_departure(self, merged: BackendRecord) -> BackendRecord:
+        """Return a record as it counts given that its server left or began to drain before."""
+        departed = self._departed_by_id.get(merged.server_id)
+        if departed is None or departed.born_ms < merged.born_ms:
+            return merged
+        if departed.gone or departed.born_ms > merged.born_ms:
+            return replace(merged, gone=True)
+        if merged.sequence <= departed.sequence:
+            return replace(merged, draining=True)
+        return merged
+
+    def _keep_departure(self, merged: BackendRecord, known: list[BackendRecord]) -> None:
+        if not merged.gone and not merged.draining:
+            self._departed_by_id.pop(merged.server_id, None)
+            self._departed_listed_at.pop(merged.server_id, None)
+            return
+        # A mark without an incarnation may be of an earlier one than this.
+        if merged.draining or any(r.gone and r.born_ms == merged.born_ms for r in known):
+            self._departed_by_id[merged.server_id] = merged
+
     def _put(self, record: BackendRecord) -> None:
         before = self.by_id.get(record.server_id)
         if before is not None and before.address != record.address:
@@ -214,8 +261,8 @@
             self._put(replace(self.by_id[server_id], gone=True))
         return replaced
 
-    def forget_gone(self) -> None:
-        """Drop the servers that no source lists any more."""
+    def forget_gone(self, now: float) -> None:
+        """Drop the servers that no source lists any more, and later their departures."""
         named = {
             server_id
             for record_by_id in self._records_by_source.values()
@@ -224,6 +271,12 @@
         for server_id in list(self.by_id):
             if server_id not in named:
                 self._ids_by_address[self.by_id.pop(server_id).address].discard(server_id)
+        for server_id in list(self._departed_by_id):
+            if server_id in named:
+                self._departed_listed_at[server_id] = now
+            elif now - self._departed_listed_at.setdefault(server_id, now) > FORGET_S:
+                del self._departed_by_id[server_id]
+                del self._departed_listed_at[server_id]
 
 
 def _merged(records: list[BackendRecord]) -> BackendRecord:
--- a/libs/decisions/tests/registry_tests.py
+++ b/libs/decisions/tests/registry_tests.py
@@ -189,3 +189,116 @@
     table.update_source("one", registry.changes_since(version, 0.0))
     known = {one.server_id: one.draining for one in registry.records(0.0)}
     assert {key: one.draining for key, one in table.by_id.items()} == known
+
+
+def test_a_server_that_left_stays_gone_after_all_members_forgot_it():
+    # All control members restart with empty registries. An announcement from before the leave
+    # notice then arrives late, and entries sent calls to a server that was about to exit.
+    table = BackendTable()
+    for source in ("a", "b"):
+        table.update_source(source, [replace(SERVER, gone=True)])
+    for source in ("a", "b"):
+        table.replace_source(source, [])
+    table.forget_gone(0.0)
+    late = replace(SERVER, sequence=3)
+    table.update_source("a", [late])
+    assert table.by_id["i-1"].gone
+    # A later incarnation under the same id is another server.
+    table.update_source("a", [replace(SERVER, born_ms=2_000, sequence=1)])
+    assert not table.by_id["i-1"].gone
+
+
+def test_a_draining_server_stays_draining_after_all_members_forgot_it():
+    # The late announcement is one from before the server began to drain.
+    table = BackendTable()
+    table.update_source("a", [replace(SERVER, sequence=6, draining=True)])
+    table.replace_source("a", [])
+    table.forget_gone(0.0)
+    table.update_source("a", [replace(SERVER, sequence=5)])
+    assert table.by_id["i-1"].draining
+    table.update_source("a", [replace(SERVER, sequence=7)])
+    assert not table.by_id["i-1"].draining
+
+
+def test_a_late_announcement_of_an_incarnation_before_the_one_that_left_is_ignored():
+    # The server restarted under its id and then left; the announcement is of its first start.
+    table = BackendTable()
+    table.update_source("a", [replace(SERVER, born_ms=2_000, gone=True)])
+    table.replace_source("a", [])
+    table.forget_gone(0.0)
+    table.update_source("a", [SERVER])
+    assert table.by_id["i-1"].gone
+
+
+def test_departures_are_forgotten_once_no_member_has_listed_them_for_long():
+    # Most ids are used once: kept for ever, they would fill the memory of an entry.
+    table = BackendTable()
+    for number in range(100):
+        record = replace(SERVER, server_id=f"i-{number}", gone=True)
+        table.update_source("a", [record])
+    table.replace_source("a", [])
+    table.forget_gone(0.0)
+    table.forget_gone(FORGET_S - 1)
+    assert len(table._departed_by_id) == 100
+    table.forget_gone(FORGET_S + 1)
+    assert (table._departed_by_id, table._departed_listed_at, table.by_id) == ({}, {}, {})
+
+
+def test_a_mark_without_an_incarnation_does_not_outlast_the_next_start():
+    # A leave notice that names no start reaches a member that never knew the server. Kept by an
+    # entry as a mark of the restarted server, it would take that server out for good.
+    table = BackendTable()
+    restarted = replace(SERVER, born_ms=2_000, sequence=1)
+    table.update_source("a", [restarted])
+    table.update_source("b", [Registry().mark_gone("i-1", None, 0.0)])
+    assert table.by_id["i-1"].gone
+    table.update_source("b", [restarted])
+    assert not table.by_id["i-1"].gone
+
+
+def test_a_leave_notice_of_an_incarnation_announced_elsewhere_counts():
+    # The member knows the start before. Marked on that one, the server would come back with the
+    # next late announcement of the start that left.
+    registry = Registry()
+    registry.on_announcement(SERVER, 0.0)
+    assert registry.mark_gone("i-1", 2_000, 0.1).born_ms == 2_000
+    assert registry.on_announcement(replace(SERVER, born_ms=2_000, sequence=3), 0.2) is None
+
+
+@given(
+    st.lists(st.sampled_from(["ready", "drain", "leave", "late", "restart"]), max_size=12),
+    st.integers(0, 2),
+)
+def test_no_order_of_restarts_and_late_announcements_brings_a_server_back(steps, member):
+    # Members are restarted at any moment, and any earlier announcement arrives again at any of
+    # them. Nothing but a later incarnation makes a server count again after its departure.
+    table = BackendTable()
+    registries = {name: Registry() for name in "abc"}
+    sent = [SERVER]
+    draining = gone = False
+    for number, step in enumerate(steps):
+        name = "abc"[(member + number) % 3]
+        registry = registries[name]
+        latest = sent[-1]
+        match step:
+            case "ready" if not draining and not gone:
+                sent.append(replace(latest, sequence=latest.sequence + 1))
+                registry.on_announcement(sent[-1], 0.0)
+            case "drain" if not gone:
+                draining = True
+                sent.append(replace(latest, sequence=latest.sequence + 1, draining=True))
+                registry.on_announcement(sent[-1], 0.0)
+            case "leave":
+                gone = True
+                registry.mark_gone("i-1", SERVER.born_ms, 0.0)
+            case "late":
+                registry.on_announcement(sent[number % len(sent)], 0.0)
+            case "restart":
+                for name in registries:
+                    registries[name] = Registry()
+        for name, one in registries.items():
+            table.replace_source(name, one.records(0.0))
+        table.forget_gone(0.0)
+        record = table.by_id.get("i-1")
+        assert record is None or record.gone or not gone
+        assert record is None or record.gone or record.draining or not draining
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -187,6 +187,16 @@
     heard: bool = True
 
 
+@record
+class RecordDepartures:
+    """Store that incarnations of backend servers left or began to drain.
+
+    Result: `Recorded`. Idempotent.
+    """
+
+    backends: list[BackendRecord]
+
+
 @record
 class FollowBackends:
     """Subscribe to the backend servers known to a control member.
@@ -259,7 +269,12 @@
 
 @record
 class BackendAdopted:
-    """The receiver has recorded the changes of backend servers."""
+    """The receiver has recorded the changes of backend servers.
+
+    `stored` says that it committed the departures among them to the replicated log.
+    """
+
+    stored: bool = False
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_backend_follower.py
+++ b/libs/relay/tarragonhall_relay/_backend_follower.py
@@ -141,7 +141,7 @@
     def _update_servers(self) -> None:
         """Pass all servers to the chooser, once for a batch of changes: it visits each server."""
         self._update_scheduled = False
-        self._table.forget_gone()
         now = self._context.monotonic()
+        self._table.forget_gone(now)
         self._state.chooser.set_servers(list(self._table.by_id.values()), now)
         self._update_took_s = self._context.monotonic() - now
--- a/libs/state/tarragonhall_state/_machine.py
+++ b/libs/state/tarragonhall_state/_machine.py
@@ -27,6 +27,7 @@
     ProgramStatus,
     PublishRelay,
     Quarantined,
+    RecordDepartures,
     Refusal,
     RefusalCode,
     RelayDocument,
@@ -47,6 +48,7 @@
 )
 
 from tarragonhall_state._configuration import Configuration, ConfigurationSnapshot
+from tarragonhall_state._departures import Departure, Departures
 from tarragonhall_state._journal import JOURNAL_SHARDS, Journal, JournalSnapshot, program_id_of
 from tarragonhall_state._requests import (
     JOURNAL_WINDOW_MS,
@@ -75,6 +77,7 @@
     journal_requests: RequestTable
     journals: list[JournalSnapshot] = field(default_factory=list)
     relay: RelayDocument | None = None
+    departures: list[Departure] = field(default_factory=list)
 
 
 class ControlState:
@@ -87,12 +90,14 @@
         "_operator_requests",
         "_views",
         "configuration",
+        "departures",
         "relay",
     )
 
     def __init__(self) -> None:
         self.configuration = Configuration()
         self.relay: RelayDocument | None = None
+        self.departures = Departures()
         self._views = Views()
         self._journals = [Journal() for _ in range(JOURNAL_SHARDS)]
         self._operator_requests = RequestTable(OPERATOR_WINDOW_MS, MAX_OPERATOR_REQUESTS)
@@ -237,6 +242,7 @@
                 journal_requests=self._journal_requests,
                 journals=[journal.snapshot() for journal in self._journals],
                 relay=self.relay,
+                departures=self.departures.snapshot(),
             )
         )
 
@@ -251,6 +257,7 @@
         self._operator_requests = snapshot.operator_requests
         self._journal_requests = snapshot.journal_requests
         self.relay = snapshot.relay
+        self.departures.restore(snapshot.departures)
         for journal, saved in zip(self._journals, snapshot.journals, strict=True):
             journal.restore(saved)
 
@@ -264,6 +271,8 @@
             # Not stored by request id: applying it again is harmless, and each of hundreds of
             # documents a day would be held a second time.
             return self._publish_relay(command.body.document)
+        if isinstance(command.body, RecordDepartures):
+            return self.departures.add(command.body.backends, now_ms)
         result = self._change_view(command.body, now_ms)
         if result is None:
             result = self._change_journal(command.body, now_ms)
