Never send a refused attempt on the connection that refused it

Callers saw: calls that must not be repeated ran twice, and some were answered 503 though they had run, behind a full server that sends some responses once more, late.

Cause: a second send of an attempt went out on the connection that was used last, the one on which the refusal of the first came. A late copy of that refusal bears the same id and was taken for the response to the second send, which ran.

Why it works: a copy comes on the connection of its original. A connection that never carries an attempt it refused cannot deliver a copy as the response to another send of it. Connections with a response to another call, or that carried a call without an id, are not used again either.

--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -103,7 +103,7 @@
     end.
     """
     try:
-        connection = state.pool.acquire(server)
+        connection = state.pool.acquire(server, call.facts.attempt_id)
     except BackendError as error:
         state.pool.close_idle(server.server_id)
         return NotRun(str(error))
@@ -118,6 +118,8 @@
             keep_open = True
         elif isinstance(outcome, CompleteResponse | NotRun):
             keep_open = True
+            if isinstance(outcome, NotRun):
+                connection.refused_attempts.add(call.facts.attempt_id)
             state.pool.release(connection, facts.keep_alive_s)
         return outcome
     except ResponseTimeoutError as error:
@@ -162,6 +164,9 @@
         call.org_id, server.server_id, left_ms, options.urgency, options.last_event_id
     )
     headers = state.dialect.write_call(call.request.headers, dispatch)
+    if not call.facts.attempt_id:
+        # A late copy of its response could not be told from that to any other call.
+        connection.is_trusted = False
     connection.send(call.request.method, call.request.target, headers, body)
 
 
@@ -214,5 +219,7 @@
             answers=facts.attempt_id,
             status=head.status_code,
         )
+        state.metrics.count("relay.crossed_responses")
+        connection.is_trusted = False
         connection.skip_response(MAX_RESPONSE_BYTES)
     raise BackendError("only responses to other calls arrived", sent=True)
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -38,6 +38,8 @@
 RESPONSE_KIND = "server.answer"
 END_OF_HEAD = b"\r\n\r\n"
 CHUNKED = (b"transfer-encoding", b"chunked")
+# Refused attempts that a connection remembers; with more it is not used again.
+MAX_REFUSED_ATTEMPTS = 32
 # Responses to other calls that are skipped before a connection counts as broken.
 MAX_EXTRA_RESPONSES = 3
 
@@ -51,7 +53,13 @@
 
 
 class BackendConnection:
-    """One connection to one backend server."""
+    """One connection to one backend server.
+
+    A server may send a response once more, late. The copy bears the id of its attempt, so a
+    connection never carries an attempt of `refused_attempts` again: a copy of the refusal could not
+    be told from the response to the second send. `is_trusted` is false once nothing is known about
+    the next response on the connection.
+    """
 
     __slots__ = (
         "_connection",
@@ -62,6 +70,8 @@
         "_rest",
         "_traffic",
         "_zone",
+        "is_trusted",
+        "refused_attempts",
         "response_body",
         "reused",
         "server_id",
@@ -81,6 +91,8 @@
         self._is_closed = False
         self.response_body = ResponseBody()
         self.server_id = record.server_id
+        self.refused_attempts: set[str] = set()
+        self.is_trusted = True
         self.reused = False
         self.usable_until = 0.0
 
@@ -161,6 +173,8 @@
 
     def is_reusable(self) -> bool:
         """Return whether another call may be sent after the response was read to its end."""
+        if not self.is_trusted or len(self.refused_attempts) >= MAX_REFUSED_ATTEMPTS:
+            return False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         if self._http.trailing_data[0]:
@@ -251,14 +265,17 @@
         self._metrics = metrics
         self._idle_by_server: dict[str, list[BackendConnection]] = {}
 
-    def acquire(self, record: BackendRecord) -> BackendConnection:
-        """Return an idle connection to a server, or a new one if none is usable.
+    def acquire(self, record: BackendRecord, attempt_id: str) -> BackendConnection:
+        """Return an idle connection to a server that never refused this attempt, or a new one.
 
         Raises `BackendError` with `sent` false if it cannot be opened.
         """
         idle = self._idle_by_server.get(record.server_id, [])
-        while idle:
-            connection = idle.pop()
+        for index in range(len(idle) - 1, -1, -1):
+            if attempt_id in idle[index].refused_attempts:
+                self._metrics.count("relay.connections_passed_over")
+                continue
+            connection = idle.pop(index)
             if time.monotonic() < connection.usable_until and connection.is_open_and_idle():
                 connection.reused = True
                 return connection
