Read the response behind a late one for calls with a body

Callers saw: hundreds of calls that ran ended with a closed connection, beside a server that sends some responses once more, late.

Cause: after a response to another call is skipped, the state for the next one was built by sending the head of the request without its body. The protocol library raised LocalProtocolError, which nothing expects, and the client's connection closed.

The three new tests of late_copies_tests failed with that error.

Why it works: the state is built from the request without its framing headers. The server has the body, and only the method matters for reading a response.

--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -38,6 +38,7 @@
 RESPONSE_KIND = "server.answer"
 END_OF_HEAD = b"\r\n\r\n"
 CHUNKED = (b"transfer-encoding", b"chunked")
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Refused attempts that a connection remembers; with more it is not used again.
 MAX_REFUSED_ATTEMPTS = 32
 # Responses to other calls that are skipped before a connection counts as broken.
@@ -164,7 +165,10 @@
         self.read_all(limit)
         trailing, closed = self._http.trailing_data
         self._http = _new_http()
-        self._http.send(self._request)
+        # The server has the call with its body. Only the method matters for reading a response.
+        unframed = [(n, v) for n, v in self._request.headers if n not in FRAMING_HEADERS]
+        request = self._request
+        self._http.send(h11.Request(method=request.method, target=request.target, headers=unframed))
         self._http.send(h11.EndOfMessage())
         if trailing:
             self._http.receive_data(trailing)
--- a/libs/relay/tests/late_copies_tests.py
+++ b/libs/relay/tests/late_copies_tests.py
@@ -6,7 +6,7 @@
 
 import eventlet
 import pytest
-from relay_doubles import answer, wait_until
+from relay_doubles import answer, event, stream, wait_until
 from tarragonhall_relay import _backend, _call_slot
 
 REFUSAL = "503 Service Unavailable"
@@ -117,3 +117,25 @@
         assert relay.call("/buy/", attempt=f"a-{number}")[2] == b"new"
     assert backend.connections == 2
     assert relay.context.metrics.counts["relay.crossed_responses"] == 1
+
+
+@pytest.mark.parametrize("body", [b"x" * 7, b"x" * 100_000])
+def test_a_call_with_a_body_behind_a_late_response_gets_its_own(relay, body):
+    # The state for the next response was built from the head of the request without its body. The
+    # error ended the client's connection, though the call ran.
+    def responds_late_to_another(_backend, received):
+        other = b"HTTP/1.1 200 OK\r\nattempt: older\r\nsigned: yes\r\ncontent-length: 3\r\n\r\nold"
+        received.connection.sendall(other + answer(received, received.body))
+
+    relay.backend(responds_late_to_another)
+    assert relay.call("/buy/", body=body)[::2] == (200, body)
+
+
+def test_a_stream_behind_a_late_response_is_relayed(relay):
+    # Streams carry a body too.
+    def streams_after_another(_backend, received):
+        other = b"HTTP/1.1 503 Full\r\nattempt: older\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+        received.connection.sendall(other + stream(received, event(1), event(2)))
+
+    relay.backend(streams_after_another)
+    assert relay.call("/tell/", body=b"prompt")[2] == event(1) + event(2)
