Silence a link in its test only once it is open at both ends

Cause: the test. A dialled link is open for its caller as soon as the last message of the handshake is sent. The test drops all data at that moment. If the message is still on its way through the relay, it is lost, and the peer, which still waits for it, refuses the first request after the network has healed ("expected a record as [name, fields]", as in the log of the failed run). The product is right to close such a link.

What is checked is unchanged.

--- a/libs/wire/tests/links_tests.py
+++ b/libs/wire/tests/links_tests.py
@@ -305,6 +305,10 @@
     relay = Relay(two.link_address)
     two.hub.local_peer = dataclasses.replace(two.hub.local_peer, address=relay.address)
     link = one.hub.wait_for_link(relay.address, 2)
+    # The link is open at its other end once the last message of the handshake has arrived there.
+    with eventlet.Timeout(2):
+        while not two.hub.links():
+            eventlet.sleep(0.01)
     relay.silence(new=True)
     with pytest.raises(RequestTimeoutError):
         link.request(QueryLiving(["prog-1"]), 0.1)
