Measure the memory of slow readers once the ended ones are gone

Cause: the test. It measures 0.5 s after the start. A reader that was ended gives its memory back when its green thread runs once more, and on a slow machine many had not by then.

The bounds and the readers are unchanged.

--- a/libs/relay/tests/slow_readers_tests.py
+++ b/libs/relay/tests/slow_readers_tests.py
@@ -71,6 +71,9 @@
     tracemalloc.start()
     threads = [eventlet.spawn(respond, connection) for connection in connections]
     eventlet.sleep(0.5)
+    # Those that were ended give their memory back as soon as their threads have run once more.
+    ended = waiting._metrics.counts
+    wait_until(lambda: sum(one.dead for one in threads) == ended["relay.readers_ended"])
     size, peak = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     for thread in threads:
