Bound what the relay reads of responses that never end

Callers saw: with one server that sends bytes without end, calls held until their route's timeout and ended with 504 although sound servers were there, refusals reported as calls that may have run, and an entry at 102 MB instead of 38.

Cause: informational responses, bodies of refusals, responses to other calls, stated lengths, comments in streams and the text of kept streams were bounded by the call's deadline alone or by 16 MiB each.

Why it works: each read has a bound in bytes and one in time, closes the connection then, and reports what is known: a refusal stays a refusal, anything else may have run, so that a call that may be repeated goes to another server. Responses above 256 KiB share 32 MiB.

Not measured: processor time.

--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from dataclasses import dataclass
 
 import eventlet
@@ -11,12 +10,18 @@
 from tarragonhall_model import BackendRecord, CallType
 
 from tarragonhall_relay._admission import AdmittedCall
-from tarragonhall_relay._backend import MAX_EXTRA_RESPONSES, BackendConnection
+from tarragonhall_relay._backend import (
+    MAX_EXTRA_RESPONSES,
+    MAX_REFUSAL_BYTES,
+    REFUSAL_TIMEOUT_S,
+    BackendConnection,
+)
 from tarragonhall_relay._client import HOP_HEADERS
 from tarragonhall_relay._dialect import DispatchFacts, Headers, ResponseFacts
 from tarragonhall_relay._errors import BackendError, ResponseTimeoutError, SilentServerError
 from tarragonhall_relay._events import EventError
 from tarragonhall_relay._response_body import ResponseBody
+from tarragonhall_relay._response_memory import ResponseLease
 from tarragonhall_relay._silence import SilenceWatch
 from tarragonhall_relay._state import RelayState
 
@@ -96,11 +101,12 @@
     server: BackendRecord,
     body: bytes,
     options: AttemptOptions,
+    lease: ResponseLease,
 ) -> Outcome:
     """Send a call to a server and read its response, or the head of its stream.
 
     The connection is closed unless the outcome is an open stream or the response was read to its
-    end.
+    end. `lease` holds the memory of a complete response, and none after any other outcome.
     """
     try:
         connection = state.pool.acquire(server, call.facts.attempt_id)
@@ -113,7 +119,7 @@
         timeout_s = options.answer_timeout_s
         timeout_error = ResponseTimeoutError(timeout_s) if timeout_s is not None else None
         with eventlet.Timeout(timeout_s, timeout_error):
-            outcome, facts = _read_response(state, call, connection, options.watch)
+            outcome, facts = _read_response(state, call, connection, options.watch, lease)
         if isinstance(outcome, OpenStream):
             keep_open = True
         elif isinstance(outcome, CompleteResponse | NotRun):
@@ -136,6 +142,7 @@
     finally:
         if not keep_open:
             connection.close()
+            lease.release()
 
 
 def broken_stream(error: BackendError | EventError, body: ResponseBody) -> MayHaveRun:
@@ -175,12 +182,13 @@
     call: AdmittedCall,
     connection: BackendConnection,
     watch: SilenceWatch | None,
+    lease: ResponseLease,
 ) -> tuple[Outcome, ResponseFacts]:
     head, facts = _read_own_head(state, call, connection, watch)
     headers = [(name, value) for name, value in head.headers if name not in HOP_HEADERS]
     status = head.status_code
     if facts.not_executed or status == STATUS_MISDIRECTED:
-        _discard_body(connection)
+        _discard_body(state, connection)
         full = status != STATUS_MISDIRECTED
         return NotRun(f"the server responded {status}", full=full), facts
     success = 200 <= status < 300
@@ -190,14 +198,18 @@
         raise BackendError(f"the {status} response has no not-executed header", sent=True)
     if success and call.route.call_type is CallType.STREAMING:
         return OpenStream(status, headers, connection, facts), facts
-    body = connection.read_all(MAX_RESPONSE_BYTES)
+    body = connection.read_all(MAX_RESPONSE_BYTES, lease)
     return CompleteResponse(status, headers, body, connection.response_body), facts
 
 
-def _discard_body(connection: BackendConnection) -> None:
-    """Discard a body that does not matter; if it is truncated, the connection is not reused."""
-    with contextlib.suppress(BackendError):
-        connection.read_all(MAX_RESPONSE_BYTES)
+def _discard_body(state: RelayState, connection: BackendConnection) -> None:
+    """Discard a body that does not matter; without its end, the connection is not reused."""
+    try:
+        connection.discard(MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT_S)
+    except BackendError as error:
+        connection.is_trusted = False
+        state.metrics.count("relay.refusals_without_end")
+        log.info("backend.refusal_without_end", server=connection.server_id, error=str(error))
 
 
 def _read_own_head(
@@ -221,5 +233,5 @@
         )
         state.metrics.count("relay.crossed_responses")
         connection.is_trusted = False
-        connection.skip_response(MAX_RESPONSE_BYTES)
+        connection.skip_response()
     raise BackendError("only responses to other calls arrived", sent=True)
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -5,6 +5,7 @@
 import contextlib
 import enum
 import time
+from collections.abc import Iterator
 
 import eventlet
 import h11
@@ -21,6 +22,7 @@
     Framing,
     ResponseBody,
 )
+from tarragonhall_relay._response_memory import ResponseLease
 from tarragonhall_relay._sockets import is_open_and_idle, set_options
 
 READ_BYTES = 64 * 1024
@@ -41,8 +43,17 @@
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Refused attempts that a connection remembers; with more it is not used again.
 MAX_REFUSED_ATTEMPTS = 32
-# Responses to other calls that are skipped before a connection counts as broken.
+# Responses to other calls that are skipped before a connection counts as broken, and what they may
+# take. A late copy is sent as a whole; one that takes longer keeps the call under way from its own.
 MAX_EXTRA_RESPONSES = 3
+MAX_SKIPPED_BYTES = 1024 * 1024
+SKIP_TIMEOUT_S = 0.5
+# Informational responses before the response to a call. Servers send one or two.
+MAX_INFORMATIONAL_RESPONSES = 16
+# What the body of a refusal may take: its head has said everything, and a new connection is cheaper
+# than a longer body.
+MAX_REFUSAL_BYTES = 64 * 1024
+REFUSAL_TIMEOUT_S = 0.1
 
 
 class Reachability(enum.Enum):
@@ -116,6 +127,7 @@
 
     def read_head(self) -> h11.Response:
         """Return the head of the next response; raise `BackendError` if none comes."""
+        informational = 0
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
@@ -123,7 +135,12 @@
                 self.response_body.begin(self._request.method, event)
                 return event
             if isinstance(event, h11.InformationalResponse):
-                continue
+                informational += 1
+                if informational <= MAX_INFORMATIONAL_RESPONSES:
+                    continue
+                raise BackendError(
+                    f"over {MAX_INFORMATIONAL_RESPONSES} informational responses", sent=True
+                )
             raise BackendError("closed without a response", sent=True)
 
     def read(self) -> bytes | None:
@@ -143,26 +160,31 @@
         self.response_body.end = BodyEnd.CLOSED
         raise BackendError("closed in the middle of its response", sent=True)
 
-    def read_all(self, limit: int) -> bytes:
-        """Return the whole body; raise `BackendError` if it is longer than `limit` bytes."""
+    def read_all(self, limit: int, lease: ResponseLease) -> bytes:
+        """Return the whole body; raise `BackendError` if it is longer than `limit` bytes.
+
+        `lease` takes its memory.
+        """
         parts = []
-        size = 0
-        while True:
-            data = self.read()
-            if data is None:
-                return b"".join(parts)
+        for data in self._parts(limit):
+            lease.grow(len(data))
             parts.append(data)
-            size += len(data)
-            if size > limit:
-                raise BackendError(f"the response is over {limit} bytes", sent=True)
+        return b"".join(parts)
 
-    def skip_response(self, limit: int) -> None:
+    def discard(self, limit: int, timeout_s: float) -> None:
+        """Read the body without keeping it; raise `BackendError` if it has no end within limits."""
+        error = BackendError(f"the response did not end within {timeout_s} s", sent=True)
+        with eventlet.Timeout(timeout_s, error):
+            for _data in self._parts(limit):
+                continue
+
+    def skip_response(self) -> None:
         """Discard a response that belongs to another call and prepare to read the next one.
 
         A server may send a response twice or late, where the next one is expected. The current call
         is still in flight, and its own response follows.
         """
-        self.read_all(limit)
+        self.discard(MAX_SKIPPED_BYTES, SKIP_TIMEOUT_S)
         trailing, closed = self._http.trailing_data
         self._http = _new_http()
         # The server has the call with its body. Only the method matters for reading a response.
@@ -196,6 +218,19 @@
             self._connection.shutdown(socket.SHUT_RDWR)
         self._connection.close()
 
+    def _parts(self, limit: int) -> Iterator[bytes]:
+        """Return the parts of the body; raise `BackendError` if it is longer than `limit` bytes."""
+        if self.response_body.stated_size > limit:
+            size = self.response_body.stated_size
+            raise BackendError(f"the response of {size} bytes is over {limit} bytes", sent=True)
+        while True:
+            data = self.read()
+            if data is None:
+                return
+            yield data
+            if self.response_body.size > limit:
+                raise BackendError(f"the response is over {limit} bytes", sent=True)
+
     def _is_at_first_chunk(self, head: h11.Response) -> bool:
         """Return whether the body starts with a chunk of which `h11` has not got a byte."""
         if self._request.method == b"HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -55,6 +55,7 @@
         "_admitted",
         "_arrived_at",
         "_client",
+        "_lease",
         "_records",
         "_report",
         "_request",
@@ -80,10 +81,11 @@
         self._slot: CallSlot | None = None
         self._records: ServerRecords | None = None
         self._report = CallReport(state, arrived_at)
-        self._stream = StreamRelay(client, self._report)
+        self._stream = StreamRelay(client, self._report, state.monotonic)
         # None on routes whose streams cannot be resumed.
         self._resumption: CallResumption | None = None
         self._turn = CallTurn(state)
+        self._lease = state.response_memory.lease()
 
     def run(self) -> None:
         """Run the call and write its response.
@@ -120,6 +122,7 @@
             raise
         finally:
             self._client.stop_watching()
+            self._lease.release()
             self._slot.release()
             self._turn.release(self._generated_tokens())
 
@@ -228,7 +231,7 @@
             self._stream.last_event_id if self._resumption is not None else None,
             self._resumption.watch_head(server) if self._resumption is not None else None,
         )
-        return try_server(self._state, call, server, body, options)
+        return try_server(self._state, call, server, body, options, self._lease)
 
     def _urgency(self) -> int | None:
         """Return the call's rank for a model engine; None for plain services."""
--- a/libs/relay/tarragonhall_relay/_response_body.py
+++ b/libs/relay/tarragonhall_relay/_response_body.py
@@ -41,20 +41,25 @@
     """What is known of the body of the response to one attempt.
 
     `framing` is None before the head has arrived, `end` while the body is read, and for good if the
-    relay stopped reading. `size` counts bytes without their framing.
+    relay stopped reading. `size` counts bytes without their framing; `stated_size` is the length
+    that the head states, 0 if it states none.
     """
 
-    __slots__ = ("end", "framing", "size")
+    __slots__ = ("end", "framing", "size", "stated_size")
 
     def __init__(self) -> None:
         self.framing: Framing | None = None
         self.size = 0
+        self.stated_size = 0
         self.end: BodyEnd | None = None
 
     def begin(self, method: bytes, head: h11.Response) -> None:
         """Record the head of the response."""
         self.framing = _framing_of(method, head.status_code, list(head.headers))
         self.size = 0
+        self.stated_size = 0
+        if self.framing is Framing.LENGTH:
+            self.stated_size = int(dict(head.headers)[CONTENT_LENGTH])
         self.end = None
 
     @property
--- /dev/null
+++ b/libs/relay/tarragonhall_relay/_response_memory.py
@@ -0,0 +1,50 @@
+"""Bounds the memory that responses take together while an entry reads and relays them."""
+
+from __future__ import annotations
+
+from tarragonhall_relay._errors import BackendError
+
+# Bytes that each response may take without asking. Nearly all are smaller.
+OWN_BYTES = 256 * 1024
+# Bytes that larger responses share. The parts of a response are joined once, which takes their size
+# again, and the smallest entries have 150 MB for everything.
+MAX_SHARED_BYTES = 32 * 1024 * 1024
+
+
+class ResponseMemory:
+    """The memory that large responses share; `shared_bytes` is what they hold now."""
+
+    __slots__ = ("shared_bytes",)
+
+    def __init__(self) -> None:
+        self.shared_bytes = 0
+
+    def lease(self) -> ResponseLease:
+        """Return the share of one response, empty at first."""
+        return ResponseLease(self)
+
+
+class ResponseLease:
+    """The memory of one response, to be released once it was relayed or dropped."""
+
+    __slots__ = ("_memory", "_shared_bytes", "_size")
+
+    def __init__(self, memory: ResponseMemory) -> None:
+        self._memory = memory
+        self._size = 0
+        self._shared_bytes = 0
+
+    def grow(self, size: int) -> None:
+        """Take more bytes; raise `BackendError` if the responses of this entry have no room."""
+        self._size += size
+        wanted = max(0, self._size - OWN_BYTES) - self._shared_bytes
+        if self._memory.shared_bytes + wanted > MAX_SHARED_BYTES:
+            raise BackendError("the entry has no memory for more of the response", sent=True)
+        self._memory.shared_bytes += wanted
+        self._shared_bytes += wanted
+
+    def release(self) -> None:
+        """Give the memory back."""
+        self._memory.shared_bytes -= self._shared_bytes
+        self._shared_bytes = 0
+        self._size = 0
--- a/libs/relay/tarragonhall_relay/_silence.py
+++ b/libs/relay/tarragonhall_relay/_silence.py
@@ -92,20 +92,22 @@
         self._limits = limits
         self._is_suspect = is_suspect
 
-    def read(self, read: Callable[[], Result]) -> Result:
+    def read(self, read: Callable[[], Result], silent_s: float = 0.0) -> Result:
         """Return the result of `read`, which blocks until bytes arrive.
 
+        `silent_s` is for how long nothing that counts has arrived: comments between events do not.
         Raises `SilentServerError` if the server is gone or has been silent for too long. A server
         that accepts connections is checked again each time that the silence has doubled.
         """
-        silent_s = 0.0
+        move_after_s = self._limits.move_after_s
+        if move_after_s is not None and silent_s >= move_after_s:
+            raise SilentServerError(silent_s, server_gone=False)
         unanswered = 0
         pause_s = self._limits.check_after_s
         while True:
             with eventlet.Timeout(pause_s, False):
                 return read()
             silent_s += pause_s
-            move_after_s = self._limits.move_after_s
             if move_after_s is not None and silent_s >= move_after_s:
                 raise SilentServerError(silent_s, server_gone=False)
             if not self._is_suspect():
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -23,6 +23,7 @@
 from tarragonhall_relay._backend import BackendPool
 from tarragonhall_relay._client_writer import WaitingBytes
 from tarragonhall_relay._dialect import Dialect
+from tarragonhall_relay._response_memory import ResponseMemory
 from tarragonhall_relay._routes import RouteTable
 from tarragonhall_relay._silence import ServerChecks
 from tarragonhall_relay._slots import SlotAllocator
@@ -74,6 +75,7 @@
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     exhausted_programs: ExhaustedPrograms = field(default_factory=ExhaustedPrograms)
     expected_output: ExpectedOutput = field(default_factory=ExpectedOutput)
+    response_memory: ResponseMemory = field(default_factory=ResponseMemory)
     features: Features = Features()
     load_reporters: list[LoadReporter] = field(default_factory=list)
     uneven_reporters: list[LoadReporter] = field(default_factory=list)
--- a/libs/relay/tarragonhall_relay/_stream_relay.py
+++ b/libs/relay/tarragonhall_relay/_stream_relay.py
@@ -15,14 +15,33 @@
 from tarragonhall_relay._response_body import Framing
 from tarragonhall_relay._silence import SilenceWatch
 
+# Comments and parts of an event between two events. Far more than any event has.
+MAX_BYTES_WITHOUT_EVENT = 1024 * 1024
+# Text of the events of one call that is kept for its turn.
+MAX_OUTPUT_BYTES = 16 * 1024 * 1024
+
 
 class StreamRelay:
     """Forwards events as they arrive; `output` is the data of all of them, if it is kept."""
 
-    __slots__ = ("_client", "_output", "_reader", "_report", "runs")
+    __slots__ = (
+        "_bytes_since_event",
+        "_client",
+        "_monotonic",
+        "_output",
+        "_output_bytes",
+        "_reader",
+        "_report",
+        "runs",
+    )
 
-    def __init__(self, client: ClientConnection, report: CallReport) -> None:
+    def __init__(
+        self, client: ClientConnection, report: CallReport, monotonic: Callable[[], float]
+    ) -> None:
         self._client = client
+        self._monotonic = monotonic
+        self._bytes_since_event = 0
+        self._output_bytes = 0
         self._report = report
         self._reader = EventReader()
         self._output: list[bytes] = []
@@ -67,11 +86,19 @@
         read = stream.connection.read
         count_before = self._reader.count
         is_first = True
+        event_at = self._monotonic()
+        self._bytes_since_event = 0
         while True:
-            data = read() if watch is None else watch.read(read)
+            data = read() if watch is None else watch.read(read, self._monotonic() - event_at)
             if data is None:
                 break
+            count = self._reader.count
             events = self._reader.feed(data)
+            if self._reader.count > count:
+                event_at = self._monotonic()
+                self._bytes_since_event = 0
+            else:
+                self._count_bytes_without_event(len(data))
             if events and is_first:
                 is_first = False
                 on_first_event()
@@ -93,3 +120,11 @@
         self._report.events += len(events)
         if keeps_output:
             self._output.extend(event.data + b"\n" for event in events)
+            self._output_bytes += sum(len(event.data) + 1 for event in events)
+            if self._output_bytes > MAX_OUTPUT_BYTES:
+                raise EventError(f"the text of the stream is over {MAX_OUTPUT_BYTES} bytes")
+
+    def _count_bytes_without_event(self, size: int) -> None:
+        self._bytes_since_event += size
+        if self._bytes_since_event > MAX_BYTES_WITHOUT_EVENT:
+            raise EventError(f"no event within {MAX_BYTES_WITHOUT_EVENT} bytes")
