Bound what the sidecar reads of responses that never end

Callers and operators saw: a backend server that sends informational responses or trailers without end held its sidecar's probes and orders for ever, and, if it sent faster than the sidecar read, kept all of the sidecar from running.

Cause: the HTTP library skips informational responses and trailers without a limit, time limits of probes and orders counted from each read, and a read that finds bytes at once gives no other green thread a turn.

Why it works: a connection has a limit of bytes, informational responses one of number, probes and orders one of time in all, and every sixteenth read that found bytes at once lets others run. The pause comes before the read, so that a timeout loses no bytes.

--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -40,6 +40,13 @@
 # fewer messages.
 CHUNK_INTERVAL_SECONDS = 0.02
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Bytes of a whole response with its head and framing; informational responses, chunk extensions and
+# trailers may come without end.
+MAX_RESPONSE_BYTES = 4 * MAX_ANSWER_BYTES
+MAX_CONTROL_BYTES = MAX_ANSWER_BYTES
+MAX_PROBE_BYTES = 64 * 1024
+# Informational responses before the response. Servers send one or two.
+MAX_INFORMATIONAL_RESPONSES = 16
 
 TRANSPORT_ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 TIMEOUT_ERRORS = (urllib3.exceptions.TimeoutError, TimeoutError)
@@ -98,12 +105,15 @@
     def probe(self) -> ProbeResult:
         """Probe the server's health endpoint."""
         try:
-            connection = self._connect(CONTROL_TIMEOUT_SECONDS)
+            connection = self._connect(CONTROL_TIMEOUT_SECONDS, MAX_PROBE_BYTES)
         except _NotSentError as error:
             return ProbeResult(False, refused=isinstance(error.__cause__, ConnectionRefusedError))
         try:
-            with _open_response(connection, "GET", "/health") as response:
-                body = response.read(MAX_ANSWER_BYTES)
+            with (
+                _total_timeout(CONTROL_TIMEOUT_SECONDS),
+                _open_response(connection, "GET", "/health") as response,
+            ):
+                body = response.read()
         except TRANSPORT_ERRORS:
             return ProbeResult(False)
         finally:
@@ -116,12 +126,15 @@
         """Send a repeatable request to an engine; raise `BackendError` unless it succeeds."""
         body = None if value is None else json.dumps(value).encode()
         try:
-            connection = self._connect(timeout_s)
+            connection = self._connect(timeout_s, MAX_CONTROL_BYTES)
         except _NotSentError as error:
             raise BackendError(f"{path}: {error}") from error
         try:
-            with _open_response(connection, method, path, body) as response:
-                data = response.read(MAX_ANSWER_BYTES)
+            with (
+                _total_timeout(timeout_s),
+                _open_response(connection, method, path, body) as response,
+            ):
+                data = response.read()
                 status = response.status
             if status != 200:
                 raise BackendError(f"{path}: status {status}")
@@ -207,13 +220,14 @@
 
     @contextmanager
     def _connection(self, timeout_s: float) -> Iterator[HTTPConnection]:
-        connection = self._connect(timeout_s)
+        connection = self._connect(timeout_s, MAX_RESPONSE_BYTES)
         try:
             yield connection
         finally:
             connection.close()
 
-    def _connect(self, timeout_s: float) -> HTTPConnection:
+    def _connect(self, timeout_s: float, max_bytes: int) -> HTTPConnection:
+        """Connect; `timeout_s` bounds each read, `max_bytes` all of them together."""
         connection = HTTPConnection(self._host, self._port, timeout=CONNECT_TIMEOUT_SECONDS)
         try:
             connection.connect()
@@ -221,7 +235,8 @@
             connection.close()
             raise _NotSentError(str(error)) from (error.__cause__ or error)
         # A response without a length ends with its connection, which a reset must not pass for.
-        report_resets(connection.sock)
+        report_resets(connection.sock, max_bytes)
+        connection.response_class = _Response
         connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
         return connection
@@ -233,6 +248,19 @@
             return
 
 
+class _Response(http.client.HTTPResponse):
+    """A response after a bounded number of informational ones, which the base class skips."""
+
+    _heads = 0
+
+    def _read_status(self):
+        self._heads += 1
+        if self._heads > MAX_INFORMATIONAL_RESPONSES + 1:
+            text = f"over {MAX_INFORMATIONAL_RESPONSES} informational responses"
+            raise http.client.HTTPException(text)
+        return super()._read_status()
+
+
 class _ChunkPacer:
     """Batches parts of an answer that arrive within `CHUNK_INTERVAL_SECONDS`."""
 
@@ -275,6 +303,11 @@
     return RunFinished(key, AttemptOutcome.ANSWERED, answer)
 
 
+def _total_timeout(seconds: float) -> eventlet.Timeout:
+    """Return a limit on all reads together; that of the connection counts from each read."""
+    return eventlet.Timeout(seconds, TimeoutError(f"no whole response within {seconds} s"))
+
+
 @contextmanager
 def _open_response(
     connection: HTTPConnection, method: str, path: str, body: bytes | None = None, headers=None
--- a/libs/wire/tests/sockets_tests.py
+++ b/libs/wire/tests/sockets_tests.py
@@ -7,7 +7,7 @@
 import eventlet
 import pytest
 from eventlet.green import socket
-from tarragonhall_wire import report_resets
+from tarragonhall_wire import ReadLimitError, report_resets
 
 
 def pair():
@@ -49,3 +49,37 @@
         assert left.recv(10) == b"late"
         eventlet.spawn_after(0.01, left.shutdown, socket.SHUT_RDWR)
         assert left.recv(10) == b""
+
+
+def test_a_peer_that_always_sends_does_not_keep_other_green_threads_from_running():
+    # A read that finds bytes at once does not wait, and nothing else runs meanwhile.
+    left, right = pair()
+    report_resets(left)
+    turns = []
+    eventlet.spawn_n(lambda: [turns.append(eventlet.sleep(0)) for _ in range(10)])
+    right.sendall(b"x" * 1_000)
+    for _ in range(1_000):
+        assert left.recv(1) == b"x"
+    assert len(turns) == 10
+
+
+def test_a_timeout_between_two_reads_loses_no_bytes():
+    # The pause for other green threads must not come between a read and its caller.
+    left, right = pair()
+    report_resets(left)
+    right.sendall(bytes(range(250)))
+    received = b""
+    while len(received) < 250:
+        with eventlet.Timeout(0, False):
+            received += left.recv(1)
+    assert received == bytes(range(250))
+
+
+def test_bytes_beyond_the_limit_of_a_connection_raise_an_error():
+    # Only the whole connection can be bounded where a library reads heads and trailers.
+    left, right = pair()
+    report_resets(left, max_bytes=10)
+    right.sendall(b"x" * 11)
+    assert left.recv(10) == b"x" * 10
+    with pytest.raises(ReadLimitError):
+        left.recv(10)
