Close a sidecar's links only once entries send no more calls

Cause: an entry that had not heard of the drain yet, or had assigned the call before, sent its dispatch as the link closed.

Evidence: test_a_call_that_is_sent_as_the_links_close_is_rejected ends with LinkClosedError without the question that is added here.

Why it works: the sidecar asks each entry to send nothing more and rejects dispatches meanwhile. The entry replies once every dispatch under way to that incarnation was answered. The reply is on the same link, so nothing can cross its end. It waits 1 s at most for entries that do not answer.

--- a/libs/entry/tarragonhall_entry/_dispatcher.py
+++ b/libs/entry/tarragonhall_entry/_dispatcher.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
+import eventlet
 from eventlet.queue import LightQueue
 from tarragonhall_decisions import Deadline
 from tarragonhall_model import (
@@ -16,7 +18,9 @@
     Dispatch,
     LinkError,
     LinkOverloadedError,
+    NoMoreDispatches,
     ServerRecord,
+    ServerStops,
 )
 from tarragonhall_state import Follower
 from tarragonhall_wire import ProcessContext
@@ -30,18 +34,33 @@
 ACCEPT_TIMEOUT_SECONDS = 3.0
 # Added to the deadline: the sidecar ends an attempt at its deadline and then reports the end.
 END_GRACE_SECONDS = 2.0
+# A dispatch is answered from memory, so those under way end within milliseconds.
+UNDER_WAY_POLL_SECONDS = 0.005
+# Incarnations of servers that stopped, which the view may still show for a moment.
+MAX_STOPPED_SERVERS = 1_000
 
 
 class Dispatcher:
     """Sends attempts to sidecars and routes chunks and ends back to their calls."""
 
-    __slots__ = ("_attempts", "_context", "_follower", "_inbox_by_key")
+    __slots__ = (
+        "_attempts",
+        "_context",
+        "_follower",
+        "_inbox_by_key",
+        "_stopped_servers",
+        "_under_way_by_server",
+    )
 
     def __init__(self, context: ProcessContext, follower: Follower) -> None:
         self._context = context
         self._follower = follower
         self._attempts = AttemptTable()
         self._inbox_by_key: dict[str, LightQueue] = {}
+        # By id and incarnation, oldest first.
+        self._stopped_servers: dict[tuple[str, str], None] = {}
+        self._under_way_by_server: collections.Counter[tuple[str, str]] = collections.Counter()
+        context.hub.handle(ServerStops, self._on_server_stops)
         context.hub.handle(Chunk, self._attempts.on_chunk)
         context.hub.handle(AttemptEnded, self._on_ended)
         context.hub.on_link_closed(lambda link: self._attempts.on_link_lost(link, LinkLost()))
@@ -55,6 +74,18 @@
 
     def dispatch(self, running: RunningCall, server: ServerRecord, message: Dispatch) -> object:
         """Send a dispatch; return the sidecar's reply, `NotSent` or `LinkLost`."""
+        key = (server.server_id, server.incarnation)
+        if key in self._stopped_servers:
+            return NotSent()
+        self._under_way_by_server[key] += 1
+        try:
+            return self._dispatch(running, server, message)
+        finally:
+            self._under_way_by_server[key] -= 1
+            if not self._under_way_by_server[key]:
+                del self._under_way_by_server[key]
+
+    def _dispatch(self, running: RunningCall, server: ServerRecord, message: Dispatch) -> object:
         try:
             link = self._context.hub.wait_for_link(server.address, LINK_TIMEOUT_SECONDS)
         except LinkError:
@@ -116,6 +147,20 @@
         for attempt in running.attempts:
             self.forget(attempt)
 
+    def _on_server_stops(self, _link: object, message: ServerStops) -> NoMoreDispatches:
+        """Reply once no dispatch to a server is under way; none is sent to it from now on.
+
+        A dispatch that crosses the end of its link may have run or not, and its caller would be
+        told that this is unknown.
+        """
+        key = (message.server_id, message.incarnation)
+        self._stopped_servers[key] = None
+        if len(self._stopped_servers) > MAX_STOPPED_SERVERS:
+            del self._stopped_servers[next(iter(self._stopped_servers))]
+        while self._under_way_by_server[key]:
+            eventlet.sleep(UNDER_WAY_POLL_SECONDS)
+        return NoMoreDispatches()
+
     def _watch(self, running: RunningCall, attempt: AttemptId, link: object) -> None:
         watched = self._attempts.find(attempt)
         if watched is not None:
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -13,10 +13,12 @@
     Dispatch,
     EngineOrder,
     LoadReport,
+    NoMoreDispatches,
     OrderDone,
     Rejected,
     RejectReason,
     ReleaseProgram,
+    ServerStops,
 )
 from tarragonhall_model._calls import (
     Answer,
@@ -257,6 +259,8 @@
     "EndProgram",
     "EndTurn",
     "EngineOrder",
+    "NoMoreDispatches",
+    "ServerStops",
     "EngineProfile",
     "EntryLoad",
     "EntryRecord",
--- a/libs/model/tarragonhall_model/_attempt_messages.py
+++ b/libs/model/tarragonhall_model/_attempt_messages.py
@@ -150,6 +150,19 @@
     held_programs: tuple[str, ...] = ()
 
 
+@record
+class ServerStops:
+    """The sidecar of a drained server is about to close its links. Reply: `NoMoreDispatches`."""
+
+    server_id: str
+    incarnation: str
+
+
+@record
+class NoMoreDispatches:
+    """Every dispatch to the server was answered, and the sender sends it no more."""
+
+
 @record
 class EngineOrder:
     """Change the models loaded by an engine, or its role. Reply: `OrderDone`.
--- a/libs/sidecar/tarragonhall_sidecar/_role.py
+++ b/libs/sidecar/tarragonhall_sidecar/_role.py
@@ -21,6 +21,8 @@
 
 # For the leave notice to control; if it is lost, missing heartbeats have the same effect.
 LEAVE_TIMEOUT_SECONDS = 2.0
+# For the replies of entries, which wait for dispatches that are answered from memory.
+STOP_TIMEOUT_SECONDS = 1.0
 
 
 class Sidecars:
@@ -43,6 +45,7 @@
         ended = list(pool.imap(lambda sidecar: sidecar.leave(timeout_s), sidecars))
         for sidecar in sidecars:
             self._control.leave(sidecar.record(), LEAVE_TIMEOUT_SECONDS)
+            sidecar.announce_stop(STOP_TIMEOUT_SECONDS)
         return all(ended)
 
     def stop(self) -> None:
--- a/libs/sidecar/tarragonhall_sidecar/_sidecar.py
+++ b/libs/sidecar/tarragonhall_sidecar/_sidecar.py
@@ -18,6 +18,7 @@
     OrderDone,
     ServerKind,
     ServerRecord,
+    ServerStops,
 )
 from tarragonhall_state import Follower
 from tarragonhall_wire import ControlClient, Link, ProcessContext
@@ -172,6 +173,30 @@
             return True
         return False
 
+    def announce_stop(self, timeout_s: float) -> None:
+        """Tell the entries that the links are about to close; wait until they send no more.
+
+        Dispatches are rejected until then. Entries of earlier releases do not know the message.
+        """
+        report = self._load_report()
+        message = ServerStops(self._settings.server_id, self._incarnation)
+        entries = {entry.entry_id for entry in self._follower.view.entries}
+        links = [link for link in self._context.hub.accepted if link.peer.instance in entries]
+        pool = eventlet.GreenPool()
+        with eventlet.Timeout(timeout_s, False):
+            for link in links:
+                pool.spawn_n(self._announce_stop_on, link, report, message, timeout_s)
+            pool.waitall()
+
+    def _announce_stop_on(
+        self, link: Link, report: LoadReport, message: ServerStops, timeout_s: float
+    ) -> None:
+        try:
+            link.send(report)
+            link.request(message, timeout_s)
+        except LinkError as error:
+            log.info("sidecar.stop_unheard", peer=link.peer.instance, error=str(error))
+
     def stop(self) -> None:
         """Stop everything immediately."""
         self._stopped = True
--- a/libs/sidecar/tests/failures_tests.py
+++ b/libs/sidecar/tests/failures_tests.py
@@ -15,10 +15,12 @@
     CancelAttempt,
     CloseCall,
     EngineOrder,
+    NoMoreDispatches,
     Rejected,
     RejectReason,
     ReleaseProgram,
     ReportCrash,
+    ServerStops,
     fingerprint,
 )
 from tarragonhall_sidecar import _backend
@@ -367,3 +369,35 @@
     engine_harness.link.send(AttemptAck(attempt))
     assert drained.wait()
     assert engine_harness.control.proposed[-1][0] == "left"
+
+
+def test_a_call_that_is_sent_as_the_links_close_is_rejected(service_harness):
+    """An entry has not heard yet that the sidecar drains, or has a dispatch on its way. If the link
+    closed under it, whether the call ran would be unknown, though it did not.
+    """
+    replies = []
+
+    def send_late():
+        eventlet.sleep(0.2)
+        attempt = service_harness.attempt("p1")
+        replies.append(service_harness.link.request(service_harness.dispatch(attempt, "{}"), 2))
+
+    def on_stops(_link, _message):
+        eventually(lambda: replies)
+        return NoMoreDispatches()
+
+    service_harness.entry.hub.handle(ServerStops, on_stops)
+    sending = eventlet.spawn(send_late)
+    assert service_harness.role.drain(3)
+    service_harness.context.hub.stop()
+    sending.wait()
+    assert replies == [Rejected(RejectReason.DRAINING)]
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_stop_does_not_wait_long_for_entries_that_do_not_answer(service_harness, answers):
+    """An entry is of an earlier release, or its connection is dead. The process must still end."""
+    if not answers:
+        service_harness.entry.hub.handle(ServerStops, lambda _link, _message: eventlet.sleep(9))
+    with eventlet.Timeout(2.5):
+        assert service_harness.role.drain(3)
