Count tokens by the service that a call was admitted to

Callers saw: a program used 1,350 tokens with a budget of 810 after a change had moved its route and dropped the service that ran it.

Cause: at the end of a turn the tokens of an event were looked up in the table in force then. Without the service each event counted as one token.

Evidence: the new test counted 2 tokens instead of 6.

Why it works: the call keeps the service of its admission.

--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -10,7 +10,7 @@
 
 import eventlet
 from tarragonhall_decisions import BreakCause, NextStep
-from tarragonhall_model import BackendRecord, CallType
+from tarragonhall_model import BackendRecord, CallType, Service
 
 from tarragonhall_relay._admission import (
     AdmittedCall,
@@ -60,6 +60,7 @@
         "_report",
         "_request",
         "_resumption",
+        "_service",
         "_slot",
         "_state",
         "_stream",
@@ -79,6 +80,7 @@
         self._arrived_at = arrived_at
         self._admitted: AdmittedCall | None = None
         self._slot: CallSlot | None = None
+        self._service: Service | None = None
         self._records: ServerRecords | None = None
         self._report = CallReport(state, arrived_at)
         self._stream = StreamRelay(client, self._report, state.monotonic)
@@ -102,6 +104,8 @@
             return
         self._admitted = admitted
         self._slot = CallSlot(self._state, admitted, self._arrived_at)
+        # A change of the relay document may drop the service while the call runs.
+        self._service = self._state.table.service_by_name.get(self._slot.service)
         self._records = ServerRecords(self._state, admitted, self._slot)
         if admitted.route.resumable and admitted.route.call_type is CallType.STREAMING:
             self._resumption = CallResumption(self._state, admitted, self._stream)
@@ -278,8 +282,7 @@
         self._report.end(self._admitted, stream.status, "answered")
 
     def _generated_tokens(self) -> int:
-        service = self._state.table.service_by_name.get(self._slot.service)
-        return count_tokens(self._report.events, service)
+        return count_tokens(self._report.events, self._service)
 
     def _may_run_again(self) -> bool:
         route = self._admitted.route
--- a/libs/relay/tests/turns_tests.py
+++ b/libs/relay/tests/turns_tests.py
@@ -2,12 +2,32 @@
 
 from __future__ import annotations
 
+import dataclasses
+
+import eventlet
 import pytest
-from relay_doubles import answers, event, parse, read_all, refuses, request, stream, wait_until
+from relay_doubles import (
+    KEY,
+    ROUTES,
+    answers,
+    event,
+    parse,
+    read_all,
+    refuses,
+    request,
+    stream,
+    wait_until,
+)
 from tarragonhall_model import (
     BudgetSpent,
+    EngineProfile,
+    RelayConfig,
+    RelayOrganisation,
+    Service,
     UnknownTurn,
+    WeightedService,
 )
+from tarragonhall_relay._routes import RouteTable
 from tarragonhall_relay._turn_store import TurnStoreError
 
 
@@ -122,3 +142,25 @@
     relay.backend(lambda _b, received: received.connection.sendall(stream(received, event(1))))
     assert relay.call("/tell/", program="p-1", most="9")[0] == 200
     assert relay.turn_store.reserved == []
+
+
+def test_tokens_count_by_the_service_that_ran_the_turn_although_it_was_dropped(relay):
+    # A change of the document moves the route and drops the service while its stream runs. Each
+    # event then counted as one token, and the program could use three times its budget.
+    routes = tuple(
+        dataclasses.replace(route, services=(WeightedService("desk", 1.0),)) for route in ROUTES
+    )
+    desk = Service("desk", engine=EngineProfile(6, 100_000, tokens_per_event=3))
+    organisations = (RelayOrganisation("org-1", (KEY,)),)
+    relay.state.table = RouteTable(RelayConfig(1, routes, (desk,), organisations=organisations))
+
+    def drops_its_service(_backend, received):
+        whole = stream(received, event(1), event(2))
+        received.connection.sendall(whole[:-20])
+        relay.state.table = RouteTable(RelayConfig(2, (), (), organisations=organisations))
+        eventlet.sleep(0.05)
+        received.connection.sendall(whole[-20:])
+
+    relay.backend(drops_its_service)
+    assert relay.call("/talk/", body=b"hello", budget="100", most="9")[2] == event(1) + event(2)
+    assert relay.turn_store.persisted[-1][3] == 6
