Send known crash suspects to entries that start

Callers saw: a request that crashes each server that runs it, refused by all entries after three crashes, reached three more servers after each rolling restart of the entries.

Cause: entries keep in memory which requests broke off. One that starts knew nothing, and nothing told it what the others knew.

Why it works: an entry sends its latest suspects to each incarnation that joins the view, again until there is a link. The receiver takes the higher number of broken runs, so that none counts twice.

When all entries stop at once nobody is left to tell.

--- a/libs/decisions/tarragonhall_decisions/_crash_suspects.py
+++ b/libs/decisions/tarragonhall_decisions/_crash_suspects.py
@@ -48,6 +48,23 @@
         while len(self._by_fingerprint) > MAX_SUSPECTS:
             self._by_fingerprint.popitem(last=False)
 
+    def known(self, now: float, limit: int) -> list[tuple[str, int, float]]:
+        """Return fingerprint, broken runs and time of the last one, of the latest suspects."""
+        known = [
+            (fingerprint, suspect.broken_runs, suspect.last_broken_at)
+            for fingerprint, suspect in self._by_fingerprint.items()
+            if now - suspect.last_broken_at <= FORGET_S
+        ]
+        return known[-limit:]
+
+    def learn(self, fingerprint: str, broken_runs: int, last_broken_at: float) -> None:
+        """Take over what another entry knows; the same runs are not counted twice."""
+        suspect = self._by_fingerprint.setdefault(fingerprint, _Suspect(0, last_broken_at))
+        suspect.broken_runs = max(suspect.broken_runs, broken_runs)
+        suspect.last_broken_at = max(suspect.last_broken_at, last_broken_at)
+        while len(self._by_fingerprint) > MAX_SUSPECTS:
+            self._by_fingerprint.popitem(last=False)
+
     def on_response(self, fingerprint: str) -> None:
         """Record that a server answered the request and survived it."""
         self._by_fingerprint.pop(fingerprint, None)
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -124,6 +124,8 @@
 from tarragonhall_model._lazy import lazy_exports
 from tarragonhall_model._load_messages import (
     EntryLoad,
+    KnownSuspect,
+    KnownSuspects,
     LoadDetail,
     LoadElsewhere,
     ProgramSpent,
@@ -358,6 +360,8 @@
     "StorageUnavailableError",
     "StoreRecord",
     "StoreRetiring",
+    "KnownSuspect",
+    "KnownSuspects",
     "SuspectCall",
     "T",
     "TOKEN_PREFIX",
--- a/libs/model/tarragonhall_model/_load_messages.py
+++ b/libs/model/tarragonhall_model/_load_messages.py
@@ -98,3 +98,19 @@
     """Sent by an entry to the others: an attempt of a request ended without an answer."""
 
     fingerprint: str
+
+
+@record
+class KnownSuspect:
+    """A request whose last attempts ended without an answer, and how long ago the last one did."""
+
+    fingerprint: str
+    broken_runs: int
+    age_ms: int
+
+
+@record
+class KnownSuspects:
+    """Sent by an entry to one that has joined the view: it has forgotten what it knew."""
+
+    suspects: list[KnownSuspect]
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -12,6 +12,8 @@
 from tarragonhall_model import (
     EntryLoad,
     Fresh,
+    KnownSuspect,
+    KnownSuspects,
     LinkError,
     LoadDetail,
     LoadElsewhere,
@@ -39,6 +41,8 @@
 # Seconds between two digests of a collector, an entry that sums the loads of its zone (see
 # `LoadDigest`). Load in a digest is two hops older than load that an entry sends itself.
 DIGEST_INTERVAL_SECONDS = 0.3
+# Suspects that an entry sends to one that has started, the latest ones.
+MAX_SENT_SUSPECTS = 500
 
 
 class RelayFollower(Follower):
@@ -153,9 +157,20 @@
 class PeerUpdates:
     """Exchanges load, suspect requests and exhausted programs with the other entries."""
 
-    __slots__ = ("_context", "_digest", "_epoch", "_follower", "_last_sent", "_state", "_stopped")
+    __slots__ = (
+        "_context",
+        "_digest",
+        "_epoch",
+        "_follower",
+        "_informed",
+        "_last_sent",
+        "_state",
+        "_stopped",
+    )
 
     def __init__(self, context: ProcessContext, state: RelayState, follower: RelayFollower) -> None:
+        # Incarnations of entries that were sent the suspects known here.
+        self._informed: set[str] = set()
         self._context = context
         self._state = state
         self._follower = follower
@@ -171,6 +186,7 @@
         context.hub.handle(ZoneLoad, self._on_zone_load)
         context.hub.handle(LoadElsewhere, self._on_load_elsewhere)
         context.hub.handle(SuspectCall, self._on_suspect)
+        context.hub.handle(KnownSuspects, self._on_known_suspects)
         context.hub.handle(ProgramSpent, self._on_exhausted)
 
     def start(self) -> None:
@@ -188,6 +204,7 @@
             eventlet.sleep(LOAD_INTERVAL_SECONDS)
             rounds += 1
             self._follow_view()
+            self._inform_new_entries()
             now = self._context.monotonic()
             load = self._state.chooser.own_load()
             signs = self._state.chooser.own_signs(now)
@@ -231,6 +248,28 @@
             self._epoch = view.epoch
             self._digest.on_view(view.entries)
 
+    def _inform_new_entries(self) -> None:
+        """Send the known suspects to entries that have started since, again until it is sent."""
+        entries = self._follower.view.entries
+        incarnations = {entry.incarnation for entry in entries}
+        if incarnations == self._informed:
+            return
+        self._informed &= incarnations
+        now = self._context.monotonic()
+        suspects = [
+            KnownSuspect(fingerprint, broken_runs, int((now - last_broken_at) * 1000))
+            for fingerprint, broken_runs, last_broken_at in self._state.crash_suspects.known(
+                now, MAX_SENT_SUSPECTS
+            )
+        ]
+        for entry in entries:
+            is_new = entry.incarnation not in self._informed
+            is_own = entry.entry_id == self._context.instance
+            if is_new and (
+                is_own or not suspects or self._send(entry.address, KnownSuspects(suspects))
+            ):
+                self._informed.add(entry.incarnation)
+
     def report_suspect(self, fingerprint: str) -> None:
         """Report at once to the other entries that a run of a request broke off."""
         message = SuspectCall(fingerprint)
@@ -259,17 +298,27 @@
     def _on_suspect(self, _link: Link, message: SuspectCall) -> None:
         self._state.crash_suspects.on_broken_run(message.fingerprint, self._context.monotonic())
 
+    def _on_known_suspects(self, _link: Link, message: KnownSuspects) -> None:
+        now = self._context.monotonic()
+        for one in message.suspects:
+            last_broken_at = now - one.age_ms / 1000
+            self._state.crash_suspects.learn(one.fingerprint, one.broken_runs, last_broken_at)
+        log.info("relay.suspects_learnt", suspects=len(message.suspects))
+
     def _send_all(self, messages: list[AddressedLoad]) -> None:
         for one in messages:
             self._send(one.address, one.message)
 
-    def _send(self, address: str, message: object) -> None:
+    def _send(self, address: str, message: object) -> bool:
+        """Send a message; return False if there is no link."""
         try:
             self._context.hub.link_to(address).send(message)
+            return True
         except LinkError:
             # Load is sent again, and the other entry notices a crashing request or an exhausted
             # budget by itself when it runs a call.
             self._context.metrics.count("relay.peer_untold")
+            return False
 
     def _on_load(self, _link: Link, message: EntryLoad) -> None:
         now = self._context.monotonic()
