--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -45,6 +45,7 @@
 MAX_RESPONSE_BYTES = 4 * MAX_ANSWER_BYTES
 MAX_CONTROL_BYTES = MAX_ANSWER_BYTES
 MAX_PROBE_BYTES = 64 * 1024
+MAX_TRAILER_BYTES = 64 * 1024
 # Informational responses before the response. Servers send one or two.
 MAX_INFORMATIONAL_RESPONSES = 16
 
@@ -249,7 +250,7 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """A response after a bounded number of informational ones, which the base class skips."""
+    """A response with bounded informational responses and trailers, which the base class skips."""
 
     _heads = 0
 
@@ -260,6 +261,13 @@
             raise http.client.HTTPException(text)
         return super()._read_status()
 
+    def _read_and_discard_trailer(self):
+        size = 0
+        while (line := self.fp.readline(MAX_TRAILER_BYTES + 1)) not in (b"", b"\r\n", b"\n"):
+            size += len(line)
+            if size > MAX_TRAILER_BYTES:
+                raise http.client.HTTPException(f"over {MAX_TRAILER_BYTES} bytes of trailers")
+
 
 class _ChunkPacer:
     """Batches parts of an answer that arrive within `CHUNK_INTERVAL_SECONDS`."""
