Tell by metrics that the log output refuses lines, and count those that are lost

Operators saw: a process whose log file is on a full disk looked like one that has nothing to say. A refused write emptied the queue of lines and counted none of them; only a queue that was full was counted, in a line that had to be written itself.

log.unwritable is 1 while writes are refused or nobody reads, log.lost_lines and log.refused_writes count, those of before the metrics exist included. What is kept or lost is unchanged: this is to tell apart a process without lines from a log without room, before any change of the logic.

Evidence: log_output_tests; the first of them fails without the change as there is no such metric.

--- a/libs/daemon/tarragonhall_daemon/_run.py
+++ b/libs/daemon/tarragonhall_daemon/_run.py
@@ -32,6 +32,8 @@
     stop = _stop_event()
     context = _context(settings)
     count_failed_threads(context.metrics)
+    log_writer.measure(context.metrics)
+    context.hub.problems.watch("log", log_writer.problem)
     roles = start_roles(settings, context)
     log.info("daemon.started", roles=[name for name, _role in roles])
     eventlet.spawn_n(report_traffic_loop, context.hub.traffic, context.incarnation)
--- a/libs/wire/tarragonhall_wire/_hub.py
+++ b/libs/wire/tarragonhall_wire/_hub.py
@@ -5,14 +5,16 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import eventlet
 import structlog
-from tarragonhall_model import LinkClosedError, LinkError, QueryTimeline
+from tarragonhall_model import LinkClosedError, LinkError, QueryTimeline, TimelineEvents
 
 from tarragonhall_wire._guard import attempt, repeat
 from tarragonhall_wire._handshake import HandshakeError, Peer, client_handshake, server_handshake
 from tarragonhall_wire._link import HEARTBEAT_SECONDS, Link
+from tarragonhall_wire._problems import Problems
 from tarragonhall_wire._timeline import Timeline
 from tarragonhall_wire._traffic import Traffic
 from tarragonhall_wire._websocket import WebSocket, accept, connect
@@ -77,6 +79,7 @@
         "_stopped",
         "accepted",
         "local_peer",
+        "problems",
         "timeline",
         "traffic",
     )
@@ -91,6 +94,7 @@
     ) -> None:
         self.local_peer = local_peer
         self.timeline = timeline
+        self.problems = Problems()
         self.traffic = traffic or Traffic()
         self.accepted: list[Link] = []
         # The newest of each peer: its earlier incarnation may have left a half-open link.
@@ -109,7 +113,7 @@
         self._stopped = False
         self._heartbeats_started = False
         self._checks = 0
-        self.handle(QueryTimeline, lambda _link, query: timeline.find(query))
+        self.handle(QueryTimeline, lambda _link, query: self._find_events(query))
 
     def handle(self, message_class: type, handler: Callable[[Link, object], object]) -> None:
         """Register the only handler for a message class.
@@ -153,6 +157,9 @@
             raise LinkClosedError(f"no link to {address}")
         return link
 
+    def _find_events(self, query: QueryTimeline) -> TimelineEvents:
+        return replace(self.timeline.find(query), problems=self.problems.texts())
+
     def _find_open_link(self, address: str) -> Link | None:
         """Return the newest open link to an address, whichever end dialled it.
 
--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable
 
 from eventlet import hubs, patcher
 
+from tarragonhall_wire._metrics import Metrics
+
 # The patched modules would wait in the event loop, for ever if the reader is gone.
 os = patcher.original("os")
 select = patcher.original("select")
@@ -22,6 +23,10 @@
 # Seconds from a line to its write; while nothing is logged, nothing runs.
 FLUSH_SECONDS = 0.05
 
+LOST_LINES = "log.lost_lines"
+REFUSED_WRITES = "log.refused_writes"
+UNWRITABLE = "log.unwritable"
+
 
 class LineWriter:
     """A bounded queue of lines for one file descriptor."""
@@ -30,17 +35,19 @@
         "_descriptor",
         "_flush_scheduled",
         "_lines",
-        "_on_dropped",
+        "_metrics",
         "_size",
         "_started",
+        "_unwritable",
         "dropped",
     )
 
-    def __init__(self, descriptor: int, on_dropped: Callable[[], None] = lambda: None) -> None:
+    def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
         self._size = 0
-        self._on_dropped = on_dropped
+        self._metrics = Metrics()
+        self._unwritable = ""
         self._started = False
         self._flush_scheduled = False
         self.dropped = 0
@@ -50,11 +57,22 @@
         self._started = True
         self._schedule_flush()
 
+    def measure(self, metrics: Metrics) -> None:
+        """Count lost lines and refused writes in `metrics` from now on, those so far included."""
+        for name in (LOST_LINES, REFUSED_WRITES):
+            metrics.count(name, self._metrics.counts[name])
+        metrics.gauge(UNWRITABLE, int(bool(self._unwritable)))
+        self._metrics = metrics
+
+    def problem(self) -> str:
+        """Return why lines cannot be written at present, empty if they can."""
+        return self._unwritable
+
     def write(self, line: bytes) -> None:
         """Queue a line; drop and count it if the queue is full."""
         if self._size + len(line) > QUEUE_BYTES:
-            self.dropped += 1
-            self._on_dropped()
+            self._lose(1)
+            self._set_unwritable(self._unwritable or "nobody reads it")
             return
         self._lines.append(line)
         self._size += len(line)
@@ -66,11 +84,23 @@
             chunk = self._next_chunk()
             try:
                 os.write(self._descriptor, chunk)
-            except OSError:
-                # The reader is gone for good, so nothing can be reported.
+            except OSError as error:
+                self._lose(chunk.count(b"\n") + len(self._lines))
                 self._lines.clear()
                 self._size = 0
+                self._metrics.count(REFUSED_WRITES)
+                self._set_unwritable(f"writes are refused: {error.strerror}")
                 return
+            self._set_unwritable("")
+
+    def _lose(self, lines: int) -> None:
+        self.dropped += lines
+        self._metrics.count(LOST_LINES, lines)
+
+    def _set_unwritable(self, reason: str) -> None:
+        if bool(reason) != bool(self._unwritable):
+            self._metrics.gauge(UNWRITABLE, int(bool(reason)))
+        self._unwritable = reason
 
     def _next_chunk(self) -> bytes:
         """Return whole lines up to the chunk size, or part of a longer line."""
