Tell the problems of a process by readiness, status and the list of members

Operators saw: a member that takes no part says why in its own log alone.

Each process keeps what is wrong with it at present: a log that cannot be written, a member that is offline or whose step hangs. Readiness checks show it and change no status by it; status shows that of the member that answers, the list of members that of each, by the query that collects the timeline, which processes of an older release answer without it. Without a leader a member refuses as before, with what each member tells of itself as findings, for operators whom it knows.

Evidence: two new tests of members with full disks, with and without a leader.

--- a/libs/cli/tarragonhall_cli/_cluster.py
+++ b/libs/cli/tarragonhall_cli/_cluster.py
@@ -45,7 +45,16 @@
 def list_members(client: AdminClient, out: Output) -> None:
     """List the control members."""
     answer = client.get("members")
-    columns = ["member_id", "identity", "address", "voting", "leader", "match_index", "silent_s"]
+    columns = [
+        "member_id",
+        "identity",
+        "address",
+        "voting",
+        "leader",
+        "match_index",
+        "silent_s",
+        "problems",
+    ]
     out.rows(answer, answer["members"], columns)
 
 
--- a/libs/control/tarragonhall_control/_admin.py
+++ b/libs/control/tarragonhall_control/_admin.py
@@ -4,7 +4,7 @@
 
 import json
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from urllib.parse import parse_qsl
 
 import structlog
@@ -25,6 +25,7 @@
 from tarragonhall_control._admin_system import SystemHandlers
 from tarragonhall_control._admin_zones import ZoneHandlers
 from tarragonhall_control._member import ControlMember
+from tarragonhall_control._member_problems import problems_by_member
 from tarragonhall_control._messages import AdminCall, AdminResult
 from tarragonhall_control._request import AdminError, AdminReply, AdminRequest
 
@@ -73,7 +74,8 @@
         address = self._member.leader_address()
         if address is None:
             return _unavailable(
-                "no leader is known; send the request again with the same request id"
+                "no leader is known; send the request again with the same request id",
+                self._member_findings(call),
             )
         try:
             link = self._member.context.hub.wait_for_link(address, 1.0)
@@ -81,6 +83,18 @@
         except (LinkError, RequestTimeoutError) as error:
             return _unavailable(f"the leader did not answer ({error}); send the request again")
 
+    def _member_findings(self, call: AdminCall) -> list[Finding]:
+        """Return what may keep the members from electing a leader, for operators only."""
+        operators = self._member.state.configuration.operators
+        if not call.token or operators.with_token(secret_hash(call.token)) is None:
+            return []
+        findings = []
+        for member_id, problems in sorted(problems_by_member(self._member).items()):
+            if problems is None:
+                problems = ["does not answer"]
+            findings.extend(Finding(f"member {member_id}", problem) for problem in problems)
+        return findings
+
     def _on_call(self, _link: Link, call: AdminCall) -> AdminResult:
         if not self._member.is_leader():
             return _unavailable("the leader has changed; send the request again")
@@ -170,8 +184,12 @@
     ]
 
 
-def _unavailable(message: str) -> AdminResult:
-    value = {"error": "unavailable", "message": message, "findings": []}
+def _unavailable(message: str, findings: Sequence[Finding] = ()) -> AdminResult:
+    value = {
+        "error": "unavailable",
+        "message": message,
+        "findings": _finding_values(findings),
+    }
     return AdminResult(503, json.dumps(value), {"Retry-After": RETRY_AFTER_SECONDS})
 
 
@@ -194,8 +212,11 @@
 
 
 def _error(
-    status: int, error: str, message: str, findings: object, headers: dict | None = None
+    status: int, error: str, message: str, findings: Sequence[Finding], headers: dict | None = None
 ) -> HttpResponse:
-    finding_values = [{"place": one.place, "message": one.message} for one in findings]
-    value = {"error": error, "message": message, "findings": finding_values}
+    value = {"error": error, "message": message, "findings": _finding_values(findings)}
     return HttpResponse(status, value, headers=headers or {})
+
+
+def _finding_values(findings: Sequence[Finding]) -> list[dict]:
+    return [{"place": one.place, "message": one.message} for one in findings]
--- a/libs/control/tarragonhall_control/_admin_system.py
+++ b/libs/control/tarragonhall_control/_admin_system.py
@@ -2,24 +2,21 @@
 
 from __future__ import annotations
 
-import eventlet
 from tarragonhall_consensus import Member, Status
 from tarragonhall_model import (
     DrainServer,
     Finding,
     InputError,
-    LinkError,
     ProgramStatus,
     QueryTimeline,
     Refusal,
     TimelineEvent,
-    TimelineEvents,
 )
 from tarragonhall_state import ROOT_PATH, CancelProgram, OperatorRole
-from tarragonhall_wire import Link
 
 from tarragonhall_control import _bodies as bodies
 from tarragonhall_control._member import ControlMember
+from tarragonhall_control._member_problems import problems_by_member, query_timelines
 from tarragonhall_control._request import (
     AdminError,
     AdminReply,
@@ -66,6 +63,7 @@
                 "programs": self._state.program_count(),
                 "followers": len(self._member.followers),
                 "waiting": self._member.loop.waiting(),
+                "problems": self._member.context.hub.problems.texts(),
             }
         )
 
@@ -113,14 +111,19 @@
         return AdminReply({"epoch": result.revision, "request_id": request.request_id})
 
     def list_members(self, _request: AdminRequest) -> AdminReply:
-        """GET /members."""
+        """GET /members.
+
+        `problems` are told by each member itself; `null` for one that does not answer.
+        """
         status = self._member.loop.replica.status()
+        problems_by_id = problems_by_member(self._member)
         members = [
             as_json(member)
             | {
                 "leader": member.member_id == status.leader,
                 "match_index": _match_index(status, member.member_id),
                 "silent_s": _silent_seconds(status, member.member_id),
+                "problems": problems_by_id.get(member.member_id),
             }
             for member in status.members
         ]
@@ -204,17 +207,16 @@
         raise AdminError(404, "not_found", f"no member {member_id!r}")
 
     def _collect_events(self, query: QueryTimeline) -> tuple[list[TimelineEvent], list[str]]:
-        """Query all linked processes in parallel; return events and the unresponsive instances."""
+        """Query all linked processes; return events and the unresponsive instances."""
         context = self._member.context
         events = list(context.timeline.find(query).events)
         link_by_instance = {link.peer.instance: link for link in context.hub.links()}
         link_by_instance.pop(context.instance, None)
         missing = []
-        pool = eventlet.GreenPool(max(1, len(link_by_instance)))
-        queries = [(link, query) for link in link_by_instance.values()]
-        for instance, found in pool.starmap(_query_timeline, queries):
+        links = list(link_by_instance.values())
+        for link, found in query_timelines(links, query, TIMELINE_TIMEOUT_SECONDS):
             if found is None:
-                missing.append(instance)
+                missing.append(link.peer.instance)
                 continue
             events.extend(found.events)
         return events, missing
@@ -253,13 +255,6 @@
     return shown | shown.pop("stamp")
 
 
-def _query_timeline(link: Link, query: QueryTimeline) -> tuple[str, TimelineEvents | None]:
-    try:
-        return link.peer.instance, link.request(query, TIMELINE_TIMEOUT_SECONDS)
-    except LinkError:
-        return link.peer.instance, None
-
-
 def _parse_status(text: str | None) -> ProgramStatus | None:
     if text is None:
         return None
--- a/libs/control/tests/disk_tests.py
+++ b/libs/control/tests/disk_tests.py
@@ -140,6 +140,52 @@
     assert "tarragonhall_group_storage_failed 0\n" in exposition.text()
 
 
+def test_members_tell_their_problems_through_any_member(start_group, disks):
+    # Guards against a member whose failure is told by its own log alone, which may be on its disk.
+    group = start_group(*THREE)
+    leader = group.leader()
+    name, other = (name for name in THREE if name != leader)
+    group.context_by_name[other].hub.problems.watch("log", lambda: "writes are refused")
+    disks.fill(folder_of(group, name))
+    open_program(group, 1)
+    group.wait_until(lambda: loop_of(group, name).failure is not None, WAIT_SECONDS)
+    for asked in (leader, other):
+        listed = group.admin(asked)("GET", "/members")[1]["members"]
+        problems_by_id = {one["member_id"]: one["problems"] for one in listed}
+        assert problems_by_id[leader] == []
+        assert problems_by_id[other] == ["log: writes are refused"]
+        assert "disk full" in problems_by_id[name][0]
+    assert group.admin(other)("GET", "/status")[1]["problems"] == []
+    disks.repair(folder_of(group, name))
+    group.stop(other)
+    group.wait_until(lambda: is_caught_up(group, name), WAIT_SECONDS)
+    listed = group.admin()("GET", "/members")[1]["members"]
+    problems_by_id = {one["member_id"]: one["problems"] for one in listed}
+    assert problems_by_id == {leader: [], name: [], other: None}
+
+
+def test_without_a_leader_any_member_tells_what_is_wrong_with_each(start_group, disks):
+    # Guards against a list of members that nobody answers when it is needed most.
+    group = start_group(*THREE)
+    leader = group.leader()
+    name, stopped = (name for name in THREE if name != leader)
+    group.stop(stopped)
+    disks.fill(folder_of(group, name))
+    with pytest.raises(UnavailableError):
+        open_program(group, 1, 0.5)
+    group.wait_until(lambda: group.leader() is None, WAIT_SECONDS)
+    for asked in (leader, name):
+        status, value = group.admin(asked)("GET", "/members")
+        findings = {one["place"]: one["message"] for one in value["findings"]}
+        assert status == 503
+        assert findings[f"member {stopped}"] == "does not answer"
+        assert "disk full" in findings[f"member {name}"]
+        assert f"member {leader}" not in findings
+    anonymous = group.admin(leader)
+    anonymous.token = "unknown"
+    assert anonymous("GET", "/members")[1]["findings"] == []
+
+
 def test_a_member_that_a_new_leader_never_heard_of_is_reported_as_silent(start_group):
     # Guards against a lost member that no list shows once the leadership has changed.
     group = start_group(*THREE)
--- a/libs/entry/tarragonhall_entry/_api.py
+++ b/libs/entry/tarragonhall_entry/_api.py
@@ -114,7 +114,8 @@
     def readyz(self, _request: HttpRequest) -> HttpResponse:
         """Report to the load balancer whether this entry takes requests."""
         ready = self.is_ready()
-        return HttpResponse(200 if ready else 503, {"ready": ready})
+        problems = self._context.hub.problems.texts()
+        return HttpResponse(200 if ready else 503, {"ready": ready, "problems": problems})
 
     def open_program(self, request: HttpRequest) -> HttpResponse:
         """Open a program."""
--- a/libs/group/tarragonhall_group/_member.py
+++ b/libs/group/tarragonhall_group/_member.py
@@ -118,6 +118,7 @@
             failure = error
             replica = offline_replica(member_id, context.link_address)
         self.loop = LogLoop(replica, context.monotonic, loop_hooks, failure)
+        context.hub.problems.watch("member", self._problem)
 
     def start(self) -> None:
         """Start to take part in the group."""
@@ -196,6 +197,14 @@
         if seconds > SLOW_STEP_SECONDS:
             log.warning("group.step_slow", step_s=round(seconds, 3))
 
+    def _problem(self) -> str:
+        """Return why this member takes no part in the group, empty if it does."""
+        if self.loop.failure is not None:
+            return str(self.loop.failure)
+        if self.loop.is_hung():
+            return f"the disk has kept a step waiting for {self.loop.step_seconds():.1f} s"
+        return ""
+
     def _report_and_wait(self) -> None:
         self._report()
         eventlet.sleep(REPORT_INTERVAL_SECONDS)
--- a/libs/model/tarragonhall_model/_timeline.py
+++ b/libs/model/tarragonhall_model/_timeline.py
@@ -44,7 +44,11 @@
 
 @record
 class TimelineEvents:
-    """The newest matching events, oldest first. `dropped` counts those lost to the buffer limit."""
+    """The newest matching events, oldest first. `dropped` counts those lost to the buffer limit.
+
+    `problems` are those that the process has at present, `None` from a process that does not tell.
+    """
 
     events: list[TimelineEvent]
     dropped: int = 0
+    problems: list[str] | None = None
