Show log lines that are lost to full disks, and processes that stand still for a log line

- A refused write drops every waiting line.
With real processes whose log is on the disk that refuses their data, no member writes why it takes no part; one started on a full disk writes nothing at all.
- A write that takes a part of a line leaves half a line, and the next one is joined to it.
- Losses are told with the next event only, and the count is reset even if its line is dropped as well.
- A log file on a disk that hangs blocks the event loop: links, API and metrics of the process are silent, and it does not stop when told to.
A file always counts as ready for writing.
- Infinity and NaN are written, which no strict reader takes.

The disk of the test process hangs for copies of the module of system calls as well, which the log uses.

--- a/libs/wire/tests/log_output_tests.py
+++ b/libs/wire/tests/log_output_tests.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
+import json
+import math
 import os
 import resource
 
 import eventlet
 import pytest
+from eventlet import patcher
+from tarragonhall_wire import _line_writer
 from tarragonhall_wire._line_writer import LineWriter
+from tarragonhall_wire._log_budget import LogBudget
+from tarragonhall_wire._logs import BudgetedLogWriter
 from tarragonhall_wire._metrics import Metrics
 from tarragonhall_wire._problems import Problems
 
@@ -87,3 +94,138 @@
     problems.watch("log", lambda: "")
     problems.watch("member", lambda: "disk full")
     assert problems.texts() == ["member: disk full"]
+
+
+def test_lines_refused_by_a_full_disk_are_written_once_it_has_room(log_file):
+    # Guards against the line of a failure that is lost to the disk that fails.
+    log_file.write(1)
+    with room_for(0):
+        log_file.write(10, b"y" * 199 + b"\n")
+    eventlet.sleep(2.0)
+    log_file.write(1)
+    assert log_file.lines()[:12] == [LINE, *[b"y" * 199 + b"\n"] * 10, LINE]
+
+
+def test_a_line_that_was_written_in_part_is_completed(log_file):
+    # Guards against a half line, which makes the next one unreadable too.
+    with room_for(2_050):
+        log_file.write(30)
+    assert log_file.path.stat().st_size == 2_050
+    eventlet.sleep(2.0)
+    log_file.write(1)
+    assert log_file.lines()[:31] == [LINE] * 31
+
+
+def test_refused_lines_are_kept_to_a_bound_and_those_lost_are_counted(log_file):
+    # Guards against a process that runs out of memory, or forgets its losses, on a full disk.
+    with room_for(0):
+        log_file.write(5_000)
+        log_file.write(5_000)
+    kept = 10_000 - log_file.metrics.counts["log.lost_lines"]
+    assert 1_000 < kept < 2_000
+    eventlet.sleep(2.0)
+    log_file.write(1)
+    assert log_file.lines().count(LINE) == kept + 1
+
+
+def test_losses_are_told_in_the_log_without_a_further_event(tmp_path):
+    # Guards against losses that nobody is told of while the process has nothing else to say.
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    writer = LineWriter(descriptor)
+    log_writer = BudgetedLogWriter("one", LogBudget(lines=10_000, size=10_000_000), writer)
+    writer.start()
+    with room_for(0):
+        for _ in range(3_000):
+            log_writer(None, "info", {"event": "change", "level": "error", "text": "x" * 99})
+        eventlet.sleep(0.2)
+    eventlet.sleep(2.0)
+    events = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    count_by_event = collections.Counter(event["event"] for event in events)
+    lost = sum(event.get("unread", 0) for event in events if event["event"] == "log.left_out")
+    assert lost > 0
+    assert lost + count_by_event["change"] == 3_000
+    (resumed,) = (event for event in events if event["event"] == "log.resumed")
+    assert resumed["refused_s"] >= 0.1
+    assert "File too large" in resumed["error"]
+    os.close(descriptor)
+
+
+def test_a_report_of_losses_that_is_lost_itself_is_made_again():
+    # Guards against a count that is reset although its line found no room in the queue.
+    reader, descriptor = os.pipe()
+    writer = LineWriter(descriptor)
+    log_writer = BudgetedLogWriter("one", LogBudget(lines=2), writer)
+    for _ in range(5):
+        log_writer(None, "info", {"event": "change", "level": "info"})
+    while not writer.dropped:
+        writer.write(LINE)
+    log_writer._reported_at = 0.0
+    log_writer(None, "info", {"event": "change", "level": "info"})
+    received = b""
+    while b"log.left_out" not in received:
+        writer.flush()
+        received += os.read(reader, 100_000)
+        log_writer._reported_at = 0.0
+        log_writer(None, "info", {"event": "change", "level": "info"})
+    report = next(line for line in received.splitlines() if b"log.left_out" in line)
+    assert json.loads(report)["change"] >= 4
+    assert json.loads(report)["unread"] >= 1
+    os.close(reader)
+    os.close(descriptor)
+
+
+def test_a_log_file_whose_disk_hangs_does_not_stop_the_event_loop(log_file, monkeypatch):
+    # Guards against a process that stands still, links and metrics included, to write a line.
+    native_time = patcher.original("time")
+    hangs_until = native_time.monotonic() + 1.0
+    write = _line_writer.os.write
+
+    def hanging_write(descriptor, data):
+        while descriptor == log_file.descriptor and native_time.monotonic() < hangs_until:
+            native_time.sleep(0.01)
+        return write(descriptor, data)
+
+    monkeypatch.setattr(_line_writer.os, "write", hanging_write)
+    log_file.writer.start()
+    log_file.write(3)
+    assert native_time.monotonic() < hangs_until - 0.5
+    eventlet.sleep(0.3)
+    log_file.write(3)
+    assert native_time.monotonic() < hangs_until - 0.3
+    eventlet.sleep(1.5)
+    assert log_file.lines() == [LINE] * 6
+
+
+def test_every_line_is_json_whatever_the_fields_hold(tmp_path):
+    # Guards against lines that strict readers drop: NaN and infinities are no JSON.
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+    writer = LineWriter(descriptor)
+    log_writer = BudgetedLogWriter("one", LogBudget(), writer)
+    fields = {"ever": math.inf, "nested": {"by_zone": [math.nan, -math.inf, 1.5]}}
+    log_writer(None, "info", {"event": "change", "level": "info", **fields})
+    log_writer(None, "info", {"event": "change", "level": "info", "surrogate": "\udce9"})
+    log_writer(None, "info", {"event": "change", "level": "info", "object": object()})
+    writer.flush()
+
+    def refuse(constant: str) -> None:
+        raise AssertionError(f"{constant} is no JSON")
+
+    lines = (tmp_path / "log").read_text().splitlines()
+    assert len(lines) == 3
+    first = json.loads(lines[0], parse_constant=refuse)
+    assert first["nested"]["by_zone"][2] == 1.5
+    for line in lines:
+        assert json.loads(line, parse_constant=refuse)["event"] == "change"
+    os.close(descriptor)
+
+
+def test_a_line_begins_anew_after_a_half_one_of_an_earlier_process(tmp_path):
+    # Guards against a process killed within a line, which makes its successor's first unreadable.
+    path = tmp_path / "log"
+    path.write_bytes(b'{"event": "half')
+    descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+    writer = LineWriter(descriptor)
+    writer.write(LINE)
+    writer.flush()
+    assert path.read_bytes().splitlines()[-1] + b"\n" == LINE
+    os.close(descriptor)
