Keep log lines that the output refuses, and write them once it takes lines again

Cause: a refused write was taken for a reader that is gone for good. The whole queue was dropped and counted nowhere; a write that was taken in part left half a line.

A line leaves the queue only for the bytes that were written, so that a half one is completed, and a refused write is tried again within 0.8 s. The queue stays bounded; lines of failures find room in it for longest. Once it is empty, log.resumed tells for how long the output took none, and log.left_out what was lost. Both no longer wait for a further event, and a report that finds no room itself is made again instead of being forgotten.

--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -1,13 +1,17 @@
-"""Writes log lines without blocking on their reader.
+"""Writes log lines without blocking on their reader, and keeps those that the output refuses.
 
-Log output goes to a pipe. If its reader stops, the pipe is full after 64 kB and the next write
-would block the whole process and all its callers. So lines are buffered in a bounded queue and
-written only while the pipe has room.
+Log output goes to a pipe or to a file. If the reader of a pipe stops, the pipe is full after 64 kB
+and the next write would block the whole process and all its callers. A file may be on the disk
+whose failure is to be logged. So lines are buffered in a bounded queue and leave it only once they
+are written.
 """
 
 from __future__ import annotations
 
 import collections
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from eventlet import hubs, patcher
 
@@ -22,24 +26,53 @@
 QUEUE_BYTES = 256 * 1024
 # Seconds from a line to its write; while nothing is logged, nothing runs.
 FLUSH_SECONDS = 0.05
+# A refused write is tried again after this time, which doubles up to a bound: a disk with room
+# again should be used within a second.
+FIRST_RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 0.8
+# Output that takes no line for this long is reported; a reader may be slow for a moment.
+UNREAD_SECONDS = 1.0
 
 LOST_LINES = "log.lost_lines"
 REFUSED_WRITES = "log.refused_writes"
 UNWRITABLE = "log.unwritable"
 
 
+@dataclass(slots=True)
+class Blockage:
+    """Why the output takes no lines, since a monotonic time. `refused` is false if it may soon."""
+
+    reason: str
+    since: float
+    refused: bool
+
+    def seconds(self) -> float:
+        """Return for how long the output has taken no lines."""
+        return time.monotonic() - self.since
+
+    def is_reported(self) -> bool:
+        """Return whether operators should know."""
+        return self.refused or self.seconds() >= UNREAD_SECONDS
+
+
 class LineWriter:
-    """A bounded queue of lines for one file descriptor."""
+    """A bounded queue of lines for one file descriptor.
+
+    `dropped` counts the lines lost since it was last reset. `on_writable` is called once the queue
+    is empty after lines were lost or the output took none, with the blockage if there was one.
+    """
 
     __slots__ = (
+        "_blockage",
         "_descriptor",
         "_flush_scheduled",
         "_lines",
         "_metrics",
+        "_retry_s",
         "_size",
         "_started",
-        "_unwritable",
         "dropped",
+        "on_writable",
     )
 
     def __init__(self, descriptor: int) -> None:
@@ -47,10 +80,12 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._size = 0
         self._metrics = Metrics()
-        self._unwritable = ""
+        self._blockage: Blockage | None = None
+        self._retry_s = FIRST_RETRY_SECONDS
         self._started = False
         self._flush_scheduled = False
         self.dropped = 0
+        self.on_writable: Callable[[Blockage | None], None] = lambda _blockage: None
 
     def start(self) -> None:
         """Write lines in the event loop from now on."""
@@ -61,62 +96,87 @@
         """Count lost lines and refused writes in `metrics` from now on, those so far included."""
         for name in (LOST_LINES, REFUSED_WRITES):
             metrics.count(name, self._metrics.counts[name])
-        metrics.gauge(UNWRITABLE, int(bool(self._unwritable)))
         self._metrics = metrics
+        self._report_writable()
 
     def problem(self) -> str:
         """Return why lines cannot be written at present, empty if they can."""
-        return self._unwritable
-
-    def write(self, line: bytes) -> None:
-        """Queue a line; drop and count it if the queue is full."""
-        if self._size + len(line) > QUEUE_BYTES:
-            self._lose(1)
-            self._set_unwritable(self._unwritable or "nobody reads it")
-            return
+        blockage = self._blockage
+        if blockage is None or not blockage.is_reported():
+            return ""
+        return f"{blockage.reason}, for {blockage.seconds():.1f} s"
+
+    def write(self, line: bytes, share: float = 1.0) -> bool:
+        """Queue a line if that leaves the queue filled to `share` at most; else count it as lost.
+
+        Return whether it is queued.
+        """
+        if self._size + len(line) > QUEUE_BYTES * share:
+            self.dropped += 1
+            self._metrics.count(LOST_LINES)
+            return False
         self._lines.append(line)
         self._size += len(line)
         self._schedule_flush()
+        return True
 
     def flush(self) -> None:
-        """Write as much as the pipe accepts without blocking."""
-        while self._lines and self._has_room():
-            chunk = self._next_chunk()
+        """Write as much as the output accepts without blocking."""
+        while self._lines:
+            if not self._has_room():
+                self._block("nobody reads it", refused=False)
+                return
             try:
-                os.write(self._descriptor, chunk)
+                written = os.write(self._descriptor, self._next_chunk())
+            except BlockingIOError:
+                self._block("nobody reads it", refused=False)
+                return
             except OSError as error:
-                self._lose(chunk.count(b"\n") + len(self._lines))
-                self._lines.clear()
-                self._size = 0
+                # It may be a disk that has room again later, so the lines are kept.
                 self._metrics.count(REFUSED_WRITES)
-                self._set_unwritable(f"writes are refused: {error.strerror}")
+                self._block(f"writes are refused: {error.strerror}", refused=True)
                 return
-            self._set_unwritable("")
-
-    def _lose(self, lines: int) -> None:
-        self.dropped += lines
-        self._metrics.count(LOST_LINES, lines)
-
-    def _set_unwritable(self, reason: str) -> None:
-        if bool(reason) != bool(self._unwritable):
-            self._metrics.gauge(UNWRITABLE, int(bool(reason)))
-        self._unwritable = reason
+            self._remove(written)
+        self._unblock()
 
     def _next_chunk(self) -> bytes:
         """Return whole lines up to the chunk size, or part of a longer line."""
         parts = []
         room = CHUNK_BYTES
-        while self._lines and len(self._lines[0]) <= room:
-            line = self._lines.popleft()
-            room -= len(line)
+        for line in self._lines:
+            if len(line) > room:
+                break
             parts.append(line)
-        if not parts:
+            room -= len(line)
+        return b"".join(parts) or self._lines[0][:CHUNK_BYTES]
+
+    def _remove(self, count: int) -> None:
+        """Remove written bytes from the queue; the rest of a line stays its first part."""
+        self._size -= count
+        while count:
             line = self._lines.popleft()
-            parts.append(line[:CHUNK_BYTES])
-            self._lines.appendleft(line[CHUNK_BYTES:])
-        chunk = b"".join(parts)
-        self._size -= len(chunk)
-        return chunk
+            if len(line) > count:
+                self._lines.appendleft(line[count:])
+                return
+            count -= len(line)
+
+    def _block(self, reason: str, refused: bool) -> None:
+        since = time.monotonic() if self._blockage is None else self._blockage.since
+        self._blockage = Blockage(reason, since, refused)
+        self._report_writable()
+
+    def _unblock(self) -> None:
+        blockage, self._blockage = self._blockage, None
+        self._retry_s = FIRST_RETRY_SECONDS
+        if blockage is not None:
+            self._report_writable()
+        if blockage is not None or self.dropped:
+            self.on_writable(blockage)
+
+    def _report_writable(self) -> None:
+        blockage = self._blockage
+        is_reported = blockage is not None and blockage.is_reported()
+        self._metrics.gauge(UNWRITABLE, int(is_reported))
 
     def _has_room(self) -> bool:
         return bool(select.select([], [self._descriptor], [], 0)[1])
@@ -125,8 +185,12 @@
         """Have queued lines written a little later, so that those of one moment share a write."""
         if not self._started or self._flush_scheduled or not self._lines:
             return
+        wait_s = FLUSH_SECONDS
+        if self._blockage is not None and self._blockage.refused:
+            wait_s = self._retry_s
+            self._retry_s = min(self._retry_s * 2, MAX_RETRY_SECONDS)
         self._flush_scheduled = True
-        hubs.get_hub().schedule_call_global(FLUSH_SECONDS, self._flush_and_reschedule)
+        hubs.get_hub().schedule_call_global(wait_s, self._flush_and_reschedule)
 
     def _flush_and_reschedule(self) -> None:
         # Called by the event loop itself; nothing here waits.
--- a/libs/wire/tarragonhall_wire/_logs.py
+++ b/libs/wire/tarragonhall_wire/_logs.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from tarragonhall_wire._line_writer import LineWriter
+from tarragonhall_wire._line_writer import Blockage, LineWriter
 from tarragonhall_wire._log_budget import LineKind, LogBudget
 
 # Status codes from here on are failures, whose lines are suppressed last.
@@ -50,15 +50,24 @@
 class BudgetedLogWriter:
     """The last structlog processor: renders each line and writes it if the budget allows."""
 
-    __slots__ = ("_budget", "_instance", "_render", "_reported_at", "_writer")
+    __slots__ = (
+        "_add_timestamp",
+        "_budget",
+        "_instance",
+        "_render",
+        "_reported_at",
+        "_writer",
+    )
 
     def __init__(self, instance: str, budget: LogBudget, writer: LineWriter) -> None:
+        self._add_timestamp = structlog.processors.TimeStamper(fmt="iso", utc=True)
         # Context variables would be empty in the green threads that write nearly all lines.
         self._instance = instance
         self._budget = budget
         self._writer = writer
         self._render = structlog.processors.JSONRenderer()
         self._reported_at = 0.0
+        writer.on_writable = self._report_writable
 
     def __call__(self, logger: object, name: str, event: dict) -> str:
         """Write one line; the result is passed to the logger, which ignores it."""
@@ -66,28 +75,39 @@
         text = self._render(logger, name, event)
         line = f"{text}\n".encode()
         now = time.monotonic()
-        if self._budget.admit(line_kind(event), str(event.get("id") or ""), len(line), now):
-            self._writer.write(line)
+        kind = line_kind(event)
+        if self._budget.admit(kind, str(event.get("id") or ""), len(line), now):
+            # While the output takes no lines, those of failures find room in the queue for longest.
+            self._writer.write(line, kind.value)
         if now - self._reported_at > SUPPRESSED_REPORT_SECONDS:
             self._reported_at = now
-            self._report_suppressed(event)
+            self._report_suppressed()
         return ""
 
-    def _report_suppressed(self, event: dict) -> None:
+    def _report_writable(self, blockage: Blockage | None) -> None:
+        """Log that the output takes lines again, and what was lost meanwhile."""
+        if blockage is not None and blockage.is_reported():
+            unwritable_s = round(blockage.seconds(), 3)
+            self._write_report("log.resumed", reason=blockage.reason, unwritable_s=unwritable_s)
+        self._report_suppressed()
+
+    def _report_suppressed(self) -> None:
         suppressed = self._budget.take_suppressed()
-        if self._writer.dropped:
-            suppressed["unread"] = self._writer.dropped
-            self._writer.dropped = 0
-        if not suppressed:
+        lost = self._writer.dropped
+        fields = suppressed | ({"unread": lost} if lost else {})
+        if not fields:
+            return
+        if self._write_report("log.left_out", **fields):
+            self._writer.dropped -= lost
             return
-        report = {
-            "event": "log.left_out",
-            "instance": self._instance,
-            "timestamp": event.get("timestamp"),
-            "level": "warning",
-            **suppressed,
-        }
-        self._writer.write(f"{self._render(None, '', report)}\n".encode())
+        # Counted again with what is suppressed until the next report.
+        self._budget.suppressed.update(suppressed)
+
+    def _write_report(self, name: str, **fields: object) -> bool:
+        """Write a line on the log itself, past the budget; return whether it is queued."""
+        event = {"event": name, "level": "warning", "instance": self._instance, **fields}
+        event = self._add_timestamp(None, "", event)
+        return self._writer.write(f"{self._render(None, '', event)}\n".encode())
 
 
 def line_kind(event: dict) -> LineKind:
--- a/libs/wire/tests/log_output_tests.py
+++ b/libs/wire/tests/log_output_tests.py
@@ -124,6 +124,7 @@
     kept = 10_000 - log_file.metrics.counts["log.lost_lines"]
     assert 1_000 < kept < 2_000
     eventlet.sleep(2.0)
+    log_file.writer.flush()
     log_file.write(1)
     assert log_file.lines().count(LINE) == kept + 1
 
@@ -145,8 +146,8 @@
     assert lost > 0
     assert lost + count_by_event["change"] == 3_000
     (resumed,) = (event for event in events if event["event"] == "log.resumed")
-    assert resumed["refused_s"] >= 0.1
-    assert "File too large" in resumed["error"]
+    assert resumed["unwritable_s"] >= 0.1
+    assert "File too large" in resumed["reason"]
     os.close(descriptor)
 
 
