Let sockets of the test relay end before their numbers are used again

The relay shut its sockets down and closed them in one go, so green threads waited on for numbers of descriptors that were used again: the start of a process in a later test failed in 2 of 7 runs with 'Second simultaneous read'. A listing of the waits after each test named six tests of links, all with this relay.

The test of an entry that leaves failed in 4 of 6 runs beside three busy processes: it took 0.1 s for enough for the first heartbeats, and one that waited for its link arrived after the entry had left. It waits for both now.

--- a/libs/fakes/tarragonhall_fakes/_relay.py
+++ b/libs/fakes/tarragonhall_fakes/_relay.py
@@ -49,7 +49,7 @@
 
     def stop(self) -> None:
         """Close the listener and every connection."""
-        self._listener.close()
+        _close(self._listener)
         self.reset()
 
     def _accept_loop(self) -> None:
@@ -90,9 +90,7 @@
 
     def close(self) -> None:
         for end in (self._client, self._upstream):
-            with contextlib.suppress(OSError):
-                end.shutdown(socket.SHUT_RDWR)
-            end.close()
+            _close(end)
 
     def _forward(self, source, sink, should_drop) -> None:
         while True:
@@ -109,3 +107,14 @@
         # While data is dropped, the end of the connection is hidden from the other side too.
         if not should_drop():
             self.close()
+
+
+def _close(end: socket.socket) -> None:
+    """Close a socket once the green thread that waits for it has seen its end.
+
+    It would wait on for the number of the descriptor, whatever that is used for next.
+    """
+    with contextlib.suppress(OSError):
+        end.shutdown(socket.SHUT_RDWR)
+    eventlet.sleep(0)
+    end.close()
--- a/libs/wire/tests/control_client_tests.py
+++ b/libs/wire/tests/control_client_tests.py
@@ -48,7 +48,10 @@
     client = ControlClient(context)
     client.follow(lambda: ENTRY, PassiveFollower())
     client.follow(lambda: SERVER, PassiveFollower())
-    eventlet.sleep(0.1)
+    # A first heartbeat that waits for the link would arrive after the entry has left.
+    with eventlet.Timeout(5.0):
+        while {type(node) for node in nodes} != {EntryRecord, ServerRecord}:
+            eventlet.sleep(0.01)
     client.leave(ENTRY, 1.0)
     nodes.clear()
     eventlet.sleep(1.2)
