Write log files in a native thread, so that a disk that hangs stops no process

Operators saw: a process whose log is on a disk that hangs answered nothing: no link, no API, no metrics, and it did not stop when told to. Since the calls of a data folder have a thread of their own, the log was the one write left on the event loop, and a file always counts as ready for writing.

A log that is a file is written by a native thread as well. The event loop waits 10 ms for a write at most; later lines wait in the bounded queue, and log.unwritable and the problems of the process tell it after a second. At its end a process waits 0.3 s for the output. Pipes are written as before. The thread of the data folder and this one share their code, which is the former's.

--- a/libs/group/tarragonhall_group/_disk_thread.py
+++ b/libs/group/tarragonhall_group/_disk_thread.py
@@ -9,11 +9,8 @@
 from collections.abc import Callable
 
 import eventlet
-from eventlet import patcher
 from tarragonhall_consensus import AppendFile, Files
-
-_queue = patcher.original("queue")
-_threading = patcher.original("threading")
+from tarragonhall_wire import NativeThread
 
 # Writes below this wait for the sync, which then costs one switch of threads instead of two.
 MAX_PENDING_BYTES = 256 * 1024
@@ -28,77 +25,38 @@
 CHECK_SECONDS = 0.001
 
 
-class _Call:
-    __slots__ = ("_arguments", "_error", "_function", "_lock", "_result")
-
-    def __init__(self, function: Callable, arguments: tuple) -> None:
-        self._function = function
-        self._arguments = arguments
-        self._result: object = None
-        self._error: BaseException | None = None
-        self._lock = _threading.Lock()
-        self._lock.acquire()
-
-    def run(self) -> None:
-        try:
-            self._result = self._function(*self._arguments)
-        except BaseException as error:  # noqa: BLE001 - raised again by `result`
-            self._error = error
-        self._lock.release()
-
-    def wait(self, seconds: float) -> bool:
-        """Block this thread until `run` has ended; return whether it has."""
-        return self._lock.acquire(timeout=seconds)
-
-    def result(self) -> object:
-        """Return the result after the end of `run`, or raise its error."""
-        if self._error is not None:
-            raise self._error
-        return self._result
-
-
 class DiskThread:
     """A native thread that runs the calls of one green thread, in order.
 
     Before `start` and after `stop` calls run in the calling thread.
     """
 
-    __slots__ = ("_calls", "_is_running")
+    __slots__ = ("_thread",)
 
     def __init__(self) -> None:
-        self._calls = _queue.SimpleQueue()
-        self._is_running = False
+        self._thread: NativeThread | None = None
 
     def start(self) -> None:
-        """Start the thread. It does not keep the process from exiting."""
-        self._is_running = True
-        _threading.Thread(target=self._run, name="disk", daemon=True).start()
+        """Start the thread."""
+        self._thread = NativeThread("disk")
 
     def stop(self) -> None:
         """End the thread after the calls made so far."""
-        if self._is_running:
-            self._is_running = False
-            self._calls.put(None)
+        if self._thread is not None:
+            self._thread.stop()
+            self._thread = None
 
     def call(self, function: Callable, *arguments: object) -> object:
         """Call the function in the thread; if it takes long, other green threads go on."""
-        if not self._is_running:
+        if self._thread is None:
             return function(*arguments)
-        call = _Call(function, arguments)
-        self._calls.put(call)
+        call = self._thread.submit(function, *arguments)
         is_done = call.wait(BLOCKING_SECONDS)
         while not is_done:
             eventlet.sleep(CHECK_INTERVAL_SECONDS)
             is_done = call.wait(CHECK_SECONDS)
         return call.result()
 
-    def _run(self) -> None:
-        while True:
-            call = self._calls.get()
-            if call is None:
-                return
-            call.run()
-
 
 class ThreadFiles:
     """A file system whose calls run in a `DiskThread`."""
--- a/libs/wire/tarragonhall_wire/__init__.py
+++ b/libs/wire/tarragonhall_wire/__init__.py
@@ -19,6 +19,7 @@
 from tarragonhall_wire._link import Link
 from tarragonhall_wire._logs import configure_logging
 from tarragonhall_wire._metrics import Metrics, make_metrics
+from tarragonhall_wire._native_thread import NativeThread
 from tarragonhall_wire._problems import Problems
 from tarragonhall_wire._sockets import ReadLimitError, report_resets
 from tarragonhall_wire._timeline import HybridClock, Timeline
@@ -36,6 +37,7 @@
     "LeaderClient",
     "Link",
     "Metrics",
+    "NativeThread",
     "Peer",
     "Problems",
     "ProcessContext",
--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -3,12 +3,14 @@
 Log output goes to a pipe or to a file. If the reader of a pipe stops, the pipe is full after 64 kB
 and the next write would block the whole process and all its callers. A file may be on the disk
 whose failure is to be logged. So lines are buffered in a bounded queue and leave it only once they
-are written.
+are written. A file counts as ready for writing even while its disk hangs, so a native thread writes
+to it.
 """
 
 from __future__ import annotations
 
 import collections
+import stat
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,13 +18,16 @@
 from eventlet import hubs, patcher
 
 from tarragonhall_wire._metrics import Metrics
+from tarragonhall_wire._native_thread import NativeCall, NativeThread
 
 # The patched modules would wait in the event loop, for ever if the reader is gone.
 os = patcher.original("os")
 select = patcher.original("select")
+_native_sleep = patcher.original("time").sleep
 
 # A pipe that is ready for writing accepts this much without blocking (PIPE_BUF in POSIX).
-CHUNK_BYTES = 4096
+PIPE_CHUNK_BYTES = 4096
+FILE_CHUNK_BYTES = 64 * 1024
 QUEUE_BYTES = 256 * 1024
 # Seconds from a line to its write; while nothing is logged, nothing runs.
 FLUSH_SECONDS = 0.05
@@ -32,6 +37,16 @@
 MAX_RETRY_SECONDS = 0.8
 # Output that takes no line for this long is reported; a reader may be slow for a moment.
 UNREAD_SECONDS = 1.0
+# The event loop waits this long for a write to a file, and for a moment at each later flush: then
+# the native thread gets the interpreter's lock.
+BLOCKING_SECONDS = 0.01
+CHECK_SECONDS = 0.001
+# At its end, a process waits this long for the output.
+CLOSE_SECONDS = 0.3
+CLOSE_POLL_SECONDS = 0.01
+
+NOT_READ = "nobody reads it"
+HANGS = "a write to it hangs"
 
 LOST_LINES = "log.lost_lines"
 REFUSED_WRITES = "log.refused_writes"
@@ -64,19 +79,23 @@
 
     __slots__ = (
         "_blockage",
+        "_call",
         "_descriptor",
         "_flush_scheduled",
+        "_is_file",
         "_lines",
         "_metrics",
         "_retry_s",
         "_size",
         "_started",
+        "_thread",
         "dropped",
         "on_writable",
     )
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
+        self._is_file = stat.S_ISREG(os.fstat(descriptor).st_mode)
         self._lines: collections.deque[bytes] = collections.deque()
         self._size = 0
         self._metrics = Metrics()
@@ -84,6 +103,10 @@
         self._retry_s = FIRST_RETRY_SECONDS
         self._started = False
         self._flush_scheduled = False
+        # For files only. It is made at the first write.
+        self._thread: NativeThread | None = None
+        # The write that is under way, of the first lines of the queue.
+        self._call: NativeCall | None = None
         self.dropped = 0
         self.on_writable: Callable[[Blockage | None], None] = lambda _blockage: None
 
@@ -123,32 +146,65 @@
     def flush(self) -> None:
         """Write as much as the output accepts without blocking."""
         while self._lines:
-            if not self._has_room():
-                self._block("nobody reads it", refused=False)
-                return
-            try:
-                written = os.write(self._descriptor, self._next_chunk())
-            except BlockingIOError:
-                self._block("nobody reads it", refused=False)
+            wait_s = CHECK_SECONDS
+            if self._call is None:
+                if not self._has_room():
+                    self._block(NOT_READ, refused=False)
+                    return
+                self._call = self._start_write()
+                wait_s = BLOCKING_SECONDS
+            if not self._call.wait(wait_s):
+                self._block(HANGS, refused=False)
                 return
-            except OSError as error:
-                # It may be a disk that has room again later, so the lines are kept.
-                self._metrics.count(REFUSED_WRITES)
-                self._block(f"writes are refused: {error.strerror}", refused=True)
+            if not self._finish_write():
                 return
-            self._remove(written)
         self._unblock()
 
-    def _next_chunk(self) -> bytes:
-        """Return whole lines up to the chunk size, or part of a longer line."""
+    def close(self) -> None:
+        """Write what is queued, for `CLOSE_SECONDS` at most."""
+        deadline = time.monotonic() + CLOSE_SECONDS
+        self.flush()
+        while self._lines and time.monotonic() < deadline:
+            _native_sleep(CLOSE_POLL_SECONDS)
+            self.flush()
+
+    def _start_write(self) -> NativeCall:
+        """Write the first lines of the queue, to a file in the native thread."""
+        if not self._is_file:
+            call = NativeCall(os.write, (self._descriptor, self._next_chunk(PIPE_CHUNK_BYTES)))
+            call.run()
+            return call
+        if self._thread is None:
+            self._thread = NativeThread("log")
+        chunk = self._next_chunk(FILE_CHUNK_BYTES)
+        return self._thread.submit(os.write, self._descriptor, chunk)
+
+    def _finish_write(self) -> bool:
+        """Take the outcome of a write that has ended; return whether another one may follow."""
+        call, self._call = self._call, None
+        try:
+            written = call.result()
+        except BlockingIOError:
+            self._block(NOT_READ, refused=False)
+            return False
+        except OSError as error:
+            # It may be a disk that has room again later, so the lines are kept.
+            self._metrics.count(REFUSED_WRITES)
+            self._block(f"writes are refused: {error.strerror}", refused=True)
+            return False
+        self._remove(written)
+        return True
+
+    def _next_chunk(self, size: int) -> bytes:
+        """Return whole lines up to a size in bytes, or part of a longer line."""
         parts = []
-        room = CHUNK_BYTES
+        room = size
         for line in self._lines:
             if len(line) > room:
                 break
             parts.append(line)
             room -= len(line)
-        return b"".join(parts) or self._lines[0][:CHUNK_BYTES]
+        return b"".join(parts) or self._lines[0][:size]
 
     def _remove(self, count: int) -> None:
         """Remove written bytes from the queue; the rest of a line stays its first part."""
@@ -179,7 +235,7 @@
         self._metrics.gauge(UNWRITABLE, int(is_reported))
 
     def _has_room(self) -> bool:
-        return bool(select.select([], [self._descriptor], [], 0)[1])
+        return self._is_file or bool(select.select([], [self._descriptor], [], 0)[1])
 
     def _schedule_flush(self) -> None:
         """Have queued lines written a little later, so that those of one moment share a write."""
--- a/libs/wire/tarragonhall_wire/_logs.py
+++ b/libs/wire/tarragonhall_wire/_logs.py
@@ -28,7 +28,7 @@
 ) -> LineWriter:
     """Configure structlog once for the process; lines go to `stream` or standard error.
 
-    Return the writer, which must be flushed before the process ends.
+    Return the writer, which must be closed before the process ends.
     """
     writer = LineWriter((stream or sys.stderr).fileno())
     writer.start()
