Write log lines as JSON that strict readers take, whatever their fields hold

Operators saw: a reader that follows RFC 8259 dropped lines of stalled elections, which held 'Infinity'. A field that cannot be written at all would have raised in the work that the line tells of.

Infinities and NaN become null. A line whose fields have no JSON at all keeps its event and says why.

--- a/libs/wire/tarragonhall_wire/_logs.py
+++ b/libs/wire/tarragonhall_wire/_logs.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import json
 import logging
+import math
 import sys
 import time
 from typing import TextIO
@@ -65,7 +67,7 @@
         self._instance = instance
         self._budget = budget
         self._writer = writer
-        self._render = structlog.processors.JSONRenderer()
+        self._render = structlog.processors.JSONRenderer(_dump)
         self._reported_at = 0.0
         writer.on_writable = self._report_writable
 
@@ -121,6 +123,31 @@
     return LineKind.CHANGE
 
 
+def _dump(value: object, **options: object) -> str:
+    """Return JSON; a number that has none becomes null.
+
+    A line never fails the work that it tells of.
+    """
+    try:
+        return json.dumps(value, allow_nan=False, **options)
+    except ValueError:
+        return json.dumps(_without_infinities(value), **options)
+    except (TypeError, RecursionError) as error:
+        return json.dumps({"event": str(value.get("event")), "unreadable": repr(error)})
+
+
+def _without_infinities(value: object) -> object:
+    """Return a copy of nested dicts and lists with None for infinities and NaN."""
+    match value:
+        case float():
+            return value if math.isfinite(value) else None
+        case dict():
+            return {key: _without_infinities(item) for key, item in value.items()}
+        case list() | tuple():
+            return [_without_infinities(item) for item in value]
+    return value
+
+
 def _redact_secrets(_logger: object, _name: str, event: dict) -> dict:
     for name in SECRET_FIELDS & event.keys():
         event[name] = "left out"
--- a/libs/wire/tests/log_output_tests.py
+++ b/libs/wire/tests/log_output_tests.py
@@ -206,13 +206,14 @@
     log_writer(None, "info", {"event": "change", "level": "info", **fields})
     log_writer(None, "info", {"event": "change", "level": "info", "surrogate": "\udce9"})
     log_writer(None, "info", {"event": "change", "level": "info", "object": object()})
+    log_writer(None, "info", {"event": "change", "level": "info", "by_pair": {("a", "b"): 1}})
     writer.flush()
 
     def refuse(constant: str) -> None:
         raise AssertionError(f"{constant} is no JSON")
 
     lines = (tmp_path / "log").read_text().splitlines()
-    assert len(lines) == 3
+    assert len(lines) == 4
     first = json.loads(lines[0], parse_constant=refuse)
     assert first["nested"]["by_zone"][2] == 1.5
     for line in lines:
