Tell for how long there has been no leader on former leaders and members offline

Operators saw: a former leader reported an infinite time without a leader, since it had never heard of another one; the metric of a member that was offline stood still. A member now keeps when it last led or knew a leader.

Evidence: two new tests of control members, both failed before.

--- a/libs/group/tarragonhall_group/_member.py
+++ b/libs/group/tarragonhall_group/_member.py
@@ -71,6 +71,8 @@
         "_folder",
         "_hooks",
         "_initial_state",
+        "_last_leader",
+        "_leader_heard_at",
         "_limits",
         "_machine",
         "_stalled_logged_at",
@@ -103,6 +105,8 @@
         self._was_in_group = False
         self._stopped = False
         self._stalled_logged_at = float("-inf")
+        self._last_leader: str | None = None
+        self._leader_heard_at = float("-inf")
         loop_hooks = LoopHooks(
             self._send,
             self._on_role,
@@ -214,12 +218,15 @@
         step_s = round(self.loop.step_seconds(), 3)
         self._context.metrics.gauge("group.step_running_seconds", step_s)
         status = self.loop.replica.status()
-        leaderless_s = round(status.leaderless_seconds, 3)
+        now = self._context.monotonic()
+        if self.loop.failure is None:
+            # A former leader has never heard of one, and a member that is offline hears of none.
+            self._leader_heard_at = max(self._leader_heard_at, now - status.leaderless_seconds)
+        leaderless_s = round(now - self._leader_heard_at, 3)
         if status.term == 0:
             # Not in a group yet.
             return
         self._context.metrics.gauge("group.leaderless_seconds", leaderless_s)
-        now = self._context.monotonic()
         if status.role != Role.CANDIDATE or leaderless_s < STALLED_ELECTION_SECONDS:
             return
         if now - self._stalled_logged_at < STALLED_ELECTION_LOG_SECONDS:
@@ -255,6 +262,9 @@
 
     def _on_role(self, changed: RoleChanged) -> None:
         self._was_in_group = self._was_in_group or changed.term > 0
+        if self._last_leader is not None or changed.leader is not None:
+            self._leader_heard_at = self._context.monotonic()
+        self._last_leader = changed.leader
         log.info("group.role", role=changed.role, term=changed.term, leader=changed.leader)
         self._context.timeline.add("group_role", role=changed.role, term=changed.term)
         self._hooks.on_role(changed)
