Begin a log anew after the half line of a process that was killed

Operators saw: the first line of a process was unreadable as it was joined to half a line, which an earlier process had left when it was killed on a full disk. The writer looks at the last byte of a file and ends that line first.

--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -107,6 +107,9 @@
         self._thread: NativeThread | None = None
         # The write that is under way, of the first lines of the queue.
         self._call: NativeCall | None = None
+        if self._is_file and _ends_within_a_line(descriptor):
+            self._lines.append(b"\n")
+            self._size = 1
         self.dropped = 0
         self.on_writable: Callable[[Blockage | None], None] = lambda _blockage: None
 
@@ -253,3 +256,20 @@
         self._flush_scheduled = False
         self.flush()
         self._schedule_flush()
+
+
+def _ends_within_a_line(descriptor: int) -> bool:
+    """Return whether a file ends in half a line, of a process that was killed within its write.
+
+    The descriptor cannot be read itself. A file that cannot be opened is taken for a whole one.
+    """
+    try:
+        if os.fstat(descriptor).st_size == 0:
+            return False
+        reader = os.open(f"/proc/self/fd/{descriptor}", os.O_RDONLY)
+        try:
+            return os.pread(reader, 1, os.fstat(reader).st_size - 1) != b"\n"
+        finally:
+            os.close(reader)
+    except OSError:
+        return False
