Write the last lines of a process however it ends, and log what ends it

Operators saw: a process that an unexpected exception or a second signal ended left no line; its last ones waited for the event loop, and the traceback went to the error stream alone. Failures in finalizers did as well.

Evidence: three new tests of processes that end and one of a finalizer, all failed before: not one line was written.

--- a/libs/daemon/tarragonhall_daemon/_run.py
+++ b/libs/daemon/tarragonhall_daemon/_run.py
@@ -45,7 +45,6 @@
     context.hub.stop()
     report_traffic(context.hub.traffic, context.incarnation)
     log.info("daemon.stopped", forced=not drained)
-    log_writer.close()
     return 0 if drained else EXIT_FORCED
 
 
--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -103,7 +103,7 @@
         self._retry_s = FIRST_RETRY_SECONDS
         self._started = False
         self._flush_scheduled = False
-        # For files only. It is made at the first write.
+        # For files only. Without `start`, it is made at the first write.
         self._thread: NativeThread | None = None
         # The write that is under way, of the first lines of the queue.
         self._call: NativeCall | None = None
@@ -116,6 +116,8 @@
     def start(self) -> None:
         """Write lines in the event loop from now on."""
         self._started = True
+        if self._is_file:
+            self._thread = NativeThread("log")
         self._schedule_flush()
 
     def measure(self, metrics: Metrics) -> None:
--- a/libs/wire/tarragonhall_wire/_logs.py
+++ b/libs/wire/tarragonhall_wire/_logs.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import atexit
 import json
 import logging
 import math
 import sys
 import time
+from types import TracebackType
 from typing import TextIO
 
 import structlog
@@ -18,6 +20,8 @@
 from tarragonhall_wire._line_writer import Blockage, LineWriter
 from tarragonhall_wire._log_budget import LineKind, LogBudget
 
+log = structlog.get_logger(__name__)
+
 # Status codes from here on are failures, whose lines are suppressed last.
 FIRST_FAILURE_STATUS = 400
 SUPPRESSED_REPORT_SECONDS = 1.0
@@ -30,10 +34,11 @@
 ) -> LineWriter:
     """Configure structlog once for the process; lines go to `stream` or standard error.
 
-    Return the writer, which must be closed before the process ends.
+    What is queued is written when the process ends, whatever ends it but a kill.
     """
     writer = LineWriter((stream or sys.stderr).fileno())
     writer.start()
+    atexit.register(writer.close)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -46,9 +51,28 @@
         logger_factory=structlog.ReturnLoggerFactory(),
         cache_logger_on_first_use=True,
     )
+    _log_uncaught_exceptions(writer)
     return writer
 
 
+def _log_uncaught_exceptions(writer: LineWriter) -> None:
+    """Log what ends the process, or fails in a finalizer: Python tells the error stream alone."""
+    print_uncaught = sys.excepthook
+
+    def log_uncaught(kind: type, error: BaseException, traceback: TracebackType | None) -> None:
+        log.error("process.failed", error=repr(error), exc_info=(kind, error, traceback))
+        writer.close()
+        print_uncaught(kind, error, traceback)
+
+    def log_unraisable(failure: object) -> None:
+        error = failure.exc_value
+        exc_info = (failure.exc_type, error, failure.exc_traceback)
+        log.error("finalizer.failed", error=repr(error), exc_info=exc_info)
+
+    sys.excepthook = log_uncaught
+    sys.unraisablehook = log_unraisable
+
+
 class BudgetedLogWriter:
     """The last structlog processor: renders each line and writes it if the budget allows."""
 
--- a/libs/wire/tests/log_output_tests.py
+++ b/libs/wire/tests/log_output_tests.py
@@ -8,6 +8,8 @@
 import math
 import os
 import resource
+import subprocess
+import sys
 
 import eventlet
 import pytest
@@ -231,3 +233,60 @@
     writer.flush()
     assert path.read_bytes().splitlines()[-1] + b"\n" == LINE
     os.close(descriptor)
+
+
+SCRIPT = """
+import sys, time
+import eventlet
+eventlet.monkey_patch()
+import structlog
+from tarragonhall_wire import configure_logging, use_event_loop
+use_event_loop()
+writer = configure_logging("one", stream=sys.stdout)
+log = structlog.get_logger()
+log.info("work.started")
+{end}
+"""
+
+
+@pytest.mark.parametrize(
+    ("end", "code"),
+    [
+        ("raise ValueError('unexpected')", 1),
+        ("raise SystemExit(3)", 3),
+        ("eventlet.spawn(lambda: 1 / 0); eventlet.sleep(0); raise SystemExit(4)", 4),
+    ],
+)
+def test_the_last_lines_of_a_process_are_written_however_it_ends(tmp_path, end, code):
+    # Guards against a process that ends without a word: its last lines wait for the event loop.
+    path = tmp_path / "log"
+    with path.open("ab") as log:
+        process = subprocess.Popen(
+            [sys.executable, "-W", "ignore", "-c", SCRIPT.format(end=end)],
+            stdout=log,
+            stderr=subprocess.DEVNULL,
+        )
+        assert process.wait(20) == code
+    events = [json.loads(line) for line in path.read_text().splitlines()]
+    names = [event["event"] for event in events]
+    assert names[0] == "work.started"
+    assert ("process.failed" in names) == (code == 1)
+    assert ("thread.failed" in names) == (code == 4)
+
+
+def test_an_exception_in_a_finalizer_is_logged(tmp_path):
+    # Guards against failures that only the standard error stream tells of.
+    path = tmp_path / "log"
+    end = """
+class Broken:
+    def __del__(self):
+        raise KeyError("in a finalizer")
+
+Broken()
+"""
+    with path.open("ab") as log:
+        command = [sys.executable, "-W", "ignore", "-c", SCRIPT.format(end=end)]
+        subprocess.run(command, stdout=log, stderr=subprocess.DEVNULL, check=True, timeout=20)
+    events = [json.loads(line) for line in path.read_text().splitlines()]
+    failed = next(event for event in events if event["event"] == "finalizer.failed")
+    assert "KeyError" in failed["error"]
