--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -55,7 +55,10 @@
 
 @dataclass(slots=True)
 class Blockage:
-    """Why the output takes no lines, since a monotonic time. `refused` is false if it may soon."""
+    """Why the output takes no lines, and since when (monotonic).
+
+    `refused` tells an error of a write from output that only keeps the writer waiting.
+    """
 
     reason: str
     since: float
--- a/libs/wire/tarragonhall_wire/_logs.py
+++ b/libs/wire/tarragonhall_wire/_logs.py
@@ -103,7 +103,7 @@
         now = time.monotonic()
         kind = line_kind(event)
         if self._budget.admit(kind, str(event.get("id") or ""), len(line), now):
-            # While the output takes no lines, those of failures find room in the queue for longest.
+            # In a queue that fills up, lines of failures find room for longest.
             self._writer.write(line, kind.value)
         if now - self._reported_at > SUPPRESSED_REPORT_SECONDS:
             self._reported_at = now
