Log why a member is offline from its start on

Operators saw: a member started on a full disk logged that it is offline, and the reason not before ten seconds had passed, or never if the disk had room again by then. Only a failure after the start was logged.

Evidence: the test of a process started on a full disk asks for the line; it failed before and passes now.

--- a/libs/group/tarragonhall_group/_loop.py
+++ b/libs/group/tarragonhall_group/_loop.py
@@ -138,6 +138,8 @@
         After any other failure, the member takes no part until its folder has been opened again: a
         step that ended half-way may have left the replica in any state.
         """
+        if self.failure is not None:
+            log.error("group.storage_failed", error=str(self.failure))
         try:
             while not self._stopped and self._is_recoverable(self.failure):
                 try:
