Fill the disk of the log in tests of lines without a limit on all files of the test process

The limit met the file that holds the captured output as well, to which green threads of other tests wrote meanwhile; alone and in runs of libs/wire the test passed. Writes to the one descriptor are limited now, with the same partial writes and the same error. The checks are the same; the tests with real processes keep the limit of the system.

--- a/libs/wire/tests/log_output_tests.py
+++ b/libs/wire/tests/log_output_tests.py
@@ -4,10 +4,10 @@
 
 import collections
 import contextlib
+import errno
 import json
 import math
 import os
-import resource
 import subprocess
 import sys
 
@@ -25,14 +25,26 @@
 
 
 @contextlib.contextmanager
-def room_for(size: int):
-    """Let files of this process grow to `size` bytes at most."""
-    earlier = resource.getrlimit(resource.RLIMIT_FSIZE)
-    resource.setrlimit(resource.RLIMIT_FSIZE, (size, earlier[1]))
+def room_for(descriptor: int, size: int):
+    """Let the file of a descriptor grow to `size` bytes at most, as a full disk does.
+
+    A limit on all files of this process would meet the output of other tests' green threads too.
+    """
+    write = _line_writer.os.write
+
+    def limited_write(target: int, data: bytes) -> int:
+        if target != descriptor:
+            return write(target, data)
+        room = size - os.fstat(descriptor).st_size
+        if room <= 0:
+            raise OSError(errno.EFBIG, os.strerror(errno.EFBIG))
+        return write(target, data[:room])
+
+    _line_writer.os.write = limited_write
     try:
         yield
     finally:
-        resource.setrlimit(resource.RLIMIT_FSIZE, earlier)
+        _line_writer.os.write = write
 
 
 class LogFile:
@@ -68,7 +80,7 @@
     # Guards against a full disk of the log that looks like a process with nothing to say.
     log_file.write(1)
     assert not log_file.is_unwritable()
-    with room_for(0):
+    with room_for(log_file.descriptor, 0):
         log_file.write(1)
     assert log_file.is_unwritable()
     assert log_file.metrics.counts["log.refused_writes"] == 1
@@ -101,7 +113,7 @@
 def test_lines_refused_by_a_full_disk_are_written_once_it_has_room(log_file):
     # Guards against the line of a failure that is lost to the disk that fails.
     log_file.write(1)
-    with room_for(0):
+    with room_for(log_file.descriptor, 0):
         log_file.write(10, b"y" * 199 + b"\n")
     eventlet.sleep(2.0)
     log_file.write(1)
@@ -110,7 +122,7 @@
 
 def test_a_line_that_was_written_in_part_is_completed(log_file):
     # Guards against a half line, which makes the next one unreadable too.
-    with room_for(2_050):
+    with room_for(log_file.descriptor, 2_050):
         log_file.write(30)
     assert log_file.path.stat().st_size == 2_050
     eventlet.sleep(2.0)
@@ -120,7 +132,7 @@
 
 def test_refused_lines_are_kept_to_a_bound_and_those_lost_are_counted(log_file):
     # Guards against a process that runs out of memory, or forgets its losses, on a full disk.
-    with room_for(0):
+    with room_for(log_file.descriptor, 0):
         log_file.write(5_000)
         log_file.write(5_000)
     kept = 10_000 - log_file.metrics.counts["log.lost_lines"]
@@ -137,7 +149,7 @@
     writer = LineWriter(descriptor)
     log_writer = BudgetedLogWriter("one", LogBudget(lines=10_000, size=10_000_000), writer)
     writer.start()
-    with room_for(0):
+    with room_for(descriptor, 0):
         for _ in range(3_000):
             log_writer(None, "info", {"event": "change", "level": "error", "text": "x" * 99})
         eventlet.sleep(0.2)
