Show the other problems of a process when one of them cannot be told

Operators would have seen a failing readiness check and list of members whenever the part that tells of a problem raised. Found in a reading of the change.

--- a/libs/wire/tarragonhall_wire/_problems.py
+++ b/libs/wire/tarragonhall_wire/_problems.py
@@ -25,7 +25,10 @@
         """Return one text for each part that has a problem."""
         found = []
         for part, problem in self._problem_by_part.items():
-            text = problem()
+            try:
+                text = problem()
+            except Exception as error:  # noqa: BLE001 - the other parts must be told of
+                text = f"its state cannot be told: {error!r}"
             if text:
                 found.append(f"{part}: {text}")
         return found
