Tell suppressed lines in time, and let no field of a log line fail the work

Found in a reading of the change, the same class as lost lines:

- Lines beyond the budget were told with the next event only, and never by a process that ended.
A report is made a second later and at the end; log.suppressed_lines counts them.
- A field whose text raises, or a circular one beside an infinity, raised in the work that logged it.
Such a line keeps event, level, time and instance.
- A log on the error stream got a traceback of many lines after process.failed, which holds it already.
- The gauge of an unwritable log was sent at each try instead of at each change.

It holds more than one fault, since they share the lines of one module.

--- a/libs/wire/tarragonhall_wire/_line_writer.py
+++ b/libs/wire/tarragonhall_wire/_line_writer.py
@@ -49,6 +49,7 @@
 HANGS = "a write to it hangs"
 
 LOST_LINES = "log.lost_lines"
+SUPPRESSED_LINES = "log.suppressed_lines"
 REFUSED_WRITES = "log.refused_writes"
 UNWRITABLE = "log.unwritable"
 
@@ -86,6 +87,7 @@
         "_descriptor",
         "_flush_scheduled",
         "_is_file",
+        "_is_reported",
         "_lines",
         "_metrics",
         "_retry_s",
@@ -103,6 +105,7 @@
         self._size = 0
         self._metrics = Metrics()
         self._blockage: Blockage | None = None
+        self._is_reported = False
         self._retry_s = FIRST_RETRY_SECONDS
         self._started = False
         self._flush_scheduled = False
@@ -125,11 +128,22 @@
 
     def measure(self, metrics: Metrics) -> None:
         """Count lost lines and refused writes in `metrics` from now on, those so far included."""
-        for name in (LOST_LINES, REFUSED_WRITES):
+        for name in (LOST_LINES, SUPPRESSED_LINES, REFUSED_WRITES):
             metrics.count(name, self._metrics.counts[name])
         self._metrics = metrics
+        metrics.gauge(UNWRITABLE, int(self._is_reported))
         self._report_writable()
 
+    def count_suppressed(self) -> None:
+        """Count a line that the budget did not admit."""
+        self._metrics.count(SUPPRESSED_LINES)
+
+    def call_later(self, seconds: float, callback: Callable[[], None]) -> bool:
+        """Have the event loop call back; return False if lines are not written in it yet."""
+        if self._started:
+            hubs.get_hub().schedule_call_global(seconds, callback)
+        return self._started
+
     def problem(self) -> str:
         """Return why lines cannot be written at present, empty if they can."""
         blockage = self._blockage
@@ -240,7 +254,9 @@
     def _report_writable(self) -> None:
         blockage = self._blockage
         is_reported = blockage is not None and blockage.is_reported()
-        self._metrics.gauge(UNWRITABLE, int(is_reported))
+        if is_reported != self._is_reported:
+            self._is_reported = is_reported
+            self._metrics.gauge(UNWRITABLE, int(is_reported))
 
     def _has_room(self) -> bool:
         return self._is_file or bool(select.select([], [self._descriptor], [], 0)[1])
@@ -253,8 +269,7 @@
         if self._blockage is not None and self._blockage.refused:
             wait_s = self._retry_s
             self._retry_s = min(self._retry_s * 2, MAX_RETRY_SECONDS)
-        self._flush_scheduled = True
-        hubs.get_hub().schedule_call_global(wait_s, self._flush_and_reschedule)
+        self._flush_scheduled = self.call_later(wait_s, self._flush_and_reschedule)
 
     def _flush_and_reschedule(self) -> None:
         # Called by the event loop itself; nothing here waits.
--- a/libs/wire/tarragonhall_wire/_logs.py
+++ b/libs/wire/tarragonhall_wire/_logs.py
@@ -25,6 +25,7 @@
 # Status codes from here on are failures, whose lines are suppressed last.
 FIRST_FAILURE_STATUS = 400
 SUPPRESSED_REPORT_SECONDS = 1.0
+HEADING_FIELDS = ("event", "level", "timestamp", "instance")
 # Redacted in every line, in case an event contains one by mistake.
 SECRET_FIELDS = frozenset({"key", "api_key", "secret", "token", "key_hash", "authorization"})
 
@@ -38,31 +39,36 @@
     """
     writer = LineWriter((stream or sys.stderr).fileno())
     writer.start()
-    atexit.register(writer.close)
+    log_writer = BudgetedLogWriter(instance, LogBudget(), writer)
+    atexit.register(log_writer.close)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
             _redact_secrets,
-            BudgetedLogWriter(instance, LogBudget(), writer),
+            log_writer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
         logger_factory=structlog.ReturnLoggerFactory(),
         cache_logger_on_first_use=True,
     )
-    _log_uncaught_exceptions(writer)
+    _log_uncaught_exceptions(log_writer, prints=stream is not None)
     return writer
 
 
-def _log_uncaught_exceptions(writer: LineWriter) -> None:
-    """Log what ends the process, or fails in a finalizer: Python tells the error stream alone."""
+def _log_uncaught_exceptions(log_writer: BudgetedLogWriter, prints: bool) -> None:
+    """Log what ends the process, or fails in a finalizer: Python tells the error stream alone.
+
+    `prints` says that the error stream is not the log, and gets the traceback as before.
+    """
     print_uncaught = sys.excepthook
 
     def log_uncaught(kind: type, error: BaseException, traceback: TracebackType | None) -> None:
         log.error("process.failed", error=repr(error), exc_info=(kind, error, traceback))
-        writer.close()
-        print_uncaught(kind, error, traceback)
+        log_writer.close()
+        if prints:
+            print_uncaught(kind, error, traceback)
 
     def log_unraisable(failure: object) -> None:
         error = failure.exc_value
@@ -81,6 +87,7 @@
         "_budget",
         "_instance",
         "_render",
+        "_report_scheduled",
         "_reported_at",
         "_writer",
     )
@@ -93,6 +100,7 @@
         self._writer = writer
         self._render = structlog.processors.JSONRenderer(_dump)
         self._reported_at = 0.0
+        self._report_scheduled = False
         writer.on_writable = self._report_writable
 
     def __call__(self, logger: object, name: str, event: dict) -> str:
@@ -105,11 +113,27 @@
         if self._budget.admit(kind, str(event.get("id") or ""), len(line), now):
             # In a queue that fills up, lines of failures find room for longest.
             self._writer.write(line, kind.value)
+        else:
+            self._writer.count_suppressed()
         if now - self._reported_at > SUPPRESSED_REPORT_SECONDS:
             self._reported_at = now
             self._report_suppressed()
+        elif self._budget.suppressed and not self._report_scheduled:
+            # No further event may come.
+            self._report_scheduled = self._writer.call_later(
+                SUPPRESSED_REPORT_SECONDS, self._on_report_due
+            )
         return ""
 
+    def close(self) -> None:
+        """Write what is queued or counted, for a moment at most; call at the end of the process."""
+        self._report_suppressed()
+        self._writer.close()
+
+    def _on_report_due(self) -> None:
+        self._report_scheduled = False
+        self._report_suppressed()
+
     def _report_writable(self, blockage: Blockage | None) -> None:
         """Log that the output takes lines again, and what was lost meanwhile."""
         if blockage is not None and blockage.is_reported():
@@ -155,9 +179,22 @@
     try:
         return json.dumps(value, allow_nan=False, **options)
     except ValueError:
-        return json.dumps(_without_infinities(value), **options)
-    except (TypeError, RecursionError) as error:
-        return json.dumps({"event": str(value.get("event")), "unreadable": repr(error)})
+        return _dump_without_infinities(value, options)
+    except Exception as error:  # noqa: BLE001 - fields may raise anything
+        return _dump_heading(value, error)
+
+
+def _dump_without_infinities(value: dict, options: dict) -> str:
+    try:
+        return json.dumps(_without_infinities(value), allow_nan=False, **options)
+    except Exception as error:  # noqa: BLE001 - fields may raise anything
+        return _dump_heading(value, error)
+
+
+def _dump_heading(event: dict, error: Exception) -> str:
+    """Return what names a line whose other fields cannot be written, and why they cannot."""
+    heading = {name: str(event.get(name)) for name in HEADING_FIELDS}
+    return json.dumps(heading | {"unreadable": type(error).__name__})
 
 
 def _without_infinities(value: object) -> object:
--- a/libs/wire/tests/log_output_tests.py
+++ b/libs/wire/tests/log_output_tests.py
@@ -302,3 +302,84 @@
     events = [json.loads(line) for line in path.read_text().splitlines()]
     failed = next(event for event in events if event["event"] == "finalizer.failed")
     assert "KeyError" in failed["error"]
+
+
+def test_a_problem_that_cannot_be_told_hides_no_other():
+    # Guards against readiness checks that fail together with the part that they tell of.
+    problems = Problems()
+    problems.watch("member", lambda: 1 / 0)
+    problems.watch("log", lambda: "writes are refused")
+    assert problems.texts()[1] == "log: writes are refused"
+    assert "ZeroDivisionError" in problems.texts()[0]
+
+
+class Unprintable:
+    def __repr__(self) -> str:
+        raise KeyError("no name")
+
+
+@pytest.mark.parametrize("circular", [True, False])
+def test_a_field_that_cannot_be_written_costs_neither_the_line_nor_the_work(tmp_path, circular):
+    # Guards against a log line that raises in the work that it tells of.
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+    writer = LineWriter(descriptor)
+    log_writer = BudgetedLogWriter("one", LogBudget(), writer)
+    field: object = Unprintable()
+    if circular:
+        field = {"ever": math.inf}
+        field["self"] = field
+    log_writer(
+        None, "info", {"event": "change", "level": "error", "timestamp": "t", "field": field}
+    )
+    writer.flush()
+    (line,) = (tmp_path / "log").read_text().splitlines()
+    event = json.loads(line)
+    assert (event["event"], event["level"]) == ("change", "error")
+    assert (event["instance"], event["timestamp"]) == ("one", "t")
+    os.close(descriptor)
+
+
+def test_suppressed_lines_are_told_without_a_further_event(tmp_path):
+    # Guards against a burst of failures whose suppressed lines are never told of afterwards.
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    writer = LineWriter(descriptor)
+    log_writer = BudgetedLogWriter("one", LogBudget(lines=2), writer)
+    metrics = Metrics()
+    writer.measure(metrics)
+    writer.start()
+    for _ in range(10):
+        log_writer(None, "info", {"event": "change", "level": "error"})
+    eventlet.sleep(2.0)
+    events = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    written = sum(event["event"] == "change" for event in events)
+    told = sum(event.get("failure", 0) for event in events if event["event"] == "log.left_out")
+    assert written + told == 10
+    assert metrics.counts["log.suppressed_lines"] == told
+    os.close(descriptor)
+
+
+def test_suppressed_lines_are_told_when_the_process_ends(tmp_path):
+    # Guards against a process whose last failures are suppressed and counted nowhere.
+    path = tmp_path / "log"
+    end = "[log.error('work.failed', text='x' * 2000) for _ in range(100)]"
+    with path.open("ab") as log:
+        command = [sys.executable, "-W", "ignore", "-c", SCRIPT.format(end=end)]
+        subprocess.run(command, stdout=log, stderr=subprocess.DEVNULL, check=True, timeout=20)
+    events = [json.loads(line) for line in path.read_text().splitlines()]
+    written = sum(event["event"] == "work.failed" for event in events)
+    told = sum(event.get("failure", 0) for event in events if event["event"] == "log.left_out")
+    assert told > 0
+    assert written + told == 100
+
+
+def test_a_log_on_the_error_stream_holds_json_alone_when_the_process_fails(tmp_path):
+    # Guards against a traceback of many lines in the middle of the log.
+    path = tmp_path / "log"
+    script = SCRIPT.replace("stream=sys.stdout", "").format(end="raise ValueError('unexpected')")
+    script = script.replace('"one", )', '"one")')
+    with path.open("ab") as log:
+        process = subprocess.Popen([sys.executable, "-W", "ignore", "-c", script], stderr=log)
+        assert process.wait(20) == 1
+    events = [json.loads(line) for line in path.read_text().splitlines()]
+    assert events[-1]["event"] == "process.failed"
+    assert "ValueError" in events[-1]["exception"]
