Tell what is wrong with each member at every refusal, and of every linked process in the status

Operators saw: without a leader a refusal named the members' problems, but a leader that could not reach a majority, or did not answer, refused without them; entries and stores told theirs by metrics and readiness alone.

A test of the status of one member asks for that member's entry now.

--- a/libs/control/tarragonhall_control/_admin.py
+++ b/libs/control/tarragonhall_control/_admin.py
@@ -35,6 +35,7 @@
 # Longer than the 60 s timeout of a membership change, so that its outcome is reported.
 FORWARD_TIMEOUT_SECONDS = 65.0
 RETRY_AFTER_SECONDS = "1"
+STATUS_UNAVAILABLE = 503
 
 Handler = Callable[[AdminRequest], AdminReply]
 
@@ -67,15 +68,17 @@
             request.method, request.path, request.query, request.bearer() or "", request.body
         )
         result = self._respond(call) if self._member.is_leader() else self._forward(call)
-        return HttpResponse(result.status, json.loads(result.json), headers=result.headers)
+        value = json.loads(result.json)
+        if result.status == STATUS_UNAVAILABLE and not value["findings"]:
+            value["findings"] = _finding_values(self._member_findings(call))
+        return HttpResponse(result.status, value, headers=result.headers)
 
     def _forward(self, call: AdminCall) -> AdminResult:
         """Forward a request to the leader, so that operators can send it to any member."""
         address = self._member.leader_address()
         if address is None:
             return _unavailable(
-                "no leader is known; send the request again with the same request id",
-                self._member_findings(call),
+                "no leader is known; send the request again with the same request id"
             )
         try:
             link = self._member.context.hub.wait_for_link(address, 1.0)
@@ -84,7 +87,7 @@
             return _unavailable(f"the leader did not answer ({error}); send the request again")
 
     def _member_findings(self, call: AdminCall) -> list[Finding]:
-        """Return what may keep the members from electing a leader, for operators only."""
+        """Return what may keep the members from having a majority, for operators only."""
         operators = self._member.state.configuration.operators
         if not call.token or operators.with_token(secret_hash(call.token)) is None:
             return []
@@ -184,13 +187,9 @@
     ]
 
 
-def _unavailable(message: str, findings: Sequence[Finding] = ()) -> AdminResult:
-    value = {
-        "error": "unavailable",
-        "message": message,
-        "findings": _finding_values(findings),
-    }
-    return AdminResult(503, json.dumps(value), {"Retry-After": RETRY_AFTER_SECONDS})
+def _unavailable(message: str) -> AdminResult:
+    value = {"error": "unavailable", "message": message, "findings": []}
+    return AdminResult(STATUS_UNAVAILABLE, json.dumps(value), {"Retry-After": RETRY_AFTER_SECONDS})
 
 
 def _on_error(error: Exception) -> HttpResponse:
@@ -204,7 +203,9 @@
             return _error(429, "busy", str(error), (), {"Retry-After": RETRY_AFTER_SECONDS})
         case OutcomeUnknownError():
             message = f"{error}; send the request again with the same request id"
-            return _error(503, "unavailable", message, (), {"Retry-After": RETRY_AFTER_SECONDS})
+            return _error(
+                STATUS_UNAVAILABLE, "unavailable", message, (), {"Retry-After": RETRY_AFTER_SECONDS}
+            )
         case TarragonhallError():
             return _error(409, "conflict", str(error), ())
     log.exception("admin.request_failed", exc_info=error)
--- a/libs/control/tarragonhall_control/_admin_system.py
+++ b/libs/control/tarragonhall_control/_admin_system.py
@@ -16,7 +16,11 @@
 
 from tarragonhall_control import _bodies as bodies
 from tarragonhall_control._member import ControlMember
-from tarragonhall_control._member_problems import problems_by_member, query_timelines
+from tarragonhall_control._member_problems import (
+    problems_by_member,
+    problems_by_process,
+    query_timelines,
+)
 from tarragonhall_control._request import (
     AdminError,
     AdminReply,
@@ -63,7 +67,7 @@
                 "programs": self._state.program_count(),
                 "followers": len(self._member.followers),
                 "waiting": self._member.loop.waiting(),
-                "problems": self._member.context.hub.problems.texts(),
+                "problems": problems_by_process(self._member),
             }
         )
 
--- a/libs/control/tarragonhall_control/_member_problems.py
+++ b/libs/control/tarragonhall_control/_member_problems.py
@@ -1,4 +1,4 @@
-"""Collects the problems that the members of the control group tell of themselves."""
+"""Collects the problems that linked processes tell of themselves."""
 
 from __future__ import annotations
 
@@ -13,6 +13,17 @@
 PROBLEMS_TIMEOUT_SECONDS = 0.5
 
 
+def problems_by_process(member: ControlMember) -> dict[str, list[str]]:
+    """Return the problems of this and all linked processes that have any, by name and address."""
+    context = member.context
+    found_by_process = {f"{context.instance} {context.link_address}": context.hub.problems.texts()}
+    query = QueryTimeline(limit=0)
+    for link, found in query_timelines(context.hub.links(), query, PROBLEMS_TIMEOUT_SECONDS):
+        if found is not None and found.problems:
+            found_by_process[f"{link.peer.instance} {link.peer.address}"] = found.problems
+    return {name: problems for name, problems in sorted(found_by_process.items()) if problems}
+
+
 def problems_by_member(member: ControlMember) -> dict[str, list[str] | None]:
     """Return the problems of all members by their ids, None for one that does not answer.
 
--- a/libs/control/tests/disk_tests.py
+++ b/libs/control/tests/disk_tests.py
@@ -155,7 +155,8 @@
         assert problems_by_id[leader] == []
         assert problems_by_id[other] == ["log: writes are refused"]
         assert "disk full" in problems_by_id[name][0]
-    assert group.admin(other)("GET", "/status")[1]["problems"] == []
+    problems = group.admin(other)("GET", "/status")[1]["problems"]
+    assert problems[f"{other} {group.address_by_name[other]}"] == ["log: writes are refused"]
     disks.repair(folder_of(group, name))
     group.stop(other)
     group.wait_until(lambda: is_caught_up(group, name), WAIT_SECONDS)
@@ -261,3 +262,32 @@
     group.wait_until(lambda: loop_of(group, name).failure is not None, WAIT_SECONDS)
     group.wait_until(lambda: is_caught_up(group, name), WAIT_SECONDS)
     assert group.state(name).program_count() == 1
+
+
+def test_a_leader_without_a_majority_tells_what_is_wrong_with_each_member(start_group, monkeypatch):
+    # Guards against a refusal without its reason in the seconds before a leader steps down.
+    group = start_group(*THREE)
+    leader = group.leader()
+    others = [name for name in THREE if name != leader]
+    admin = group.admin(leader)
+    member = group.role_by_name[leader].member
+    for name in others:
+        group.stop(name)
+    monkeypatch.setattr(type(member.group), "confirm", lambda _group: False)
+    monkeypatch.setattr(type(member.group), "is_leader", lambda _group: True)
+    status, value = admin("GET", "/members")
+    assert status == 503
+    assert {one["place"] for one in value["findings"]} == {f"member {name}" for name in others}
+
+
+def test_status_shows_the_problems_of_every_linked_process(start_group):
+    # Guards against entries and stores whose failures only their own logs and metrics tell.
+    group = start_group(*THREE)
+    context, _follower, _node = group.follower("entry-1")
+    context.hub.problems.watch("log", lambda: "writes are refused")
+
+    def problems() -> dict:
+        return group.admin()("GET", "/status")[1]["problems"]
+
+    group.wait_until(lambda: problems() != {}, WAIT_SECONDS)
+    assert problems() == {f"entry-1 {context.link_address}": ["log: writes are refused"]}
