Case: two lost disks of control lose the manifest

Cause: the group of control keeps the number of its voters odd, so three of four members vote, and two lost disks may leave one of them, though two losses are to be borne.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
