Keep and recover what four members hold when two of them lose their folders

What callers saw: where two machines may lose their disks at once, four members serve control and three of them vote.

Cause: the majority of the voters stood for two questions, how many copies outlive the losses and who may act on what is left. Two copies made a change acknowledged, and one vote was left of three. Hypotheses dropped: the odd number of voters alone (with four, two of them cannot elect anybody either), and a wiped member that may vote again (it would help to elect one that lacks an acknowledged change).

Change: a change needs as many copies as leave one after the tolerated losses, learners under a listed identity included. A candidate goes on without the identities that report a lost folder if each other identity grants its vote and enough of them remain. Its term is beyond those that the lost voters may have used; its list lets the remaining members vote. The stores' group follows the same rules. A learner that lost its folder before it was listed under an identity starts over at once.

Why it works: a committed entry is held by more identities than may be lost, so one of those that remain has it, and all of them vote. Dead identities vote nowhere, and the remaining members are in every later quorum.

--- a/libs/consensus/tarragonhall_consensus/_leadership.py
+++ b/libs/consensus/tarragonhall_consensus/_leadership.py
@@ -16,6 +16,8 @@
 from tarragonhall_consensus._log import entry_bytes
 from tarragonhall_consensus._membership import (
     members_entry,
+    recovered_list,
+    with_identity,
     with_learner,
     with_voter,
     without,
@@ -28,6 +30,7 @@
     OtherIdentity,
     SnapshotReply,
 )
+from tarragonhall_consensus._quorums import identified, is_committed, required_copies
 from tarragonhall_consensus._reads import Reads, Rounds
 from tarragonhall_consensus._replication import Replication
 
@@ -39,6 +42,7 @@
         "_core",
         "_elected_at",
         "_join_token_by_id",
+        "_lost",
         "_reads",
         "_replication",
         "_rounds",
@@ -48,8 +52,15 @@
         "_uncommitted_bytes",
     )
 
-    def __init__(self, core: Core, voter_silent_since: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        core: Core,
+        voter_silent_since: dict[str, float] | None = None,
+        lost: frozenset[str] = frozenset(),
+    ) -> None:
+        """Begin a term; `lost` are the identities without which the leader had to be elected."""
         self._core = core
+        self._lost = lost
         self._elected_at = core.now
         # Of voters that did not answer the candidate.
         self._voter_silent_since = voter_silent_since or {}
@@ -61,6 +72,8 @@
         self._uncommitted_bytes = 0
         # Entries of earlier terms are committed by committing this one; see `_may_commit`.
         self._start_index = core.append(Entry(core.term, EntryKind.NOOP, b""))
+        if lost:
+            self._append_members(recovered_list(core.membership.members, lost))
 
     def propose(self, event: ProposeData) -> None:
         """Append data to the log, or reject it if too many bytes are uncommitted."""
@@ -139,12 +152,21 @@
         # `core.now`, the time of the last step, may be long ago if the process was paused since.
         return now < self._majority_contact_at(now) + core.limits.lease_seconds
 
-    def promote_learners(self) -> None:
-        """Promote learners that have caught up to voters, one change at a time."""
+    def update_members(self) -> None:
+        """Change what learners that have caught up count for, one change at a time."""
         core = self._core
-        if core.commit_index < self._start_index:
+        if core.commit_index < self._start_index or self._change_is_pending():
             # As for a change on request, see `_rejection_reason`.
             return
+        if not core.membership.is_repeated():
+            # Without a second entry, a restarted member would not know that the list is committed
+            # and would need members of the list before it, which may be gone.
+            self._append_members(core.membership.members)
+            return
+        self._promote_learners()
+
+    def _promote_learners(self) -> None:
+        core = self._core
         ready: dict[str, str] = {}
         for member in core.membership.members:
             if member.voting:
@@ -153,9 +175,19 @@
             if identity is not None:
                 ready[member.member_id] = identity
         for member_id, identity in ready.items():
-            if self._change_is_pending() or not self._needs_voter(len(ready)):
+            members = core.membership.members
+            if self._needs_voter(len(ready)):
+                self._append_members(with_voter(members, member_id, identity))
+                return
+            listed = with_identity(members, member_id, identity)
+            if listed != members and self._adds_copy(listed):
+                self._append_members(listed)
                 return
-            self._append_members(with_voter(core.membership.members, member_id, identity))
+
+    def _adds_copy(self, listed: tuple[Member, ...]) -> bool:
+        """Return whether more members hold each entry than vote by majority, with this list."""
+        losses = self._core.limits.tolerated_losses
+        return required_copies(listed, losses) > self._core.membership.majority()
 
     def _needs_voter(self, ready: int) -> bool:
         """Return whether one of `ready` learners should become a voter."""
@@ -194,8 +226,7 @@
         """Commit what a majority has synced. To be called only after this member's own sync."""
         core = self._core
         log = core.storage.log
-        matches = sorted(self._match_index_of(voter) for voter in core.membership.voters())
-        index = matches[len(matches) - core.membership.majority()]
+        index = self._index_to_commit()
         if index <= core.commit_index or not self._may_commit(index):
             return
         for committed in range(core.commit_index + 1, index + 1):
@@ -204,6 +235,30 @@
                 self._uncommitted_bytes -= entry_bytes(entry)
         core.commit_index = index
 
+    def _index_to_commit(self) -> int:
+        """Return the highest index that is held as the undecided member lists require."""
+        core = self._core
+        lists = core.membership.undecided_lists(core.commit_index)
+        lost = self._lost_identities()
+        index_by_identity = {
+            member.identity: self._match_index_of(member)
+            for members in lists
+            for member in identified(members)
+        }
+        losses = core.limits.tolerated_losses
+        for index in sorted(set(index_by_identity.values()), reverse=True):
+            if index <= core.commit_index:
+                break
+            held = {identity for identity, held in index_by_identity.items() if held >= index}
+            if all(
+                is_committed(
+                    members, losses, lost, lambda member, held=held: member.identity in held
+                )
+                for members in lists
+            ):
+                return index
+        return core.commit_index
+
     def report_applied(self, index: int, result: object) -> None:
         """Report to the proposer of an entry, if it was proposed here, that it was applied."""
         token = self._token_by_index.pop(index, None)
@@ -262,7 +317,14 @@
 
     def _append_members(self, members: tuple[Member, ...]) -> int:
         core = self._core
-        return core.append(members_entry(core.term, members))
+        listed = {member.identity for member in core.membership.members}
+        lost = tuple(sorted(listed & self._lost_identities()))
+        return core.append(members_entry(core.term, members, lost))
+
+    def _lost_identities(self) -> set[str]:
+        """Return the identities that are known to have no folder any more."""
+        reported = self._replication.lost_identities()
+        return reported | self._lost | self._core.membership.lost_identities()
 
     def _finish_joins(self) -> None:
         """Complete additions whose member is a voter and has all entries up to its promotion."""
@@ -283,10 +345,12 @@
             del self._join_token_by_id[member_id]
             core.outputs.append(ProposalDone(token, index, None))
 
-    def _match_index_of(self, voter: Member) -> int:
-        if voter.member_id == self._core.member_id:
-            return self._core.storage.log.last_index
-        return self._replication.match_index(voter.member_id)
+    def _match_index_of(self, member: Member) -> int:
+        """Return up to which index the identity of a member holds the log."""
+        core = self._core
+        if member.member_id == core.member_id:
+            return core.storage.log.last_index if member.identity == core.identity else 0
+        return self._replication.match_index(member.member_id, member.identity)
 
     def _may_commit(self, index: int) -> bool:
         """Return whether an entry on a majority is committed: only if it is of this term.
--- a/libs/consensus/tarragonhall_consensus/_limits.py
+++ b/libs/consensus/tarragonhall_consensus/_limits.py
@@ -42,6 +42,9 @@
     # kept odd: four voters that are partitioned into two halves have no majority on either side,
     # and three survive the same single loss.
     max_voters: int = 0
+    # How many members may lose their data folders at once without the loss of a committed entry.
+    # More of them than vote by majority then hold each entry, if `max_voters` allows fewer votes.
+    tolerated_losses: int = 0
     # A learner may be promoted to make up for a voter without contact for this long. Shorter than
     # `RECEIVE_TIMEOUT_SECONDS` of the links, after which one is closed and redialled.
     unresponsive_seconds: float = 2.5
--- a/libs/consensus/tarragonhall_consensus/_membership.py
+++ b/libs/consensus/tarragonhall_consensus/_membership.py
@@ -2,12 +2,13 @@
 
 A list is active as soon as its entry is in the log, committed or not, and until the entry is
 dropped or a later list follows. Successive lists differ by at most one voter, so that any majority
-of one overlaps any majority of the next.
+of one overlaps any majority of the next; only the list of a leader elected by `is_recoverable` may
+differ by more. A list is committed under the rules of both itself and the list before it.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tarragonhall_model import decode, encode
 
@@ -19,6 +20,7 @@
 class _ActiveList:
     index: int
     members: tuple[Member, ...]
+    lost: tuple[str, ...] = ()
 
 
 class Membership:
@@ -49,6 +51,21 @@
         """Return how many voters make a majority."""
         return len(self._voters) // 2 + 1
 
+    def undecided_lists(self, commit_index: int) -> list[tuple[Member, ...]]:
+        """Return the active list and, unless it is committed, the one before it."""
+        lists = [active.members for active in self._lists[-2:]]
+        if self.index <= commit_index:
+            return lists[-1:]
+        return lists
+
+    def lost_identities(self) -> set[str]:
+        """Return the identities that the undecided lists say are lost."""
+        return {identity for active in self._lists[-2:] for identity in active.lost}
+
+    def is_repeated(self) -> bool:
+        """Return whether the active list is that of the entry before it too, or the only one."""
+        return len(self._lists) < 2 or self._lists[-1].members == self._lists[-2].members
+
     def is_voter(self, member_id: str, identity: str) -> bool:
         """Return whether the member is a voter under this identity."""
         member = self.member_by_id.get(member_id)
@@ -73,7 +90,8 @@
     def add_entry(self, index: int, entry: Entry) -> None:
         """Activate the list of an entry, if the entry holds one."""
         if entry.kind is EntryKind.MEMBERS:
-            self._lists.append(_ActiveList(index, decode(entry.data).members))
+            listed = decode(entry.data)
+            self._lists.append(_ActiveList(index, listed.members, listed.lost))
             self._refresh()
 
     def drop_from(self, index: int) -> None:
@@ -96,9 +114,9 @@
         self.member_by_id = {member.member_id: member for member in self.members}
 
 
-def members_entry(term: int, members: tuple[Member, ...]) -> Entry:
-    """Return the entry that activates a member list."""
-    return Entry(term, EntryKind.MEMBERS, encode(MemberList(members)))
+def members_entry(term: int, members: tuple[Member, ...], lost: tuple[str, ...] = ()) -> Entry:
+    """Return the entry that activates a member list; `lost` are identities without a folder."""
+    return Entry(term, EntryKind.MEMBERS, encode(MemberList(members, lost)))
 
 
 def with_learner(members: tuple[Member, ...], joining: Member) -> tuple[Member, ...]:
@@ -117,6 +135,28 @@
     return tuple(promoted)
 
 
+def with_identity(members: tuple[Member, ...], member_id: str, identity: str) -> tuple[Member, ...]:
+    """Return the list with the identity of a learner that has caught up."""
+    return tuple(
+        replace(member, identity=identity) if member.member_id == member_id else member
+        for member in members
+    )
+
+
+def recovered_list(members: tuple[Member, ...], lost: frozenset[str]) -> tuple[Member, ...]:
+    """Return the list of a group that goes on without the identities in `lost`.
+
+    The other identities vote; the members under the lost ones start over as learners.
+    """
+    recovered = []
+    for member in members:
+        if member.identity and member.identity not in lost:
+            recovered.append(replace(member, voting=True))
+            continue
+        recovered.append(replace(member, identity="", voting=False))
+    return tuple(recovered)
+
+
 def without(members: tuple[Member, ...], member_id: str) -> tuple[Member, ...]:
     """Return the list without the member."""
     return tuple(member for member in members if member.member_id != member_id)
--- a/libs/consensus/tarragonhall_consensus/_messages.py
+++ b/libs/consensus/tarragonhall_consensus/_messages.py
@@ -88,9 +88,13 @@
 
 @record
 class MemberList:
-    """The whole membership, as an entry of the log and in a snapshot."""
+    """The whole membership, as an entry of the log.
+
+    `lost` are identities of the list before it whose folders are known to be lost.
+    """
 
     members: tuple[Member, ...]
+    lost: tuple[str, ...] = ()
 
 
 @record
@@ -194,9 +198,14 @@
 
 @record
 class OtherIdentity:
-    """The message was addressed to an identity that this data folder does not have."""
+    """The message was addressed to an identity that this data folder does not have.
+
+    The identity that it was addressed to is `lost_identity`; members of earlier versions leave it
+    empty.
+    """
 
     envelope: Envelope
+    lost_identity: str = ""
 
 
 Message = (
--- a/libs/consensus/tarragonhall_consensus/_progress.py
+++ b/libs/consensus/tarragonhall_consensus/_progress.py
@@ -55,6 +55,8 @@
     is_caught_up: bool = False
     # The identity under which the peer rejects messages addressed to `identity`.
     other_identity: str = ""
+    # The listed identity that the peer has reported lost.
+    lost_identity: str = ""
 
     def record_match(self, index: int) -> None:
         """Record that the peer's log matches and is synced up to `index`."""
--- a/libs/consensus/tarragonhall_consensus/_replica.py
+++ b/libs/consensus/tarragonhall_consensus/_replica.py
@@ -265,21 +265,26 @@
                 if self._election.on_reply(peer, message):
                     self._become_leader()
             case OtherIdentity():
-                if core.leadership is not None:
-                    core.leadership.on_other_identity(peer, message)
+                self._receive_other_identity(peer, message)
             case AppendReply() | SnapshotReply():
                 self._receive_leader_reply(peer, message)
 
+    def _receive_other_identity(self, peer: str, message: OtherIdentity) -> None:
+        if self._core.leadership is not None:
+            self._core.leadership.on_other_identity(peer, message)
+        elif self._election.on_other_identity(peer, message):
+            self._become_leader()
+
     def _report_other_identity(self, peer: str, message: Message) -> None:
-        """Report to the leader, for operators, that this member has lost its folder."""
-        if isinstance(message, AppendRequest | SnapshotChunk):
+        """Report to a leader or candidate that this member has lost its folder."""
+        if isinstance(message, AppendRequest | SnapshotChunk | VoteRequest):
             envelope = Envelope(
                 message.envelope.group,
                 self._core.identity,
                 message.envelope.from_identity,
                 self._core.term,
             )
-            self._core.send(peer, OtherIdentity(envelope))
+            self._core.send(peer, OtherIdentity(envelope, message.envelope.to_identity))
 
     def _receive_leader_reply(self, peer: str, reply: AppendReply | SnapshotReply) -> None:
         core = self._core
@@ -303,11 +308,12 @@
         if self._election.tick():
             self._become_leader()
         if core.leadership is not None:
-            core.leadership.promote_learners()
+            core.leadership.update_members()
 
     def _become_leader(self) -> None:
         core = self._core
-        core.become_leader(Leadership(core, self._election.silent_since()))
+        election = self._election
+        core.become_leader(Leadership(core, election.silent_since(), election.lost()))
 
     def _advance(self) -> None:
         """Commit, apply and answer callers. The entries of this step are synced by now."""
--- a/libs/consensus/tarragonhall_consensus/_replication.py
+++ b/libs/consensus/tarragonhall_consensus/_replication.py
@@ -31,10 +31,18 @@
         self._progress_by_id: dict[str, Progress] = {}
         self._update_peers()
 
-    def match_index(self, peer: str) -> int:
-        """Return the index up to which the peer's log is known to match."""
+    def match_index(self, peer: str, identity: str) -> int:
+        """Return the index up to which the log of the peer's identity is known to match."""
         progress = self._progress_by_id.get(peer)
-        return progress.match_index if progress else 0
+        return progress.match_index if progress and progress.identity == identity else 0
+
+    def lost_identities(self) -> set[str]:
+        """Return the listed identities whose peers have reported that the folder is lost."""
+        return {
+            progress.listed_identity
+            for progress in self._progress_by_id.values()
+            if progress.listed_identity and progress.lost_identity == progress.listed_identity
+        }
 
     def acked_round(self, peer: str) -> int:
         """Return the latest round that the peer has answered."""
@@ -76,8 +84,14 @@
     def on_other_identity(self, peer: str, message: OtherIdentity) -> None:
         """Record, for operators, that a peer has lost its data folder."""
         progress = self._progress_by_id.get(peer)
-        if progress is not None and message.envelope.to_identity == self._core.identity:
-            progress.other_identity = message.envelope.from_identity
+        if progress is None or message.envelope.to_identity != self._core.identity:
+            return
+        if not progress.listed_identity:
+            # Nobody counts on a learner's copy; it starts over as it would after a first reply.
+            self._progress_by_id[peer] = self._new_progress(message.envelope.from_identity, "")
+            return
+        progress.other_identity = message.envelope.from_identity
+        progress.lost_identity = message.lost_identity
 
     def on_append_reply(self, peer: str, reply: AppendReply) -> None:
         """Update the peer's progress from its reply to entries or a heartbeat."""
--- a/libs/consensus/tests/mutation_tests.py
+++ b/libs/consensus/tests/mutation_tests.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+from tarragonhall_consensus import _election, _leadership, _quorums
 from tarragonhall_consensus._bootstrap import Bootstrap
 from tarragonhall_consensus._core import Core, Role
 from tarragonhall_consensus._election import Election
@@ -37,6 +38,7 @@
 
 
 membership = load("membership_tests")
+recovery = load("recovery_tests")
 replica = load("replica_tests")
 storage = load("storage_tests")
 
@@ -96,6 +98,34 @@
     patch.setattr(
         Election, "_is_valid_reply", lambda self, peer, reply: self._core.role == Role.CANDIDATE
     )
+    patch.setattr(Election, "_has_majority", _has_majority_of_any_identity)
+
+
+def copies_of_a_majority_alone(patch):
+    patch.setattr(_quorums, "required_copies", lambda members, losses: 2)
+
+
+def election_without_each_remaining_folder(patch):
+    def is_recoverable(members, losses, granted, lost):
+        return len(granted) + len(lost) > len(members) // 2
+
+    for module in (_election, _quorums):
+        patch.setattr(module, "is_recoverable", is_recoverable)
+
+
+def lost_holder_counted_twice(patch):
+    is_committed = _quorums.is_committed
+
+    def counted(members, losses, lost, holds):
+        return is_committed(members, losses - len(lost), lost, holds)
+
+    patch.setattr(_leadership, "is_committed", counted)
+
+
+def _has_majority_of_any_identity(election):
+    membership = election._core.membership
+    granted = [voter for voter in membership.voters() if voter.member_id in election._granted]
+    return len(granted) >= membership.majority()
 
 
 def _votes(membership, peer):
@@ -245,6 +275,22 @@
         old_identity_after_a_wipe,
         membership.test_wiped_folder_does_not_vote_under_its_old_identity,
     ),
+    (
+        copies_of_a_majority_alone,
+        lambda: recovery.test_an_entry_that_two_of_four_members_hold_is_not_acknowledged(
+            recovery._one_joins
+        ),
+    ),
+    (
+        election_without_each_remaining_folder,
+        lambda: recovery.test_nobody_is_elected_without_each_remaining_folder(
+            recovery._all_found, ("m0", "m1"), 0
+        ),
+    ),
+    (
+        lost_holder_counted_twice,
+        lambda: recovery.run_random_schedule(recovery._all_found, 163),
+    ),
     (
         wiped_member_bootstraps_again,
         membership.test_wiped_initial_member_bootstraps_no_second_group,
