Count crashes instead of broken runs before a request is refused

What callers saw: four parallel turns with one text ran on a server that crashed.

Cause: a request is refused after three broken runs, and one crash breaks all runs of its server. Nothing but an answer cleared the suspicion; no call got through that could bring one, and entries did not tell each other of answers. The key without the history is no cause: a request that crashes servers comes again with the same path, caller and body, and the count alone explains the case.

Change: broken runs are kept with the start of the server and their times; only runs of different servers of which each began after the one before had ended are several crashes. An answer of a server to a later run drops its broken one, answers to suspects are told to the other entries, and one call is let through each 60 s.

Why it works: runs beside each other share their crash, so they are no independent evidence; a request that does crash servers is sent again after each crash, and its runs follow each other.

Tests: test_calls_with_the_text_of_calls_that_one_crash_broke_are_not_refused got 503 instead of 200 before. test_request_that_crashes_servers_reaches_at_most_three passes unchanged. The tests of suspects now name the server and the times of a run.

--- a/libs/decisions/tarragonhall_decisions/__init__.py
+++ b/libs/decisions/tarragonhall_decisions/__init__.py
@@ -35,7 +35,7 @@
         "ColdServers",
         "ColdSlack",
     ),
-    "_crash_suspects": ("CrashSuspects",),
+    "_crash_suspects": ("BrokenRun", "CrashSuspects"),
     "_deadlines": (
         "Deadline",
         "RunTimes",
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -127,6 +127,7 @@
 from tarragonhall_model._lazy import lazy_exports
 from tarragonhall_model._load_messages import (
     EntryLoad,
+    KnownRun,
     KnownSuspect,
     KnownSuspects,
     LoadDetail,
@@ -134,6 +135,7 @@
     ProgramSpent,
     ServerSigns,
     SuspectCall,
+    SuspectCleared,
     ZoneLoad,
 )
 from tarragonhall_model._options import (
@@ -365,9 +367,11 @@
     "StorageUnavailableError",
     "StoreRecord",
     "StoreRetiring",
+    "KnownRun",
     "KnownSuspect",
     "KnownSuspects",
     "SuspectCall",
+    "SuspectCleared",
     "T",
     "TOKEN_PREFIX",
     "TakeTokens",
--- a/libs/model/tarragonhall_model/_load_messages.py
+++ b/libs/model/tarragonhall_model/_load_messages.py
@@ -95,11 +95,32 @@
 
 @record
 class SuspectCall:
-    """Sent by an entry to the others: an attempt of a request ended without an answer."""
+    """Sent by an entry to the others: an attempt of a request ended without an answer.
+
+    `server` names the start of the backend server that ran it, for `run_ms`.
+    """
+
+    fingerprint: str
+    server: str = ""
+    run_ms: int = 0
+
+
+@record
+class SuspectCleared:
+    """Sent by an entry to the others: a server has answered a request that was a suspect."""
 
     fingerprint: str
 
 
+@record
+class KnownRun:
+    """A run that ended without an answer, `age_ms` ago; the other fields as in `SuspectCall`."""
+
+    server: str
+    run_ms: int
+    age_ms: int
+
+
 @record
 class KnownSuspect:
     """A request whose last attempts ended without an answer, and how long ago the last one did."""
@@ -107,6 +128,7 @@
     fingerprint: str
     broken_runs: int
     age_ms: int
+    runs: list[KnownRun] = field(default_factory=list)
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_admission.py
+++ b/libs/relay/tarragonhall_relay/_admission.py
@@ -42,8 +42,6 @@
 # Only an operator's command can change where calls bound to home regions may run, so an early
 # retry is of no use.
 HOME_REGION_RETRY_S = 5.0
-# A request that crashes servers must not be retried soon.
-QUARANTINED_RETRY_S = 60.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,11 +119,10 @@
         limit_ms = min(limit_ms, facts.deadline_ms)
     deadline = Deadline(arrived_at + limit_ms / 1000)
     request_fingerprint = _fingerprint(request, organisation)
-    if state.crash_suspects.is_quarantined(request_fingerprint, state.monotonic()):
+    wait_s = state.crash_suspects.wait_s(request_fingerprint, state.monotonic())
+    if wait_s > 0:
         message = "the request crashed every backend server that ran it"
-        return Rejection(
-            STATUS_UNAVAILABLE, RefusalCode.QUARANTINED.value, message, QUARANTINED_RETRY_S
-        )
+        return Rejection(STATUS_UNAVAILABLE, RefusalCode.QUARANTINED.value, message, wait_s)
     org_regions = organisation.home_regions if organisation is not None else ()
     homes = home_zones(route.home_regions, org_regions, state.region_by_zone)
     if homes is not None and not _can_store_at_home(state, route, homes):
--- a/libs/relay/tarragonhall_relay/_call_slot.py
+++ b/libs/relay/tarragonhall_relay/_call_slot.py
@@ -64,6 +64,7 @@
         "_urgent",
         "may_have_run_on",
         "service",
+        "started_at",
         "times",
     )
 
@@ -72,6 +73,8 @@
         self._call = call
         self._arrived_at = arrived_at
         self._slot: Slot | None = None
+        # When the last slot was granted, in monotonic seconds.
+        self.started_at = arrived_at
         self._refusals = 0
         # Unreachable servers did not run the call and may be retried; those below must not be.
         self._unreachable: set[str] = set()
@@ -121,6 +124,7 @@
         if self._urgent is not None:
             self._urgent.on_slot()
         self._slot = result
+        self.started_at = result.started_at
         self.times.on_granted(result.server, requirements)
         return result.server
 
--- a/libs/relay/tarragonhall_relay/_followers.py
+++ b/libs/relay/tarragonhall_relay/_followers.py
@@ -8,10 +8,11 @@
 
 import eventlet
 import structlog
-from tarragonhall_decisions import AddressedLoad, LoadDigest, is_empty
+from tarragonhall_decisions import AddressedLoad, BrokenRun, LoadDigest, is_empty
 from tarragonhall_model import (
     EntryLoad,
     Fresh,
+    KnownRun,
     KnownSuspect,
     KnownSuspects,
     LinkError,
@@ -23,6 +24,7 @@
     RelayDocument,
     ServerSigns,
     SuspectCall,
+    SuspectCleared,
     View,
     ZoneLoad,
 )
@@ -188,6 +190,7 @@
         context.hub.handle(ZoneLoad, self._on_zone_load)
         context.hub.handle(LoadElsewhere, self._on_load_elsewhere)
         context.hub.handle(SuspectCall, self._on_suspect)
+        context.hub.handle(SuspectCleared, self._on_suspect_cleared)
         context.hub.handle(KnownSuspects, self._on_known_suspects)
         context.hub.handle(ProgramSpent, self._on_exhausted)
 
@@ -256,10 +259,8 @@
         self._informed &= incarnations
         now = self._context.monotonic()
         suspects = [
-            KnownSuspect(fingerprint, broken_runs, int((now - last_broken_at) * 1000))
-            for fingerprint, broken_runs, last_broken_at in self._state.crash_suspects.known(
-                now, MAX_SENT_SUSPECTS
-            )
+            _known_suspect(fingerprint, runs, now)
+            for fingerprint, runs in self._state.crash_suspects.known(now, MAX_SENT_SUSPECTS)
         ]
         for entry in entries:
             is_new = entry.incarnation not in self._informed
@@ -269,9 +270,16 @@
             ):
                 self._informed.add(entry.incarnation)
 
-    def report_suspect(self, fingerprint: str) -> None:
+    def report_suspect(self, fingerprint: str, run: BrokenRun) -> None:
         """Report at once to the other entries that a run of a request broke off."""
-        message = SuspectCall(fingerprint)
+        run_ms = _milliseconds(run.ended_at - run.started_at)
+        self._send_to_others(SuspectCall(fingerprint, run.server, run_ms))
+
+    def report_cleared(self, fingerprint: str) -> None:
+        """Report at once to the other entries that a suspect was answered."""
+        self._send_to_others(SuspectCleared(fingerprint))
+
+    def _send_to_others(self, message: object) -> None:
         for entry in self._follower.view.entries:
             if entry.entry_id != self._context.instance:
                 self._send(entry.address, message)
@@ -295,13 +303,20 @@
         )
 
     def _on_suspect(self, _link: Link, message: SuspectCall) -> None:
-        self._state.crash_suspects.on_broken_run(message.fingerprint, self._context.monotonic())
+        now = self._context.monotonic()
+        run = BrokenRun(message.server, now - message.run_ms / 1000, now)
+        self._state.crash_suspects.on_broken_run(message.fingerprint, run)
+
+    def _on_suspect_cleared(self, _link: Link, message: SuspectCleared) -> None:
+        self._state.crash_suspects.on_response(message.fingerprint, self._context.monotonic())
 
     def _on_known_suspects(self, _link: Link, message: KnownSuspects) -> None:
         now = self._context.monotonic()
         for one in message.suspects:
-            last_broken_at = now - one.age_ms / 1000
-            self._state.crash_suspects.learn(one.fingerprint, one.broken_runs, last_broken_at)
+            for known in one.runs:
+                ended_at = now - known.age_ms / 1000
+                run = BrokenRun(known.server, ended_at - known.run_ms / 1000, ended_at)
+                self._state.crash_suspects.on_broken_run(one.fingerprint, run)
         log.info("relay.suspects_learnt", suspects=len(message.suspects))
 
     def _send_all(self, messages: list[AddressedLoad]) -> None:
@@ -334,3 +349,16 @@
     def _on_load_elsewhere(self, _link: Link, message: LoadElsewhere) -> None:
         if not self._digest.is_direct():
             self._state.chooser.on_load_elsewhere(message, self._context.monotonic())
+
+
+def _known_suspect(fingerprint: str, runs: list[BrokenRun], now: float) -> KnownSuspect:
+    """Return the message about a suspect; entries of earlier versions read only its last run."""
+    known = []
+    for run in runs:
+        run_ms = _milliseconds(run.ended_at - run.started_at)
+        known.append(KnownRun(run.server, run_ms, _milliseconds(now - run.ended_at)))
+    return KnownSuspect(fingerprint, len(runs), known[-1].age_ms, known)
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * 1000)
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -138,7 +138,10 @@
             turn_store=TurnStoreClient(context, self._follower.store_addresses),
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
             crash_suspects=CrashSuspects(),
-            report_suspect=lambda fingerprint: self._peer_updates.report_suspect(fingerprint),
+            report_suspect=lambda fingerprint, run: self._peer_updates.report_suspect(
+                fingerprint, run
+            ),
+            report_cleared=lambda fingerprint: self._peer_updates.report_cleared(fingerprint),
             report_exhausted=lambda message: self._peer_updates.report_exhausted(message),
             metrics=context.metrics,
             rng=context.rng,
--- a/libs/relay/tarragonhall_relay/_server_records.py
+++ b/libs/relay/tarragonhall_relay/_server_records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import structlog
-from tarragonhall_decisions import CallRequirements
+from tarragonhall_decisions import BrokenRun, CallRequirements
 from tarragonhall_model import BackendRecord
 
 from tarragonhall_relay._admission import AdmittedCall
@@ -49,7 +49,11 @@
         self._state.metrics.count("relay.whole_responses", labels=body.labels())
         requirements = CallRequirements(server.service, self._call.facts.parts)
         self._state.chooser.answered(server.server_id, requirements)
-        self._state.crash_suspects.on_response(self._call.fingerprint)
+        now = self._state.monotonic()
+        suspects = self._state.crash_suspects
+        suspects.on_server_response(_start_of(server), self._slot.started_at)
+        if suspects.on_response(self._call.fingerprint, now):
+            self._state.report_cleared(self._call.fingerprint)
 
     def not_run(self, server: BackendRecord, outcome: NotRun) -> None:
         """Record that a server did not run the call."""
@@ -72,10 +76,9 @@
             self._state.retry_budget.take()
         elif is_first:
             # A server that broke off twice took the call again, so the call did not crash it.
-            self._state.crash_suspects.on_broken_run(
-                self._call.fingerprint, self._state.monotonic()
-            )
-            self._state.report_suspect(self._call.fingerprint)
+            run = BrokenRun(_start_of(server), self._slot.started_at, self._state.monotonic())
+            self._state.crash_suspects.on_broken_run(self._call.fingerprint, run)
+            self._state.report_suspect(self._call.fingerprint, run)
         self._state.metrics.count("relay.may_have_run")
         body = failure.response_body
         self._state.metrics.count("relay.broken_responses", labels=body.labels())
@@ -88,3 +91,8 @@
             body_bytes=body.size,
             body_end=body.end_name,
         )
+
+
+def _start_of(server: BackendRecord) -> str:
+    """Return a name of this start of the server; a server that crashed starts anew."""
+    return f"{server.server_id}/{server.born_ms}"
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -9,6 +9,7 @@
 
 from tarragonhall_decisions import (
     BackendChooser,
+    BrokenRun,
     ColdSlack,
     CrashSuspects,
     ExhaustedPrograms,
@@ -61,7 +62,8 @@
     turn_store: TurnStoreClient
     rates: Rates
     crash_suspects: CrashSuspects
-    report_suspect: Callable[[str], None]
+    report_suspect: Callable[[str, BrokenRun], None]
+    report_cleared: Callable[[str], None]
     report_exhausted: Callable[[ProgramSpent], None]
     metrics: Metrics
     rng: random.Random
--- a/libs/relay/tests/calls_tests.py
+++ b/libs/relay/tests/calls_tests.py
@@ -200,6 +200,27 @@
     assert relay.call("/buy/", attempt="b-1", body=b"good")[0] == 502
 
 
+def test_calls_with_the_text_of_calls_that_one_crash_broke_are_not_refused(relay):
+    # A server crashes while it runs four calls with one text. Their text is no cause: later calls
+    # with it were refused at every entry for two minutes, without reaching a server.
+    running = []
+
+    def crashes(_backend, received):
+        running.append(received)
+        wait_until(lambda: len(running) == 4)
+        return "close"
+
+    crashed = relay.backend(crashes)
+    calls = [
+        eventlet.spawn(relay.call, "/buy/", attempt=f"a-{number}", body=b"template")
+        for number in range(4)
+    ]
+    assert [call.wait()[0] for call in calls] == [502] * 4
+    crashed.stop()
+    relay.backend(answers())
+    assert relay.call("/buy/", attempt="b-1", body=b"template")[0] == 200
+
+
 def test_idempotent_call_that_may_have_run_is_not_reported_as_not_run(relay):
     # One server closes the connection after it received the call, and the only other one is full.
     # A response that the call did not run would be false, and the client may rely on it.
--- a/libs/relay/tests/peer_suspects_tests.py
+++ b/libs/relay/tests/peer_suspects_tests.py
@@ -6,7 +6,7 @@
 
 import eventlet
 import pytest
-from tarragonhall_decisions import CrashSuspects
+from tarragonhall_decisions import BrokenRun, CrashSuspects
 from tarragonhall_fakes import free_address
 from tarragonhall_model import View
 from tarragonhall_relay import _followers
@@ -51,8 +51,12 @@
 
 
 def crash(entry: Entry, fingerprint: str, runs: int = 3) -> None:
-    for _ in range(runs):
-        entry.suspects.on_broken_run(fingerprint, entry.context.monotonic())
+    """Let a request crash servers one after the other, a second apart, until now."""
+    now = entry.context.monotonic()
+    for number in range(runs):
+        ended_at = now - (runs - 1 - number)
+        run = BrokenRun(f"server-{number}", ended_at - 0.1, ended_at)
+        entry.suspects.on_broken_run(fingerprint, run)
 
 
 def test_an_entry_that_restarts_learns_which_requests_crash_servers(start):
@@ -90,3 +94,20 @@
     one.inform([one, two])
     assert [two.knows(f"bad-{number}") for number in range(5)] == [False] * 3 + [True] * 2
     assert one.peers._informed == {one.record.incarnation, two.record.incarnation}
+
+
+def test_an_answer_clears_a_suspect_at_every_entry(start):
+    # An entry that was told of broken runs, and not of the answers to other calls with the same
+    # text, refused a request that all servers answered.
+    one, two = start("entry-1"), start("entry-2")
+    crash(one, "unlucky")
+    one.inform([one, two])
+    assert two.knows("unlucky")
+    one.suspects.on_response("unlucky", one.context.monotonic())
+    one.peers.report_cleared("unlucky")
+    for _ in range(40):
+        eventlet.sleep(0.02)
+    assert not two.knows("unlucky")
+    crash(one, "unlucky", 1)
+    one.inform([one, two])
+    assert not two.knows("unlucky")
