Take a response whose status HTTP does not have for no response

What callers saw: a server that answers with status 600 or 999 had its response passed on, for idempotent calls, calls that run once and streams; with the header that a call did not run, a call that may run once was sent to a second server. 000, 099 and 20x were not passed on.

Cause: the relay's HTTP library takes any three digits from 200 up as the status of a response, and the sidecar's any three digits; the latter also ends a call with 101 to 199.

Change: above 599 there is no response: the connection is closed and the call may have run. The sidecar refuses such statuses and 101, and reads on after other informational responses. The operator command takes 200 to 299 for a success, and a body that is no object for an error.

Why it works: each read of a response head passes the two places, before anything in the head is believed.

--- a/libs/cli/tarragonhall_cli/_client.py
+++ b/libs/cli/tarragonhall_cli/_client.py
@@ -106,7 +106,9 @@
         value = json.loads(response.data) if response.data else {}
     except ValueError as error:
         raise ToolError(f"{address} answered {response.status} without JSON") from error
-    if response.status < 300:
+    if not isinstance(value, dict):
+        raise ToolError(f"{address} answered {response.status} without a JSON object")
+    if 200 <= response.status < 300:
         return value
     message = value.get("message") or value.get("error") or f"status {response.status}"
     findings = [Finding(f["place"], f["message"]) for f in value.get("findings") or []]
--- a/libs/cli/tests/tool_tests.py
+++ b/libs/cli/tests/tool_tests.py
@@ -9,7 +9,7 @@
 from tarragonhall_cli.__main__ import cli, main
 from tarragonhall_cli._assignments import parse_assignments
 from tarragonhall_cli._client import AdminClient
-from tarragonhall_cli._errors import ConflictError, RejectedInputError, UnreachableError
+from tarragonhall_cli._errors import ConflictError, RejectedInputError, ToolError, UnreachableError
 from tarragonhall_cli._profiles import Profile
 from tarragonhall_model import secret_hash
 
@@ -207,3 +207,11 @@
     shown = run(api, "zones", "evacuate", "tx-wako")
     assert shown.exit_code != 0
     assert message in str(shown.exception) + shown.output
+
+
+@pytest.mark.parametrize("answer", [(600, {"version": 1}), (999, {}), (200, [])])
+def test_a_status_or_body_that_is_no_result_is_an_error(admin, answer):
+    # A list in place of an object ended the command with a traceback.
+    server = admin(answer)
+    with pytest.raises(ToolError):
+        AdminClient(Profile([server.address], "tho_x")).get("settings")
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -40,6 +40,8 @@
 MAX_IDLE_PER_SERVER = 12
 REQUEST_KIND = "server.request"
 RESPONSE_KIND = "server.answer"
+# The highest status that HTTP defines a class for.
+MAX_STATUS = 599
 END_OF_HEAD = b"\r\n\r\n"
 CHUNKED = (b"transfer-encoding", b"chunked")
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
@@ -138,6 +140,9 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    # `h11` takes any three digits from 200 up.
+                    raise BackendError(f"{event.status_code} is no HTTP status", sent=True)
                 self._cuts_chunks = self._is_at_first_chunk(event)
                 self.response_body.begin(self._request.method, event)
                 return event
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import http
 import http.client
 import json
 import time
@@ -48,6 +49,8 @@
 MAX_TRAILER_BYTES = 64 * 1024
 # Informational responses before the response. Servers send one or two.
 MAX_INFORMATIONAL_RESPONSES = 16
+# The highest status that HTTP defines a class for.
+MAX_STATUS = 599
 
 TRANSPORT_ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 TIMEOUT_ERRORS = (urllib3.exceptions.TimeoutError, TimeoutError)
@@ -250,16 +253,27 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """A response with bounded informational responses and trailers, which the base class skips."""
+    """A response with bounded informational responses and trailers, and a status that HTTP has.
+
+    The base class skips any number of informational responses with status 100 and takes the others,
+    and any status of three digits, as the response.
+    """
 
     _heads = 0
 
     def _read_status(self):
-        self._heads += 1
-        if self._heads > MAX_INFORMATIONAL_RESPONSES + 1:
-            text = f"over {MAX_INFORMATIONAL_RESPONSES} informational responses"
-            raise http.client.HTTPException(text)
-        return super()._read_status()
+        while True:
+            self._heads += 1
+            if self._heads > MAX_INFORMATIONAL_RESPONSES + 1:
+                text = f"over {MAX_INFORMATIONAL_RESPONSES} informational responses"
+                raise http.client.HTTPException(text)
+            version, status, reason = super()._read_status()
+            if not 100 <= status <= MAX_STATUS or status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException(f"{status} is no status of a response")
+            if status == http.HTTPStatus.CONTINUE or status >= 200:
+                return version, status, reason
+            while self.fp.readline(MAX_TRAILER_BYTES) not in (b"", b"\r\n", b"\n"):
+                continue
 
     def _read_and_discard_trailer(self):
         size = 0
