Take what streams keep from the room that large responses share

Cause: the text of a turn was bounded for each call, by 16 MB, and an unfinished event by 1 MB; only plain responses asked the room that bounds all. Small events were kept as objects, several times their bytes.

Change: the text is one buffer, and it and the unfinished event are taken from the shared room. A stream that finds no room ends; that is no evidence against its server or request, so it makes no suspect. Each response may take 64 KB without asking instead of 256 KB.

Why it works: all that is kept of responses beyond 64 KB a call is now one sum with one limit.

--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -18,7 +18,12 @@
 )
 from tarragonhall_relay._client import HOP_HEADERS
 from tarragonhall_relay._dialect import DispatchFacts, Headers, ResponseFacts
-from tarragonhall_relay._errors import BackendError, ResponseTimeoutError, SilentServerError
+from tarragonhall_relay._errors import (
+    BackendError,
+    NoMemoryError,
+    ResponseTimeoutError,
+    SilentServerError,
+)
 from tarragonhall_relay._events import EventError
 from tarragonhall_relay._response_body import ResponseBody
 from tarragonhall_relay._response_memory import ResponseLease
@@ -47,13 +52,15 @@
     """The call may have run on this server, and there is no whole response that can be relayed.
 
     `timed_out` means that the relay stopped waiting; this is no evidence of a fault in the call.
-    `server_gone` means that the server can no longer be reached.
+    `server_gone` means that the server can no longer be reached, `no_memory` that this entry could
+    not hold more of the response.
     """
 
     reason: str
     response_body: ResponseBody
     timed_out: bool = False
     server_gone: bool = False
+    no_memory: bool = False
     cause: BreakCause = BreakCause.CUT
 
 
@@ -138,7 +145,11 @@
         if not error.sent:
             return NotRun(str(error))
         reused = "reused" if connection.reused else "new"
-        return MayHaveRun(f"{error} ({reused} connection)", connection.response_body)
+        return MayHaveRun(
+            f"{error} ({reused} connection)",
+            connection.response_body,
+            no_memory=isinstance(error, NoMemoryError),
+        )
     finally:
         if not keep_open:
             connection.close()
@@ -152,6 +163,8 @@
             return MayHaveRun(
                 str(error), body, timed_out=True, server_gone=gone, cause=BreakCause.SILENT
             )
+        case NoMemoryError():
+            return MayHaveRun(str(error), body, no_memory=True)
         case EventError():
             return MayHaveRun(str(error), body, cause=BreakCause.INVALID)
         case _:
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -66,6 +66,7 @@
         "_slot",
         "_state",
         "_stream",
+        "_stream_lease",
         "_turn",
     )
 
@@ -85,7 +86,8 @@
         self._service: Service | None = None
         self._records: ServerRecords | None = None
         self._report = CallReport(state, arrived_at)
-        self._stream = StreamRelay(client, self._report, state.monotonic)
+        self._stream_lease = state.response_memory.lease()
+        self._stream = StreamRelay(client, self._report, state.monotonic, self._stream_lease)
         # None on routes whose streams cannot be resumed.
         self._resumption: CallResumption | None = None
         self._turn = CallTurn(state)
@@ -129,6 +131,7 @@
         finally:
             self._client.stop_watching()
             self._lease.release()
+            self._stream_lease.release()
             self._slot.release()
             self._turn.release(self._generated_tokens())
 
@@ -212,6 +215,8 @@
 
     def _after_break(self, server: BackendRecord, failure: MayHaveRun) -> NextStep:
         """Return how the call goes on after a server that may have run it."""
+        if failure.no_memory:
+            return NextStep.END
         if self._resumption is not None:
             return self._resumption.after_break(server, failure)
         return NextStep.MOVE if self._may_run_again() else NextStep.END
--- a/libs/relay/tarragonhall_relay/_errors.py
+++ b/libs/relay/tarragonhall_relay/_errors.py
@@ -25,6 +25,13 @@
         self.sent = sent
 
 
+class NoMemoryError(BackendError):
+    """This entry has no memory for more of a response; its server did nothing wrong."""
+
+    def __init__(self) -> None:
+        super().__init__("the entry has no memory for more of the response", sent=True)
+
+
 class ResponseTimeoutError(BackendError):
     """A server has not responded for several times the usual duration of such calls.
 
--- a/libs/relay/tarragonhall_relay/_events.py
+++ b/libs/relay/tarragonhall_relay/_events.py
@@ -44,6 +44,11 @@
         self.is_resumable = True
         self.count = 0
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return the bytes that are kept of an event that is not complete yet."""
+        return len(self._buffer)
+
     def drop_unfinished(self) -> None:
         """Drop the part of an event that a server did not finish, and what was wrong with it."""
         self._buffer = b""
--- a/libs/relay/tarragonhall_relay/_response_memory.py
+++ b/libs/relay/tarragonhall_relay/_response_memory.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from tarragonhall_relay._errors import BackendError
+from tarragonhall_relay._errors import NoMemoryError
 
 # Bytes that each response may take without asking. Nearly all are smaller.
-OWN_BYTES = 256 * 1024
+OWN_BYTES = 64 * 1024
 # Bytes that larger responses share at the most and at the least, and their part of the memory.
 # The parts of a response are joined once, which takes their size again.
 MAX_SHARED_BYTES = 32 * 1024 * 1024
@@ -46,11 +46,15 @@
         self._shared_bytes = 0
 
     def grow(self, size: int) -> None:
-        """Take more bytes; raise `BackendError` if the responses of this entry have no room."""
-        self._size += size
-        wanted = max(0, self._size - OWN_BYTES) - self._shared_bytes
-        if self._memory.shared_bytes + wanted > self._memory.limit:
-            raise BackendError("the entry has no memory for more of the response", sent=True)
+        """Take more bytes; raise `NoMemoryError` if the responses of this entry have no room."""
+        self.hold(self._size + size)
+
+    def hold(self, size: int) -> None:
+        """Take this many bytes in all; raise `NoMemoryError` as `grow` does."""
+        self._size = size
+        wanted = max(0, size - OWN_BYTES) - self._shared_bytes
+        if wanted > 0 and self._memory.shared_bytes + wanted > self._memory.limit:
+            raise NoMemoryError
         self._memory.shared_bytes += wanted
         self._shared_bytes += wanted
 
--- a/libs/relay/tarragonhall_relay/_server_records.py
+++ b/libs/relay/tarragonhall_relay/_server_records.py
@@ -74,7 +74,7 @@
         self._slot.note_failure()
         if failure.timed_out:
             self._state.retry_budget.take()
-        elif is_first:
+        elif is_first and not failure.no_memory:
             # A server that broke off twice took the call again, so the call did not crash it.
             run = BrokenRun(_start_of(server), self._slot.started_at, self._state.monotonic())
             self._state.crash_suspects.on_broken_run(self._call.fingerprint, run)
--- a/libs/relay/tarragonhall_relay/_stream_relay.py
+++ b/libs/relay/tarragonhall_relay/_stream_relay.py
@@ -13,6 +13,7 @@
 from tarragonhall_relay._events import EventError, EventReader, StreamEvent
 from tarragonhall_relay._report import CallReport
 from tarragonhall_relay._response_body import Framing
+from tarragonhall_relay._response_memory import ResponseLease
 from tarragonhall_relay._silence import SilenceWatch
 
 # Comments and parts of an event between two events. Far more than any event has.
@@ -27,24 +28,30 @@
     __slots__ = (
         "_bytes_since_event",
         "_client",
+        "_lease",
         "_monotonic",
         "_output",
-        "_output_bytes",
         "_reader",
         "_report",
         "runs",
     )
 
     def __init__(
-        self, client: ClientConnection, report: CallReport, monotonic: Callable[[], float]
+        self,
+        client: ClientConnection,
+        report: CallReport,
+        monotonic: Callable[[], float],
+        lease: ResponseLease,
     ) -> None:
         self._client = client
+        # Holds what is kept, until the call releases it.
+        self._lease = lease
         self._monotonic = monotonic
         self._bytes_since_event = 0
-        self._output_bytes = 0
         self._report = report
         self._reader = EventReader()
-        self._output: list[bytes] = []
+        # One buffer: as objects, the data of small events would take many times their size.
+        self._output = bytearray()
         # Servers whose stream has begun.
         self.runs = 0
 
@@ -65,7 +72,7 @@
     @property
     def output(self) -> bytes:
         """Return the data of the events."""
-        return b"".join(self._output)
+        return bytes(self._output)
 
     def forward(
         self,
@@ -76,7 +83,8 @@
     ) -> None:
         """Forward the events of one server until the end of its response.
 
-        Raises `BackendError` or `EventError` if the response has no proper end.
+        Raises `BackendError` or `EventError` if the response has no proper end, and
+        `NoMemoryError` if this entry has no memory for it.
         """
         self.runs += 1
         self._reader.drop_unfinished()
@@ -103,6 +111,7 @@
                 is_first = False
                 on_first_event()
             self._forward_events(events, keeps_output)
+            self._lease.hold(len(self._output) + self._reader.unfinished_bytes)
             self._reader.check()
         if not self._reader.is_complete():
             raise EventError("the stream ended in the middle of an event")
@@ -119,9 +128,9 @@
         self._client.send(b"".join(event.raw for event in events))
         self._report.events += len(events)
         if keeps_output:
-            self._output.extend(event.data + b"\n" for event in events)
-            self._output_bytes += sum(len(event.data) + 1 for event in events)
-            if self._output_bytes > MAX_OUTPUT_BYTES:
+            for event in events:
+                self._output += event.data + b"\n"
+            if len(self._output) > MAX_OUTPUT_BYTES:
                 raise EventError(f"the text of the stream is over {MAX_OUTPUT_BYTES} bytes")
 
     def _count_bytes_without_event(self, size: int) -> None:
--- a/libs/relay/tests/endless_responses_tests.py
+++ b/libs/relay/tests/endless_responses_tests.py
@@ -26,10 +26,13 @@
 class Endless:
     """Script that sends a head and then the same bytes until the relay closes the connection."""
 
-    def __init__(self, head: str, repeated: bytes, pause_s: float = FLOOD) -> None:
+    def __init__(
+        self, head: str, repeated: bytes, pause_s: float = FLOOD, seconds: float = 5.0
+    ) -> None:
         self.head = head
         self.repeated = repeated
         self.pause_s = pause_s
+        self.seconds = seconds
         self.sent = 0
         self.closed = 0
 
@@ -41,7 +44,7 @@
         )
         try:
             received.connection.sendall(data)
-            with eventlet.Timeout(5.0, False):
+            with eventlet.Timeout(self.seconds, False):
                 while True:
                     received.connection.sendall(repeated)
                     self.sent += len(repeated)
@@ -154,6 +157,46 @@
     assert relay.state.response_memory.shared_bytes == 0
 
 
+STREAMED = [
+    pytest.param(b"data: " + b"x" * 1000 + b"\n\n", id="large events"),
+    pytest.param(b"data: " + b"x" * 20 + b"\n\n", id="small events"),
+    pytest.param(b"data: " + b"x" * 1000, id="one event"),
+]
+
+
+def read_and_discard(relay, data: bytes) -> int:
+    """Send a request; return the number of bytes of its response."""
+    connection = relay.connect()
+    size = 0
+    with connection, eventlet.Timeout(PATIENCE_SECONDS):
+        connection.sendall(data)
+        while received := connection.recv(65_536):
+            size += len(received)
+    return size
+
+
+@pytest.mark.parametrize("events", STREAMED)
+def test_memory_for_endless_streams_of_many_servers_is_bounded(relay, monkeypatch, events):
+    # Each call kept the text of its turn up to a limit of its own; nine of them ended the entry.
+    monkeypatch.setattr(_response_memory, "MAX_SHARED_BYTES", 1024 * 1024)
+    relay.configure(timeout_ms=PATIENCE_SECONDS * 1_000)
+    deadline = str(PATIENCE_SECONDS * 1_000)
+    part = events * (1 + 8_000 // len(events))
+    chunk = b"%x\r\n%b\r\n" % (len(part), part)
+    for _ in range(4):
+        relay.backend(Endless(SIGNED + CHUNKED, chunk, FLOOD, PATIENCE_SECONDS))
+    tracemalloc.start()
+    try:
+        data = [request("/talk/", attempt=f"a-{n}", deadline=deadline) for n in range(12)]
+        for call in [eventlet.spawn(read_and_discard, relay, one) for one in data]:
+            call.wait()
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 12 * 1024 * 1024
+    assert relay.state.response_memory.shared_bytes == 0
+
+
 def test_large_responses_are_whole_again_once_there_is_room():
     # Memory that a response does not give back would be missing for as long as the entry runs.
     memory = ResponseMemory()
