--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -151,6 +151,7 @@
     Number,
     Text,
     escape_json_pointer,
+    is_ip_address,
     is_port,
 )
 from tarragonhall_model._policy import (
@@ -400,6 +401,7 @@
     "fingerprint",
     "from_plain",
     "is_enough",
+    "is_ip_address",
     "is_port",
     "lazy_exports",
     "measure_parsed_size",
--- a/libs/model/tarragonhall_model/_options.py
+++ b/libs/model/tarragonhall_model/_options.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from ipaddress import IPv4Address
 from typing import Any
 
 from tarragonhall_model._findings import Finding, is_enough, shown, unknown_name
@@ -253,6 +254,15 @@
     return text.isascii() and text.isdigit() and len(text) <= 5 and 0 < int(text) <= MAX_PORT
 
 
+def is_ip_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address, which takes no look-up to connect to."""
+    try:
+        IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def escape_json_pointer(name: str) -> str:
     """Escape a name for use in a JSON pointer (RFC 6901)."""
     return name.replace("~", "~0").replace("/", "~1")
--- a/libs/model/tarragonhall_model/_relay.py
+++ b/libs/model/tarragonhall_model/_relay.py
@@ -240,7 +240,14 @@
     """Return the records of `pack_records`; raise `CodecError` for anything else."""
     try:
         plain = cbor2.loads(zlib.decompress(packed))
-    except (zlib.error, cbor2.CBORDecodeError, ValueError, EOFError) as error:
+    except (
+        zlib.error,
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        EOFError,
+        RecursionError,
+    ) as error:
         raise CodecError(f"not packed records: {error}") from error
     if not isinstance(plain, list):
         raise CodecError("expected a list of packed records")
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -10,7 +10,7 @@
 import eventlet
 import h11
 from eventlet.green import socket
-from tarragonhall_model import BackendRecord
+from tarragonhall_model import BackendRecord, is_ip_address, is_port
 from tarragonhall_wire import Metrics, Traffic, report_resets, wait_and_receive
 
 from tarragonhall_relay._chunks import cut_chunks
@@ -113,11 +113,14 @@
         self.usable_until = 0.0
 
     def send(self, method: str, target: bytes, headers: Headers, body: bytes) -> None:
-        """Send a call; raise `BackendError` if the connection fails."""
+        """Send a call; raise `BackendError` if the connection fails or the head is invalid."""
         framing: Headers = []
         if body or method in ("POST", "PUT", "PATCH"):
             framing = [(b"content-length", str(len(body)).encode())]
-        self._request = h11.Request(method=method, target=target, headers=headers + framing)
+        try:
+            self._request = h11.Request(method=method, target=target, headers=headers + framing)
+        except h11.LocalProtocolError as error:
+            raise BackendError(f"the call cannot be sent: {error}", sent=False) from error
         self.response_body = ResponseBody()
         head = self._http.send(self._request)
         if body:
@@ -392,6 +395,9 @@
     def open(self, record: BackendRecord) -> BackendConnection:
         """Return a new connection; raise `BackendError`, with `sent` false, if there is none."""
         host, _, port = record.address.rpartition(":")
+        if not (is_ip_address(host) and is_port(port)):
+            # A name would be looked up by the whole process, and some names raise anything.
+            raise BackendError(f"{record.address!r} is no IP address and port", sent=False)
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             set_options(connection)
