Take no call late in a planned stop that cannot end in it

What callers saw: a request whose body was still arriving when an entry closed its listener was passed on when it ended, and cut without an answer at the end of the grace, though it may run once only; so was any call that ran then or waited for a server.

Cause: a drain waited for its calls and then closed their connections. No call was asked whether it would end in time. Plain requests on idle connections were no part of it: those are closed unread after 2.5 s.

Change: once the listener is closed, a call whose deadline is after the end of the drain is refused with 503 and Retry-After 0. Shortly before the end, calls that still run get 504, those that no server had got 503, and streams are closed.

Why it works: a call that is taken either ends by its own deadline before the process does, or was taken while clients still came here and gets an answer in any case.

--- a/libs/relay/tarragonhall_relay/_admission.py
+++ b/libs/relay/tarragonhall_relay/_admission.py
@@ -54,6 +54,10 @@
     retry_after_s: float | None = None
 
 
+# Other entries take the call at once.
+STOPPING = Rejection(STATUS_UNAVAILABLE, "stopping", "this process is about to stop", 0.0)
+
+
 @dataclass(slots=True, frozen=True)
 class AdmittedCall:
     """A call that may run; `deadline` is in monotonic seconds.
@@ -190,6 +194,11 @@
     return None if refusal is None else rejection_for(refusal)
 
 
+def reject_late(state: RelayState, call: AdmittedCall) -> Rejection | None:
+    """Return the rejection of a call that this entry may not finish before it stops."""
+    return STOPPING if state.planned_stop.is_too_late(call.deadline.at) else None
+
+
 def return_rate_token(state: RelayState, call: AdmittedCall) -> None:
     """Return the token of a call that certainly did not run: a rate limits calls that run."""
     if call.organisation is not None and call.organisation.rate is not None:
--- a/libs/relay/tarragonhall_relay/_call.py
+++ b/libs/relay/tarragonhall_relay/_call.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import NoReturn
+
 import eventlet
 from tarragonhall_decisions import BreakCause, NextStep
 from tarragonhall_model import BackendRecord, CallType, Service
@@ -15,10 +17,12 @@
 
 from tarragonhall_relay._admission import (
     STATUS_UNAVAILABLE,
+    STOPPING,
     AdmittedCall,
     Rejection,
     admit,
     attempt_id_of,
+    reject_late,
     return_rate_token,
     take_rate_token,
 )
@@ -42,6 +46,7 @@
     ClientDisconnectedError,
     DeadlineExceededError,
     IncompleteResponseError,
+    StoppingError,
 )
 from tarragonhall_relay._events import EventError
 from tarragonhall_relay._report import CallReport
@@ -116,10 +121,15 @@
         left_s = admitted.deadline.at - self._state.monotonic()
         self._client.watch_for_close()
         try:
-            with eventlet.Timeout(
-                max(0.0, left_s), DeadlineExceededError("the deadline has passed")
+            with (
+                eventlet.Timeout(
+                    max(0.0, left_s), DeadlineExceededError("the deadline has passed")
+                ),
+                self._state.planned_stop.running(),
             ):
                 self._run_admitted()
+        except StoppingError:
+            self._end_stopped()
         except DeadlineExceededError:
             self._end_timed_out()
         except ClientDisconnectedError:
@@ -147,7 +157,8 @@
 
     def _run_admitted(self) -> None:
         early = (
-            self._turn.reject_exhausted(self._admitted)
+            reject_late(self._state, self._admitted)
+            or self._turn.reject_exhausted(self._admitted)
             or self._slot.reject_too_large()
             or self._slot.reject_early()
         )
@@ -347,13 +358,26 @@
 
     def _end_timed_out(self) -> None:
         if self._client.response_started:
-            reason = "the deadline passed in the middle of the response"
-            self._report.end(self._admitted, None, reason)
-            raise IncompleteResponseError(reason)
+            self._break_off("the deadline passed in the middle of the response")
         reason = "no response before the deadline"
         self._respond_error(504, "deadline", reason)
         self._report.end(self._admitted, 504, reason)
 
+    def _end_stopped(self) -> None:
+        """End a call that this process cannot finish before its planned stop."""
+        if self._client.response_started:
+            self._break_off("the process stopped in the middle of the response")
+        if self._report.attempts == 0:
+            self._reject(STOPPING)
+            return
+        reason = "no response before the process stops"
+        self._respond_error(504, STOPPING.error, reason)
+        self._report.end(self._admitted, 504, reason)
+
+    def _break_off(self, reason: str) -> NoReturn:
+        self._report.end(self._admitted, None, reason)
+        raise IncompleteResponseError(reason)
+
     def _respond_error(
         self, status: int, error: str, message: str, extra: Headers | None = None
     ) -> None:
--- a/libs/relay/tarragonhall_relay/_errors.py
+++ b/libs/relay/tarragonhall_relay/_errors.py
@@ -14,6 +14,10 @@
     """The deadline of the client or the timeout of the route has passed."""
 
 
+class StoppingError(DeadlineExceededError):
+    """This process stops before the call has ended."""
+
+
 class BackendError(TarragonhallError):
     """A backend server was unreachable, or its connection or response failed.
 
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -62,6 +62,9 @@
 # Interval at which expired idle connections are closed and gauges are set.
 SWEEP_INTERVAL_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.02
+# How long before the end of a drain the calls that still run are ended, so that their answers
+# arrive.
+END_CALLS_SECONDS = 0.3
 # The balancer checks readiness once a second and removes a process after two failures. Until then
 # new clients still connect here and must be served.
 BALANCER_REMOVAL_SECONDS = 2.5
@@ -212,25 +215,40 @@
     def drain(self, timeout_s: float) -> bool:
         """Become not ready, finish all calls and leave the view.
 
-        Returns whether all clients are gone.
+        Calls that still run shortly before the end are ended with an answer. Returns whether all
+        calls were finished and all clients are gone.
         """
         deadline = self._context.monotonic() + timeout_s
+        calls_end_at = deadline - min(END_CALLS_SECONDS, timeout_s / 4)
         self.state.draining = True
+        self.state.planned_stop.begin(calls_end_at)
         for client in self._clients:
             client.closing = True
         log.info("relay.draining", calls=self.state.calls_in_flight, connections=len(self._clients))
         eventlet.sleep(min(BALANCER_REMOVAL_SECONDS, timeout_s / 2))
+        self.state.planned_stop.refuse_late()
         self._stop_accepting()
-        while self._clients and self._context.monotonic() < deadline:
-            for client in list(self._clients):
-                client.close_if_idle()
-            eventlet.sleep(DRAIN_POLL_SECONDS)
-        ended = not self._clients
-        log.info("relay.drained", calls=self.state.calls_in_flight, ended=ended)
+        self._wait_for_clients(calls_end_at)
+        calls_ended = self.state.planned_stop.end_calls()
+        self._wait_for_clients(deadline)
+        ended = not self._clients and not calls_ended
+        log.info(
+            "relay.drained",
+            calls=self.state.calls_in_flight,
+            calls_ended=calls_ended,
+            ended=ended,
+        )
         # Leave last: outside the view this entry would get no rate tokens for its remaining calls.
         self._control.leave(self._context.entry_record(), LEAVE_TIMEOUT_SECONDS)
         return ended
 
+    def _wait_for_clients(self, until: float) -> None:
+        """Close connections as they become idle, until all are closed or `until` has come."""
+        while self._clients and self._context.monotonic() < until:
+            for client in list(self._clients):
+                client.close_if_idle()
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+
     def _stop_accepting(self) -> None:
         """Accept the connections in the backlog, then close the listener.
 
--- a/libs/relay/tarragonhall_relay/_state.py
+++ b/libs/relay/tarragonhall_relay/_state.py
@@ -24,6 +24,7 @@
 from tarragonhall_relay._backend import BackendPool
 from tarragonhall_relay._client_writer import WaitingBytes
 from tarragonhall_relay._dialect import Dialect
+from tarragonhall_relay._planned_stop import PlannedStop
 from tarragonhall_relay._response_memory import ResponseMemory
 from tarragonhall_relay._routes import RouteTable
 from tarragonhall_relay._silence import ServerChecks
@@ -84,4 +85,5 @@
     urgent_first: UrgentFirst | None = None
     table: RouteTable | None = None
     draining: bool = False
+    planned_stop: PlannedStop = field(default_factory=PlannedStop)
     calls_in_flight: int = 0
