Ask the list before a pending one for copies, not for a majority

What users would see: a store of four is removed since its machine is gone, and another one dies before the removal is committed.

Votes need no second list, as lists that differ by one voter have overlapping majorities; only the recovery of lost folders relies on copies, and on as many as losses are tolerated.

Change: until a list is committed, entries need the copies that the list before asks for, and the majority of the active one. At most as many lost folders as are tolerated can be recovered from.

--- a/libs/consensus/tarragonhall_consensus/_election.py
+++ b/libs/consensus/tarragonhall_consensus/_election.py
@@ -195,10 +195,7 @@
         return self._is_recovery
 
     def _has_majority(self) -> bool:
-        granted = set(self._granted.values())
-        return has_majority(
-            self._core.membership.members, lambda member: member.identity in granted
-        )
+        return has_majority(self._core.membership.members, set(self._granted.values()))
 
     def _is_recoverable(self) -> bool:
         core = self._core
--- a/libs/consensus/tarragonhall_consensus/_leadership.py
+++ b/libs/consensus/tarragonhall_consensus/_leadership.py
@@ -30,7 +30,12 @@
     OtherIdentity,
     SnapshotReply,
 )
-from tarragonhall_consensus._quorums import identified, is_committed, required_copies
+from tarragonhall_consensus._quorums import (
+    has_copies,
+    has_majority,
+    identified,
+    required_copies,
+)
 from tarragonhall_consensus._reads import Reads, Rounds
 from tarragonhall_consensus._replication import Replication
 
@@ -238,23 +243,21 @@
     def _index_to_commit(self) -> int:
         """Return the highest index that is held as the undecided member lists require."""
         core = self._core
+        members = core.membership.members
         lists = core.membership.undecided_lists(core.commit_index)
         lost = self._lost_identities()
         index_by_identity = {
             member.identity: self._match_index_of(member)
-            for members in lists
-            for member in identified(members)
+            for listed in lists
+            for member in identified(listed)
         }
         losses = core.limits.tolerated_losses
         for index in sorted(set(index_by_identity.values()), reverse=True):
             if index <= core.commit_index:
                 break
             held = {identity for identity, held in index_by_identity.items() if held >= index}
-            if all(
-                is_committed(
-                    members, losses, lost, lambda member, held=held: member.identity in held
-                )
-                for members in lists
+            if has_majority(members, held) and all(
+                has_copies(listed, losses, held, lost) for listed in lists
             ):
                 return index
         return core.commit_index
--- a/libs/consensus/tarragonhall_consensus/_membership.py
+++ b/libs/consensus/tarragonhall_consensus/_membership.py
@@ -3,7 +3,7 @@
 A list is active as soon as its entry is in the log, committed or not, and until the entry is
 dropped or a later list follows. Successive lists differ by at most one voter, so that any majority
 of one overlaps any majority of the next; only the list of a leader elected by `is_recoverable` may
-differ by more. A list is committed under the rules of both itself and the list before it.
+differ by more. Until a list is committed, entries need the copies that the list before it asks for.
 """
 
 from __future__ import annotations
--- a/libs/consensus/tarragonhall_consensus/_quorums.py
+++ b/libs/consensus/tarragonhall_consensus/_quorums.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 
 from tarragonhall_consensus._messages import Member
 
@@ -22,34 +22,27 @@
     return [member for member in members if member.identity]
 
 
-def has_majority(members: tuple[Member, ...], is_counted: Callable[[Member], bool]) -> bool:
-    """Return whether a majority of the voters of a list is counted."""
+def has_majority(members: tuple[Member, ...], identities: Collection[str]) -> bool:
+    """Return whether the identities are a majority of the voters of a list."""
     voters = [member for member in members if member.voting]
-    return sum(map(is_counted, voters)) >= len(voters) // 2 + 1
+    return sum(member.identity in identities for member in voters) >= len(voters) // 2 + 1
 
 
 def required_copies(members: tuple[Member, ...], losses: int) -> int:
-    """Return how many identities hold each entry that is committed under a list."""
-    voters = sum(member.voting for member in members)
+    """Return how many identities hold each entry that is committed under a list, at least."""
     # One member may be down without blocking every change.
-    beyond_losses = min(losses + 1, len(identified(members)) - 1)
-    return max(voters // 2 + 1, beyond_losses)
+    return max(1, min(losses + 1, len(identified(members)) - 1))
 
 
-def is_committed(
-    members: tuple[Member, ...],
-    losses: int,
-    lost: Collection[str],
-    holds: Callable[[Member], bool],
+def has_copies(
+    members: tuple[Member, ...], losses: int, held: Collection[str], lost: Collection[str]
 ) -> bool:
-    """Return whether an entry is committed under a list; `lost` are identities without a folder."""
-    known = identified(members)
-    held = {member.identity for member in known if holds(member)}
+    """Return whether enough identities of a list hold an entry; `lost` have no folder any more."""
     # A lost copy is one of the losses that the others are to outlive.
-    held_or_lost = sum(member.identity in held or member.identity in lost for member in known)
-    if has_majority(members, holds) and held_or_lost >= required_copies(members, losses):
-        return True
-    return is_recoverable(members, losses, held, lost)
+    held_or_lost = sum(
+        member.identity in held or member.identity in lost for member in identified(members)
+    )
+    return held_or_lost >= required_copies(members, losses)
 
 
 def is_recoverable(
