Bound what the stores retain of turns

All stores hold the same, so they end together.

Change: the state counts what turns take by organisation; the leader refuses turns and reservations beyond a fifth of its machine's memory, and those of an organisation with over half of all turns beyond three quarters of that. A refused entry begins no retained turn of the organisation for 2 s.

Why it works: what is applied is bounded before it is proposed, so a restart reads no more than that.

Tests: what turns take is counted until they expire; by property the room is never exceeded and others keep a part of it; a full store refuses and goes on. They ask for what did not exist before.

--- a/libs/relay/tarragonhall_relay/_turn_store.py
+++ b/libs/relay/tarragonhall_relay/_turn_store.py
@@ -13,6 +13,7 @@
     KeepTurn,
     LinkError,
     ReadTurns,
+    Refusal,
     ReserveTurn,
     TurnContent,
     TurnRecorded,
@@ -70,6 +71,7 @@
         "_client",
         "_context",
         "_deferred_stores",
+        "_full_until_by_org",
         "_store_addresses",
     )
 
@@ -83,12 +85,15 @@
         # Stores that did not reply or had none of the turns last requested are tried last;
         # otherwise each read would waste a round trip on a standby.
         self._deferred_stores: set[str] = set()
+        # When the stores may have room again for an organisation that they refused.
+        self._full_until_by_org: dict[str, float] = {}
 
     def reserve(self, key: TurnKey, timeout_s: float) -> OpenTurn | BudgetSpent | UnknownTurn:
         """Reserve a turn's tokens and read its history.
 
         Raises `TurnStoreError` if the stores do not reply; the turn has not run then.
         """
+        self._check_room(key.org_id)
         if key.token_budget is None and key.previous_turn is None:
             return OpenTurn(key, b"", "")
         command = ReserveTurn(
@@ -112,6 +117,9 @@
         match result:
             case BudgetSpent() | UnknownTurn():
                 return result
+            case Refusal():
+                self._note_refusal(key.org_id, result)
+                raise TurnStoreError(result.message)
             case TurnReserved(chain=chain, server_id=server_id):
                 return self._open_turn(key, chain, server_id, deadline)
         raise TurnStoreError(f"unexpected reply from the stores: {type(result).__name__}")
@@ -133,6 +141,9 @@
             key.retention_ms,
         )
         result = self._client.propose(command, PERSIST_TIMEOUT_SECONDS)
+        if isinstance(result, Refusal):
+            self._note_refusal(key.org_id, result)
+            raise UnavailableError(result.message)
         if not isinstance(result, TurnRecorded):
             raise UnavailableError(f"unexpected reply from the stores: {type(result).__name__}")
         self._cache_turn(key.org_id, TurnContent(key.attempt_id, body, output))
@@ -142,6 +153,23 @@
         if key.token_budget is not None:
             eventlet.spawn_n(self._release, key, used)
 
+    def _check_room(self, org_id: str) -> None:
+        """Raise `TurnStoreError` while the stores take no more turns of the organisation.
+
+        A call that runs and cannot be stored has no whole response, so it is not begun.
+        """
+        full_until = self._full_until_by_org.get(org_id)
+        if full_until is None:
+            return
+        if self._context.monotonic() < full_until:
+            raise TurnStoreError("the stores have no memory for more turns of the organisation")
+        del self._full_until_by_org[org_id]
+
+    def _note_refusal(self, org_id: str, refusal: Refusal) -> None:
+        if refusal.retry_after_ms is not None:
+            retry_s = refusal.retry_after_ms / 1000
+            self._full_until_by_org[org_id] = self._context.monotonic() + retry_s
+
     def _release(self, key: TurnKey, used: int) -> None:
         command = EndTurn(key.attempt_id, key.org_id, key.program_id, used, key.retention_ms)
         try:
--- a/libs/state/tarragonhall_state/__init__.py
+++ b/libs/state/tarragonhall_state/__init__.py
@@ -68,6 +68,11 @@
         "Origin",
         "SettingsTree",
     ),
+    "_turn_room": (
+        "TurnRoom",
+        "turn_bytes",
+        "turn_room_for",
+    ),
     "_turns": (
         "RETENTION_SLACK_MS",
         "TurnState",
--- a/libs/state/tarragonhall_state/_turns.py
+++ b/libs/state/tarragonhall_state/_turns.py
@@ -27,6 +27,8 @@
     decode,
 )
 
+from tarragonhall_state._turn_room import turn_bytes
+
 SNAPSHOT_FORMAT = 1
 # Added to each retention. A caller learns of a turn's end after it was recorded, and its request at
 # the last moment of the retention must still find the turn.
@@ -70,7 +72,14 @@
 class TurnState:
     """All stored turns and budgets. `apply` is deterministic on every member."""
 
-    __slots__ = ("_expiry_heap", "clock_ms", "program_by_key", "turn_by_key")
+    __slots__ = (
+        "_expiry_heap",
+        "clock_ms",
+        "held_bytes",
+        "held_bytes_by_org",
+        "program_by_key",
+        "turn_by_key",
+    )
 
     def __init__(self) -> None:
         self.clock_ms = 0
@@ -78,6 +87,9 @@
         self.program_by_key: dict[ProgramKey, ProgramTokens] = {}
         # When an item may expire, whether it is a turn, and its key.
         self._expiry_heap: list[tuple[int, bool, tuple[str, str]]] = []
+        # What the turns take in memory.
+        self.held_bytes = 0
+        self.held_bytes_by_org: dict[str, int] = {}
 
     def apply(self, index: int, data: bytes) -> object:
         """Apply one committed command and return its result."""
@@ -150,6 +162,10 @@
         self.turn_by_key = {
             (org_id, turn_id): StoredTurn(*parts) for turn_id, org_id, *parts in turns
         }
+        self.held_bytes = 0
+        self.held_bytes_by_org = {}
+        for (org_id, _turn_id), turn in self.turn_by_key.items():
+            self._count(org_id, turn, 1)
         self.program_by_key = {}
         for org_id, program_id, spent, reserved, ended, expires_ms in programs:
             tokens = ProgramTokens(spent, reserved, set(ended), expires_ms)
@@ -198,17 +214,27 @@
         tokens = self._program(org_id, command.program_id, command.retention_ms)
         self._settle(tokens, command.attempt_id, command.used)
         expires_ms = self.clock_ms + command.retention_ms + RETENTION_SLACK_MS
-        self.turn_by_key[key] = StoredTurn(
+        turn = self.turn_by_key[key] = StoredTurn(
             command.previous,
             command.input,
             command.output,
             command.server_id,
             expires_ms,
         )
+        self._count(org_id, turn, 1)
         self._schedule_expiry(expires_ms, True, key)
         self._extend_chain(org_id, command.previous, expires_ms)
         return TurnRecorded()
 
+    def _count(self, org_id: str, turn: StoredTurn, sign: int) -> None:
+        size = sign * turn_bytes(len(turn.input) + len(turn.output))
+        self.held_bytes += size
+        held = self.held_bytes_by_org.get(org_id, 0) + size
+        if held:
+            self.held_bytes_by_org[org_id] = held
+        else:
+            self.held_bytes_by_org.pop(org_id, None)
+
     def _settle(self, tokens: ProgramTokens, attempt_id: str, used: int) -> None:
         if attempt_id in tokens.ended:
             return
@@ -251,3 +277,5 @@
                 self._schedule_expiry(item.expires_ms, is_turn, key)
                 continue
             del item_by_key[key]
+            if is_turn:
+                self._count(key[0], item, -1)
--- a/libs/state/tests/turns_tests.py
+++ b/libs/state/tests/turns_tests.py
@@ -17,7 +17,7 @@
     UnknownTurn,
     encode,
 )
-from tarragonhall_state import RETENTION_SLACK_MS, TurnState
+from tarragonhall_state import RETENTION_SLACK_MS, TurnRoom, TurnState, turn_bytes
 
 RETENTION_MS = 60_000
 
@@ -199,3 +199,35 @@
         run_command(stores, command)
         tokens = stores.state.program_by_key.get(("org", "p"))
         assert tokens is None or tokens.spent_or_reserved() <= 1_000
+
+
+def test_what_turns_take_is_counted_until_they_expire():
+    # Without the count, nothing could tell a store that its turns fill its memory.
+    stores = Stores()
+    stores.keep("a", org="org")
+    stores.keep("b", org="other")
+    stores.keep("b", org="other")
+    size = turn_bytes(3)
+    assert stores.state.held_bytes == 2 * size
+    assert stores.state.held_bytes_by_org == {"org": size, "other": size}
+    restored = TurnState()
+    restored.restore(stores.state.snapshot())
+    assert restored.held_bytes_by_org == stores.state.held_bytes_by_org
+    stores.now_ms = 2 * RETENTION_MS
+    stores.end("c")
+    assert (stores.state.held_bytes, stores.state.held_bytes_by_org) == (0, {})
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(1, 400_000)), max_size=60))
+def test_turns_never_take_more_than_their_room_and_leave_a_part_of_it_to_others(turns):
+    # Turns of one organisation filled the memory of all stores, and those of all others were lost.
+    room = TurnRoom(4_000_000)
+    held_by_org = dict.fromkeys(range(4), 0)
+    for org, size in turns:
+        held = sum(held_by_org.values())
+        if room.has_room(size, held, held_by_org[org]):
+            held_by_org[org] += size
+        elif held_by_org[org] + size <= size:
+            # An organisation that holds nothing is refused only if nothing is left.
+            assert held + size > room.total_bytes or size > (held + size) / 2
+        assert sum(held_by_org.values()) <= room.total_bytes
--- a/libs/store/tarragonhall_store/_role.py
+++ b/libs/store/tarragonhall_store/_role.py
@@ -89,7 +89,7 @@
             context.availability_zone,
             fresh or self._recorded_first_start,
         )
-        self._service = TurnService(self.state, context)
+        self._service = TurnService(self.state, context, settings.turn_room)
         self._service.register()
         client.follow(lambda: self._record, self._follower)
         eventlet.spawn_n(self._start_member)
--- a/libs/store/tarragonhall_store/_service.py
+++ b/libs/store/tarragonhall_store/_service.py
@@ -20,27 +20,32 @@
     Propose,
     Proposed,
     ReadTurns,
+    Refusal,
+    RefusalCode,
     ReserveTurn,
     TurnCommand,
     TurnsRead,
     encode,
 )
-from tarragonhall_state import TurnState
+from tarragonhall_state import TurnRoom, TurnState, turn_bytes
 from tarragonhall_wire import Link, ProcessContext
 
 log = structlog.get_logger(__name__)
 
+# Turns are retained for a minute, so room comes in parts of it.
+NO_ROOM_RETRY_MS = 2_000
 PROPOSABLE = (ReserveTurn, EndTurn, KeepTurn)
 
 
 class TurnService:
     """The handlers of one store member for the messages of entries."""
 
-    __slots__ = ("_base_at", "_base_ms", "_context", "_member", "_state")
+    __slots__ = ("_base_at", "_base_ms", "_context", "_member", "_room", "_state")
 
-    def __init__(self, state: TurnState, context: ProcessContext) -> None:
+    def __init__(self, state: TurnState, context: ProcessContext, room: TurnRoom) -> None:
         self._state = state
         self._context = context
+        self._room = room
         self._member: GroupMember | None = None
         self._base_at = 0.0
         self._base_ms: int | None = None
@@ -76,6 +81,9 @@
             return NotLeader()
         if not self._member.is_leader():
             return NotLeader(self._member.leader_address())
+        refusal = self._refuse(message.body)
+        if refusal is not None:
+            return Proposed(refusal)
         data = encode(TurnCommand(self._now_ms(), message.body))
         try:
             return Proposed(self._member.loop.propose(data, PROPOSE_TIMEOUT_SECONDS))
@@ -85,6 +93,32 @@
         except OutcomeUnknownError:
             return NotLeader(self._member.leader_address())
 
+    def _refuse(self, command: object) -> Refusal | None:
+        """Return the refusal of a turn for which there is no room, or of its reservation."""
+        match command:
+            case KeepTurn(org_id=org_id, attempt_id=attempt_id):
+                if (org_id, attempt_id) in self._state.turn_by_key:
+                    return None
+                size = turn_bytes(len(command.input) + len(command.output))
+            case ReserveTurn(org_id=org_id):
+                size = turn_bytes(0)
+            case _:
+                return None
+        state = self._state
+        org_bytes = state.held_bytes_by_org.get(org_id, 0)
+        if self._room.has_room(size, state.held_bytes, org_bytes):
+            return None
+        self._context.metrics.count("store.turns_refused")
+        log.info(
+            "store.no_room",
+            organisation=org_id,
+            size=size,
+            held_bytes=state.held_bytes,
+            org_bytes=org_bytes,
+        )
+        message = "the stores have no memory for more turns of the organisation"
+        return Refusal(RefusalCode.OVERLOADED, message, retry_after_ms=NO_ROOM_RETRY_MS)
+
     def _on_read(self, _link: Link, message: ReadTurns) -> TurnsRead:
         """Return the content of turns; it never changes, so any member may answer."""
         return TurnsRead(self._state.content(message.org_id, message.turn_ids))
--- a/libs/store/tests/role_tests.py
+++ b/libs/store/tests/role_tests.py
@@ -13,11 +13,13 @@
     KeepTurn,
     NotLeader,
     Propose,
+    RefusalCode,
     ReserveTurn,
     TurnRecorded,
     TurnReserved,
     UnknownTurn,
 )
+from tarragonhall_state import TurnRoom
 
 RETENTION_MS = 60_000
 
@@ -200,3 +202,29 @@
     deployment.wait_until(lambda: {("org", one) for one in "abc"} <= set(role.state.turn_by_key))
     deployment.wait_until(role.ready)
     assert reserve_turn(deployment, "c") == TurnReserved(["a", "b", "c"], "i-1")
+
+
+def test_a_full_store_refuses_turns_and_goes_on(tmp_path):
+    # Large turns filled the memory of all stores at once; they ended, and again after each restart.
+    room = TurnRoom(200_000)
+    running = Deployment(tmp_path, turn_room=room)
+    try:
+        for name in ("s1", "s2", "s3"):
+            running.start_store(name)
+        running.wait_until(lambda: running.leader() is not None)
+        client = running.stores_client()
+        kept = 0
+        for number in range(10):
+            command = KeepTurn(
+                f"t-{number}", "org", "p", None, b"x" * 50_000, b"", 1, "i-1", RETENTION_MS
+            )
+            result = client.propose(command, 8.0)
+            kept += isinstance(result, TurnRecorded)
+            assert isinstance(result, TurnRecorded) or result.code is RefusalCode.OVERLOADED
+        assert 1 <= kept <= 3
+        assert running.store_by_name[running.leader()].state.held_bytes <= room.total_bytes
+        small = KeepTurn("small", "other", "p", None, b"in", b"out", 1, "i-1", RETENTION_MS)
+        assert client.propose(small, 8.0) == TurnRecorded()
+        assert reserve_turn(running, "t-0") == TurnReserved(["t-0"], "i-1")
+    finally:
+        running.stop()
--- a/libs/store/tests/store_deployment.py
+++ b/libs/store/tests/store_deployment.py
@@ -27,8 +27,9 @@
 class Deployment:
     """Store members by name, and the control member that maintains their view."""
 
-    def __init__(self, folder) -> None:
+    def __init__(self, folder, **store_options) -> None:
         self.folder = folder
+        self.store_options = store_options
         self.control_address = free_address()
         self.address_by_name = {}
         self.context_by_name = {}
@@ -48,7 +49,9 @@
         """Start a store member; `first_start` means that the whole deployment is new."""
         address = self.address_by_name.setdefault(name, free_address())
         context = self._context(name, address)
-        settings = StoreSettings(str(self.folder / name), may_bootstrap=first_start)
+        settings = StoreSettings(
+            str(self.folder / name), may_bootstrap=first_start, **self.store_options
+        )
         self.store_by_name[name] = start_store(
             settings, context, ControlClient(context), FAST_LIMITS
         )
