Share the histories of turns among calls, and bound what they take

Cause: each call held a joined copy of its whole history until its end, and one more for each send; none of it counted, and calls that needed the same turn each read it.

Change: calls share the texts and send them part by part. What calls hold counts once a turn, and a call that finds no room is refused, unsent; one alone is served. Stores tell the length of a history with the reservation, and a turn that is being read is not read again.

Why it works: what histories take no longer grows with the number of calls, and their sum has a limit before anything is read.

Tests: four tests of the client of the stores; they ask for what did not exist.

--- a/libs/model/tarragonhall_model/_turns.py
+++ b/libs/model/tarragonhall_model/_turns.py
@@ -31,11 +31,12 @@
 @record
 class TurnReserved:
     """The turn may run. `chain` holds the ids of the turns before it, oldest first; `server_id` is
-    the backend server that ran the last of them.
+    the backend server that ran the last of them, `chain_bytes` the length of their texts.
     """
 
     chain: list[str] = field(default_factory=list)
     server_id: str = ""
+    chain_bytes: int = 0
 
 
 @record
--- a/libs/relay/tarragonhall_relay/_attempt.py
+++ b/libs/relay/tarragonhall_relay/_attempt.py
@@ -106,7 +106,7 @@
     state: RelayState,
     call: AdmittedCall,
     server: BackendRecord,
-    body: bytes,
+    body: tuple[bytes, ...],
     options: AttemptOptions,
     lease: ResponseLease,
 ) -> Outcome:
@@ -175,7 +175,7 @@
     state: RelayState,
     call: AdmittedCall,
     server: BackendRecord,
-    body: bytes,
+    body: tuple[bytes, ...],
     options: AttemptOptions,
     connection: BackendConnection,
 ) -> None:
--- a/libs/relay/tarragonhall_relay/_backend.py
+++ b/libs/relay/tarragonhall_relay/_backend.py
@@ -112,28 +112,34 @@
         self.reused = False
         self.usable_until = 0.0
 
-    def send(self, method: str, target: bytes, headers: Headers, body: bytes) -> None:
-        """Send a call; raise `BackendError` if the connection fails or the head is invalid."""
+    def send(self, method: str, target: bytes, headers: Headers, body: tuple[bytes, ...]) -> None:
+        """Send a call with the parts of its body.
+
+        Raises `BackendError` if the connection fails or the head is invalid.
+        """
         framing: Headers = []
-        if body or method in ("POST", "PUT", "PATCH"):
-            framing = [(b"content-length", str(len(body)).encode())]
+        size = sum(map(len, body))
+        if size or method in ("POST", "PUT", "PATCH"):
+            framing = [(b"content-length", str(size).encode())]
         try:
             self._request = h11.Request(method=method, target=target, headers=headers + framing)
         except h11.LocalProtocolError as error:
             raise BackendError(f"the call cannot be sent: {error}", sent=False) from error
         self.response_body = ResponseBody()
         head = self._http.send(self._request)
-        if body:
-            self._http.send(h11.Data(data=body))
+        for part in body:
+            if part:
+                self._http.send(h11.Data(data=part))
         self._http.send(h11.EndOfMessage())
-        self._traffic.count(REQUEST_KIND, len(head) + len(body), self._zone)
+        self._traffic.count(REQUEST_KIND, len(head) + size, self._zone)
         try:
-            if len(body) <= JOINED_BODY_BYTES:
-                self._connection.sendall(head + body)
+            if size <= JOINED_BODY_BYTES:
+                self._connection.sendall(b"".join((head, *body)))
             else:
                 self._connection.sendall(head)
-                # A view, since each part that is left to send would be copied.
-                self._connection.sendall(memoryview(body))
+                for part in body:
+                    # A view, since what is left to send of a part would be copied.
+                    self._connection.sendall(memoryview(part))
         except OSError as error:
             raise BackendError(f"cannot send: {error}", sent=True) from error
 
--- a/libs/relay/tarragonhall_relay/_call_turn.py
+++ b/libs/relay/tarragonhall_relay/_call_turn.py
@@ -98,13 +98,13 @@
         )
         self._state.report_exhausted(message)
 
-    def prompt(self, body: bytes) -> bytes:
+    def prompt(self, body: bytes) -> tuple[bytes, ...]:
         """Return the bytes for the server: the history of the conversation, then the new input."""
-        return self._open_turn.history + body if self._open_turn is not None else body
+        return (*self._open_turn.history, body) if self._open_turn is not None else (body,)
 
     def prompt_size(self, body: bytes) -> int:
         """Return the length of `prompt` in bytes."""
-        return len(body) + (len(self._open_turn.history) if self._open_turn is not None else 0)
+        return sum(map(len, self.prompt(body)))
 
     def persist(self, body: bytes, output: bytes, used: int, server_id: str) -> None:
         """Store the completed turn; raise `IncompleteResponseError` if that may have failed."""
@@ -122,6 +122,9 @@
         if self._key is not None:
             self._store.release(self._key, used)
             self._key = None
+        if self._open_turn is not None:
+            self._store.close(self._open_turn)
+            self._open_turn = None
 
 
 def count_tokens(events: int, service: Service | None) -> int:
--- a/libs/relay/tarragonhall_relay/_role.py
+++ b/libs/relay/tarragonhall_relay/_role.py
@@ -50,6 +50,7 @@
 from tarragonhall_relay._slots import SlotAllocator
 from tarragonhall_relay._sockets import set_options
 from tarragonhall_relay._state import RelayState
+from tarragonhall_relay._turn_histories import TurnHistories, history_limit_for
 from tarragonhall_relay._turn_store import TurnStoreClient
 from tarragonhall_relay._urgent_first import UrgentFirst
 
@@ -138,7 +139,11 @@
             pool=pool,
             server_checks=ServerChecks(pool, context.metrics, context.monotonic),
             waiting_bytes=WaitingBytes(settings.reader_limits, context.metrics, context.monotonic),
-            turn_store=TurnStoreClient(context, self._follower.store_addresses),
+            turn_store=TurnStoreClient(
+                context,
+                self._follower.store_addresses,
+                TurnHistories(history_limit_for(settings.features.capacity.memory_mb)),
+            ),
             rates=Rates(context, settings.rate_slack, settings.rate_lease_s),
             crash_suspects=CrashSuspects(),
             report_suspect=lambda fingerprint, run: self._peer_updates.report_suspect(
--- a/libs/relay/tarragonhall_relay/_silence.py
+++ b/libs/relay/tarragonhall_relay/_silence.py
@@ -61,7 +61,7 @@
         connection = None
         try:
             connection = self._pool.open(record)
-            connection.send("GET", path.encode(), [(b"host", record.address.encode())], b"")
+            connection.send("GET", path.encode(), [(b"host", record.address.encode())], ())
             with eventlet.Timeout(RESPONSE_TIMEOUT_S, False):
                 return 200 <= connection.read_head().status_code < 300
         except BackendError:
--- a/libs/relay/tarragonhall_relay/_turn_store.py
+++ b/libs/relay/tarragonhall_relay/_turn_store.py
@@ -22,6 +22,8 @@
 )
 from tarragonhall_wire import LeaderClient, ProcessContext, UnavailableError
 
+from tarragonhall_relay._turn_histories import TurnHistories, size_of
+
 log = structlog.get_logger(__name__)
 
 # Without the cache each turn would read its whole history from the stores. A turn has about 5 kB,
@@ -30,6 +32,7 @@
 # A store reads turns from memory within milliseconds; after this timeout another one is tried. A
 # store without power then comes last in the order, until it replies again.
 READ_TIMEOUT_SECONDS = 0.25
+READ_POLL_SECONDS = 0.02
 # A completed turn must survive a short time in which the stores have no leader.
 PERSIST_TIMEOUT_SECONDS = 3.0
 # A reservation that is not released counts against its program for good, hence the long timeout.
@@ -51,11 +54,15 @@
 
 @dataclass(slots=True, frozen=True)
 class OpenTurn:
-    """A turn that may run, its history, and the server of the previous turn (empty if none)."""
+    """A turn that may run, its history, and the server of the previous turn (empty if none).
+
+    The parts of the history are shared with other calls; `held` are the turns to be released.
+    """
 
     key: TurnKey
-    history: bytes
+    history: tuple[bytes, ...]
     server_id: str
+    held: tuple[tuple[str, str], ...] = ()
 
 
 class TurnStoreError(UnavailableError):
@@ -72,11 +79,18 @@
         "_context",
         "_deferred_stores",
         "_full_until_by_org",
+        "_histories",
+        "_reading",
         "_store_addresses",
     )
 
-    def __init__(self, context: ProcessContext, store_addresses) -> None:
+    def __init__(
+        self, context: ProcessContext, store_addresses, histories: TurnHistories | None = None
+    ) -> None:
         self._context = context
+        self._histories = histories or TurnHistories()
+        # Turns that calls are reading from the stores.
+        self._reading: set[tuple[str, str]] = set()
         self._store_addresses = store_addresses
         self._client = LeaderClient(context, store_addresses)
         # By organisation and turn: clients of two organisations may choose the same id.
@@ -95,7 +109,7 @@
         """
         self._check_room(key.org_id)
         if key.token_budget is None and key.previous_turn is None:
-            return OpenTurn(key, b"", "")
+            return OpenTurn(key, (), "")
         command = ReserveTurn(
             key.attempt_id,
             key.org_id,
@@ -120,8 +134,8 @@
             case Refusal():
                 self._note_refusal(key.org_id, result)
                 raise TurnStoreError(result.message)
-            case TurnReserved(chain=chain, server_id=server_id):
-                return self._open_turn(key, chain, server_id, deadline)
+            case TurnReserved():
+                return self._open_turn(key, result, deadline)
         raise TurnStoreError(f"unexpected reply from the stores: {type(result).__name__}")
 
     def persist(
@@ -177,32 +191,67 @@
         except UnavailableError as error:
             log.warning("turn.end_unrecorded", id=key.attempt_id, used=used, error=str(error))
 
-    def _open_turn(
-        self, key: TurnKey, chain: list[str], server_id: str, deadline: float
-    ) -> OpenTurn | UnknownTurn:
+    def close(self, turn: OpenTurn) -> None:
+        """Release the history of a turn that is no longer sent anywhere."""
+        self._histories.release(turn.held)
+
+    def _open_turn(self, key: TurnKey, reserved: TurnReserved, deadline: float) -> OpenTurn:
         try:
-            history = self._read_history(key.org_id, chain, deadline)
+            turns = self._read_history(key.org_id, reserved.chain, reserved.chain_bytes, deadline)
         except BaseException:
             self.release(key, 0)
             raise
-        return OpenTurn(key, history, server_id)
-
-    def _read_history(self, org_id: str, chain: list[str], deadline: float) -> bytes:
-        missing = [turn_id for turn_id in chain if (org_id, turn_id) not in self._cache]
-        fetched = {one.turn_id: one for one in self._fetch(org_id, missing, deadline)}
-        parts: list[bytes] = []
-        for turn_id in chain:
-            turn = fetched.get(turn_id) or self._cache.get((org_id, turn_id))
-            if turn is None:
-                raise TurnStoreError(f"turn {turn_id} could not be read")
-            parts.append(turn.input)
-            parts.append(turn.output)
-        for turn_id in chain:
-            if (org_id, turn_id) in self._cache:
-                self._cache.move_to_end((org_id, turn_id))
-        for turn in fetched.values():
+        self._histories.hold(turns)
+        history = tuple(text for one in turns.values() for text in (one.input, one.output))
+        return OpenTurn(key, history, reserved.server_id, tuple(turns))
+
+    def _read_history(
+        self, org_id: str, chain: list[str], chain_bytes: int, deadline: float
+    ) -> dict[tuple[str, str], TurnContent]:
+        """Return the turns of a chain in their order; raise `TurnStoreError` if there is no room.
+
+        A turn that other calls hold, or are reading, is not read again.
+        """
+        keys = [(org_id, turn_id) for turn_id in chain]
+        self._wait_for_reads(keys, deadline)
+        known = {key: turn for key in keys if (turn := self._known(key)) is not None}
+        missing = [key for key in keys if key not in known]
+        held_bytes = sum(size_of(one) for key, one in known.items() if self._histories.get(key))
+        unheld_bytes = max(chain_bytes, sum(map(size_of, known.values()))) - held_bytes
+        if unheld_bytes > 0 and not self._histories.has_room(unheld_bytes):
+            self._context.metrics.count("relay.histories_refused")
+            raise TurnStoreError("this entry has no memory for the previous turns")
+        if missing:
+            known |= self._read_missing(org_id, missing, unheld_bytes, deadline)
+        for key in keys:
+            if key in self._cache:
+                self._cache.move_to_end(key)
+        return {key: known[key] for key in keys}
+
+    def _known(self, key: tuple[str, str]) -> TurnContent | None:
+        return self._histories.get(key) or self._cache.get(key)
+
+    def _wait_for_reads(self, keys: list[tuple[str, str]], deadline: float) -> None:
+        """Wait until no other call is reading any of the turns, at most until the deadline."""
+        while any(key in self._reading for key in keys):
+            if self._context.monotonic() > deadline:
+                raise TurnStoreError("the previous turns could not be read in time")
+            eventlet.sleep(READ_POLL_SECONDS)
+
+    def _read_missing(
+        self, org_id: str, missing: list[tuple[str, str]], size: int, deadline: float
+    ) -> dict[tuple[str, str], TurnContent]:
+        self._reading.update(missing)
+        # What arrives counts from now on, so that others find no room that is used up soon.
+        self._histories.held_bytes += size
+        try:
+            fetched = self._fetch(org_id, [turn_id for _org, turn_id in missing], deadline)
+        finally:
+            self._histories.held_bytes -= size
+            self._reading.difference_update(missing)
+        for turn in fetched:
             self._cache_turn(org_id, turn)
-        return b"".join(parts)
+        return {(org_id, turn.turn_id): turn for turn in fetched}
 
     def _fetch(self, org_id: str, turn_ids: list[str], deadline: float) -> list[TurnContent]:
         """Read turns from any store that has them; raise `TurnStoreError` at the deadline."""
@@ -227,7 +276,7 @@
             if len(found) < len(turn_ids):
                 if self._context.monotonic() > deadline:
                     raise TurnStoreError("the previous turns could not be read in time")
-                eventlet.sleep(0.02)
+                eventlet.sleep(READ_POLL_SECONDS)
         return list(found.values())
 
     def _cache_turn(self, org_id: str, turn: TurnContent) -> None:
@@ -235,7 +284,7 @@
         if key in self._cache:
             return
         self._cache[key] = turn
-        self._cached_bytes += len(turn.input) + len(turn.output)
+        self._cached_bytes += size_of(turn)
         while self._cached_bytes > MAX_CACHE_BYTES:
             _key, dropped = self._cache.popitem(last=False)
-            self._cached_bytes -= len(dropped.input) + len(dropped.output)
+            self._cached_bytes -= size_of(dropped)
--- a/libs/relay/tests/reads_tests.py
+++ b/libs/relay/tests/reads_tests.py
@@ -5,8 +5,12 @@
 import random
 from types import SimpleNamespace
 
-from tarragonhall_model import RequestTimeoutError, TurnContent, TurnsRead
-from tarragonhall_relay._turn_store import TurnStoreClient
+import eventlet
+import pytest
+from tarragonhall_model import RequestTimeoutError, TurnContent, TurnReserved, TurnsRead
+from tarragonhall_relay._turn_histories import TurnHistories
+from tarragonhall_relay._turn_store import TurnKey, TurnStoreClient, TurnStoreError
+from tarragonhall_wire import make_metrics
 
 STORES = ["near:1", "far:1", "standby:1"]
 
@@ -31,9 +35,14 @@
         return SimpleNamespace(request=request)
 
 
-def make_client(stores: ScriptedStores) -> TurnStoreClient:
-    context = SimpleNamespace(hub=stores, rng=random.Random(1), monotonic=lambda: 0.0)
-    return TurnStoreClient(context, lambda: STORES)
+def make_client(stores: ScriptedStores, histories=None) -> TurnStoreClient:
+    context = SimpleNamespace(
+        hub=stores,
+        rng=random.Random(1),
+        monotonic=lambda: 0.0,
+        metrics=make_metrics(None, 0, "entry-1"),
+    )
+    return TurnStoreClient(context, lambda: STORES, histories)
 
 
 def test_store_that_does_not_reply_is_tried_last_afterwards():
@@ -71,5 +80,75 @@
     stores = ScriptedStores({"near:1"})
     client = make_client(stores)
     client._cache_turn("other", TurnContent("t-1", b"secret", b"answer"))
-    assert client._read_history("org", ["t-1"], 1.0) == b"org."
-    assert client._read_history("other", ["t-1"], 1.0) == b"secretanswer"
+    assert texts(client._read_history("org", ["t-1"], 4, 1.0)) == b"org."
+    assert texts(client._read_history("other", ["t-1"], 12, 1.0)) == b"secretanswer"
+
+
+def texts(turn_by_key) -> bytes:
+    return b"".join(one.input + one.output for one in turn_by_key.values())
+
+
+KEY = TurnKey("a-1", "org", "p", "t-1", None, 1, 60_000)
+
+
+def reserved(*chain: str, size: int) -> TurnReserved:
+    return TurnReserved(list(chain), "i-1", size)
+
+
+def test_calls_that_continue_one_long_turn_hold_it_once():
+    # Each call held a copy of the whole history: 250 calls with a body of 9 bytes took 500 MB.
+    client = make_client(ScriptedStores({"near:1"}))
+    long_turn = TurnContent("t-1", b"x" * 100_000, b"")
+    client._cache_turn("org", long_turn)
+    turns = [client._open_turn(KEY, reserved("t-1", size=100_000), 1.0) for _ in range(250)]
+    assert all(turn.history[0] is long_turn.input for turn in turns)
+    assert client._histories.held_bytes == 100_000
+    for turn in turns:
+        client.close(turn)
+    assert client._histories.held_bytes == 0
+
+
+def test_calls_that_continue_many_long_turns_are_refused_beyond_the_room():
+    # Calls that wait for a server filled the memory with their histories.
+    histories = TurnHistories(limit=250_000)
+    client = make_client(ScriptedStores({"near:1"}), histories)
+    open_turns = []
+    for number in range(4):
+        client._cache_turn("org", TurnContent(f"t-{number}", b"x" * 100_000, b""))
+    for number in range(2):
+        open_turns.append(client._open_turn(KEY, reserved(f"t-{number}", size=100_000), 1.0))
+    with pytest.raises(TurnStoreError):
+        client._open_turn(KEY, reserved("t-2", size=100_000), 1.0)
+    client._open_turn(KEY, reserved("t-0", size=100_000), 1.0)
+    client.close(open_turns[1])
+    client._open_turn(KEY, reserved("t-3", size=100_000), 1.0)
+
+
+def test_a_history_that_is_not_read_yet_is_refused_by_its_size():
+    # What the stores send would fill the memory before anything could be counted.
+    stores = ScriptedStores({"near:1"})
+    client = make_client(stores, TurnHistories(limit=250_000))
+    client._cache_turn("org", TurnContent("t-1", b"x" * 100_000, b""))
+    held = client._open_turn(KEY, reserved("t-1", size=100_000), 1.0)
+    with pytest.raises(TurnStoreError):
+        client._open_turn(KEY, reserved("t-9", size=200_000), 1.0)
+    assert stores.requested == []
+    client.close(held)
+    # Alone, a history of any size is read, and served.
+    assert client._open_turn(KEY, reserved("t-9", size=900_000), 1.0).history == (b"org", b".")
+
+
+def test_calls_that_need_the_same_turn_read_it_once():
+    # Each of them asked the stores for the long turn at the same moment.
+    class SlowStores(ScriptedStores):
+        def link_to(self, address: str):
+            eventlet.sleep(0.05)
+            return super().link_to(address)
+
+    stores = SlowStores({"near:1"})
+    client = make_client(stores)
+    reading = [
+        eventlet.spawn(client._open_turn, KEY, reserved("t-1", size=4), 1.0) for _ in range(20)
+    ]
+    assert {turn.wait().history for turn in reading} == {(b"org", b".")}
+    assert stores.requested == ["near:1"]
--- a/libs/relay/tests/relay_doubles.py
+++ b/libs/relay/tests/relay_doubles.py
@@ -102,6 +102,7 @@
         self.reserved = []
         self.persisted = []
         self.released = []
+        self.closed = 0
         self.on_persist = lambda: None
 
     def reserve(self, key, _timeout_s):
@@ -110,7 +111,7 @@
             return self.reserve_result
         if self.reserve_result is not None:
             raise self.reserve_result
-        return OpenTurn(key, self.history, "")
+        return OpenTurn(key, (self.history,), "")
 
     def persist(self, turn, body, output, used, server_id):
         self.on_persist()
@@ -118,6 +119,9 @@
             raise UnavailableError("no leader")
         self.persisted.append((turn.key.attempt_id, body, output, used, server_id))
 
+    def close(self, turn):
+        self.closed += 1
+
     def release(self, key, used):
         self.released.append((key.attempt_id, used))
 
--- a/libs/state/tarragonhall_state/_turns.py
+++ b/libs/state/tarragonhall_state/_turns.py
@@ -179,14 +179,18 @@
     def _reserve(self, command: ReserveTurn) -> object:
         server_id = ""
         chain: list[str] = []
+        chain_bytes = 0
         if command.previous is not None:
             turn = self.turn_by_key.get((command.org_id, command.previous))
             if turn is None:
                 return UnknownTurn()
             server_id = turn.server_id
             chain = self.chain(command.org_id, command.previous)
+            for turn_id in chain:
+                one = self.turn_by_key[command.org_id, turn_id]
+                chain_bytes += len(one.input) + len(one.output)
         if command.budget is None:
-            return TurnReserved(chain, server_id)
+            return TurnReserved(chain, server_id, chain_bytes)
         tokens = self._program(command.org_id, command.program_id, command.retention_ms)
         if command.attempt_id in tokens.ended:
             return TurnEnded()
@@ -194,7 +198,7 @@
             if tokens.spent_or_reserved() + command.most > command.budget:
                 return BudgetSpent(tokens.spent)
             tokens.reserved_by_attempt[command.attempt_id] = command.most
-        return TurnReserved(chain, server_id)
+        return TurnReserved(chain, server_id, chain_bytes)
 
     def _end(self, command: EndTurn) -> TurnRecorded:
         tokens = self._program(command.org_id, command.program_id, command.retention_ms)
--- a/libs/state/tests/turns_tests.py
+++ b/libs/state/tests/turns_tests.py
@@ -54,7 +54,7 @@
     stores.keep("a")
     stores.keep("b", previous="a")
     stores.keep("c", previous="b")
-    assert stores.reserve("d", previous="c") == TurnReserved(["a", "b", "c"], "i-1")
+    assert stores.reserve("d", previous="c") == TurnReserved(["a", "b", "c"], "i-1", 9)
     assert [one.input for one in stores.state.content("org", ["a", "c"])] == [b"a", b"c"]
 
 
@@ -73,8 +73,8 @@
     assert stores.reserve("b", previous="a", org="other") == UnknownTurn()
     stores.apply(KeepTurn("a", "other", "p", None, b"in", b"out", 1, "i-2", RETENTION_MS))
     stores.keep("b", org="org", previous="a")
-    assert stores.reserve("c", previous="b", org="org") == TurnReserved(["a", "b"], "i-1")
-    assert stores.reserve("c", previous="a", org="other") == TurnReserved(["a"], "i-2")
+    assert stores.reserve("c", previous="b", org="org") == TurnReserved(["a", "b"], "i-1", 6)
+    assert stores.reserve("c", previous="a", org="other") == TurnReserved(["a"], "i-2", 5)
     assert [one.input for one in stores.state.content("org", ["a"])] == [b"a"]
     assert [one.input for one in stores.state.content("other", ["a"])] == [b"in"]
     restored = TurnState()
@@ -133,7 +133,7 @@
     stores.now_ms = RETENTION_MS - 1
     stores.keep("b", previous="a")
     stores.now_ms = 2 * RETENTION_MS - 2
-    assert stores.reserve("c", previous="b") == TurnReserved(["a", "b"], "i-1")
+    assert stores.reserve("c", previous="b") == TurnReserved(["a", "b"], "i-1", 6)
     stores.now_ms = 3 * RETENTION_MS + 2 * RETENTION_SLACK_MS
     assert stores.reserve("d", previous="b") == UnknownTurn()
     assert stores.state.turn_by_key == {}
--- a/libs/store/tests/role_tests.py
+++ b/libs/store/tests/role_tests.py
@@ -49,7 +49,7 @@
 def test_three_stores_bootstrap_one_group_and_store_turns(deployment):
     assert store_turn(deployment, "a") == TurnRecorded()
     assert store_turn(deployment, "b", "a") == TurnRecorded()
-    assert reserve_turn(deployment, "b") == TurnReserved(["a", "b"], "i-1")
+    assert reserve_turn(deployment, "b") == TurnReserved(["a", "b"], "i-1", 14)
     assert reserve_turn(deployment, "nothing") == UnknownTurn()
 
 
@@ -65,7 +65,7 @@
     for name in ("s1", "s2", "s3"):
         deployment.start_store(name)
     deployment.wait_until(lambda: deployment.leader() is not None)
-    assert reserve_turn(deployment, "b") == TurnReserved(["a", "b"], "i-1")
+    assert reserve_turn(deployment, "b") == TurnReserved(["a", "b"], "i-1", 14)
 
 
 def test_a_store_that_lost_its_disk_is_restored_automatically(deployment):
@@ -94,7 +94,7 @@
     deployment.stop_store(wiped)
     shutil.rmtree(deployment.folder / wiped)
     deployment.wait_until(lambda: deployment.leader() is not None)
-    assert reserve_turn(deployment, "a") == TurnReserved(["a"], "i-1")
+    assert reserve_turn(deployment, "a") == TurnReserved(["a"], "i-1", 7)
 
 
 def _known_stores(control_role):
@@ -119,7 +119,7 @@
     assert leader not in deployment.voters()
     assert "s4" in deployment.voters()
     assert len(deployment.voters()) == 3
-    assert reserve_turn(deployment, "a") == TurnReserved(["a"], "i-1")
+    assert reserve_turn(deployment, "a") == TurnReserved(["a"], "i-1", 7)
 
 
 def test_a_store_that_waits_for_the_bootstrap_replies_that_it_is_not_the_leader(tmp_path):
@@ -201,7 +201,7 @@
     disks.repair(deployment.folder / hung)
     deployment.wait_until(lambda: {("org", one) for one in "abc"} <= set(role.state.turn_by_key))
     deployment.wait_until(role.ready)
-    assert reserve_turn(deployment, "c") == TurnReserved(["a", "b", "c"], "i-1")
+    assert reserve_turn(deployment, "c") == TurnReserved(["a", "b", "c"], "i-1", 21)
 
 
 def test_a_full_store_refuses_turns_and_goes_on(tmp_path):
@@ -225,6 +225,6 @@
         assert running.store_by_name[running.leader()].state.held_bytes <= room.total_bytes
         small = KeepTurn("small", "other", "p", None, b"in", b"out", 1, "i-1", RETENTION_MS)
         assert client.propose(small, 8.0) == TurnRecorded()
-        assert reserve_turn(running, "t-0") == TurnReserved(["t-0"], "i-1")
+        assert reserve_turn(running, "t-0") == TurnReserved(["t-0"], "i-1", 50_000)
     finally:
         running.stop()
