Keep the newest drain of a server while older announcements arrive late

Cause: a late announcement from before the drain counts as draining, and the entry then kept that record in place of the one of the drain. Its sequence is lower, so the next late announcement counted as newer.

Change: the entry keeps the later of the two, by incarnation, end and sequence.

Why it works: what is compared with late announcements is the drain itself until a later record comes.

--- a/libs/decisions/tarragonhall_decisions/_registry.py
+++ b/libs/decisions/tarragonhall_decisions/_registry.py
@@ -238,6 +238,10 @@
             self._departed_by_id.pop(merged.server_id, None)
             self._departed_listed_at.pop(merged.server_id, None)
             return
+        kept = self._departed_by_id.get(merged.server_id)
+        if kept is not None and _order(kept) > _order(merged):
+            # A late announcement that counts as draining is older than the one that said so.
+            return
         # A mark without an incarnation may be of an earlier one than this.
         if merged.draining or any(r.gone and r.born_ms == merged.born_ms for r in known):
             self._departed_by_id[merged.server_id] = merged
@@ -292,3 +296,8 @@
     draining = any(r.draining for r in same_incarnation)
     named = latest if latest.address else next((r for r in records if r.address), latest)
     return replace(named, gone=gone, heard=heard, draining=draining)
+
+
+def _order(record: BackendRecord) -> tuple[int, bool, int]:
+    """Return what a later record of a server has more of; an incarnation is gone for good."""
+    return record.born_ms, record.gone, record.sequence
--- a/libs/decisions/tests/registry_tests.py
+++ b/libs/decisions/tests/registry_tests.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import replace
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from tarragonhall_decisions import BackendTable, Registry
 from tarragonhall_decisions._registry import FORGET_S, UNREACHABLE_AFTER_S
@@ -269,6 +269,7 @@
     st.lists(st.sampled_from(["ready", "drain", "leave", "late", "restart"]), max_size=12),
     st.integers(0, 2),
 )
+@example(["ready", "drain", "restart", "late", "late"], 0)
 def test_no_order_of_restarts_and_late_announcements_brings_a_server_back(steps, member):
     # Members are restarted at any moment, and any earlier announcement arrives again at any of
     # them. Nothing but a later incarnation makes a server count again after its departure.
