Look for the copies of an entry only once a majority holds it

Cause: the highest index was searched among all held ones, with sets built for each step.

Change: the majority's index comes first, as before the copies were counted; the copies are looked at only if it is beyond the commit index.

Measured: tests of consensus pass, their mutations included.

--- a/libs/consensus/tarragonhall_consensus/_leadership.py
+++ b/libs/consensus/tarragonhall_consensus/_leadership.py
@@ -30,12 +30,7 @@
     OtherIdentity,
     SnapshotReply,
 )
-from tarragonhall_consensus._quorums import (
-    has_copies,
-    has_majority,
-    identified,
-    required_copies,
-)
+from tarragonhall_consensus._quorums import copied_index, required_copies
 from tarragonhall_consensus._reads import Reads, Rounds
 from tarragonhall_consensus._replication import Replication
 
@@ -241,26 +236,18 @@
         core.commit_index = index
 
     def _index_to_commit(self) -> int:
-        """Return the highest index that is held as the undecided member lists require."""
+        """Return the highest index that a majority and as many members as are required hold."""
         core = self._core
-        members = core.membership.members
-        lists = core.membership.undecided_lists(core.commit_index)
-        lost = self._lost_identities()
-        index_by_identity = {
-            member.identity: self._match_index_of(member)
-            for listed in lists
-            for member in identified(listed)
-        }
+        membership = core.membership
+        matches = sorted(self._match_index_of(voter) for voter in membership.voters())
+        index = matches[len(matches) - membership.majority()]
+        if index <= core.commit_index:
+            return core.commit_index
         losses = core.limits.tolerated_losses
-        for index in sorted(set(index_by_identity.values()), reverse=True):
-            if index <= core.commit_index:
-                break
-            held = {identity for identity, held in index_by_identity.items() if held >= index}
-            if has_majority(members, held) and all(
-                has_copies(listed, losses, held, lost) for listed in lists
-            ):
-                return index
-        return core.commit_index
+        lost = self._lost_identities()
+        for members in membership.undecided_lists(core.commit_index):
+            index = min(index, copied_index(members, losses, lost, self._match_index_of))
+        return index
 
     def report_applied(self, index: int, result: object) -> None:
         """Report to the proposer of an entry, if it was proposed here, that it was applied."""
--- a/libs/consensus/tarragonhall_consensus/_quorums.py
+++ b/libs/consensus/tarragonhall_consensus/_quorums.py
@@ -12,7 +12,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+import math
+from collections.abc import Callable, Collection
 
 from tarragonhall_consensus._messages import Member
 
@@ -34,15 +35,21 @@
     return max(1, min(losses + 1, len(identified(members)) - 1))
 
 
-def has_copies(
-    members: tuple[Member, ...], losses: int, held: Collection[str], lost: Collection[str]
-) -> bool:
-    """Return whether enough identities of a list hold an entry; `lost` have no folder any more."""
-    # A lost copy is one of the losses that the others are to outlive.
-    held_or_lost = sum(
-        member.identity in held or member.identity in lost for member in identified(members)
-    )
-    return held_or_lost >= required_copies(members, losses)
+def copied_index(
+    members: tuple[Member, ...],
+    losses: int,
+    lost: Collection[str],
+    index_of: Callable[[Member], int],
+) -> float:
+    """Return up to which index enough identities of a list hold the log.
+
+    A lost copy is one of the losses that the others are to outlive, so it counts for any index.
+    """
+    indexes = [
+        math.inf if member.identity in lost else index_of(member) for member in identified(members)
+    ]
+    indexes.sort(reverse=True)
+    return indexes[required_copies(members, losses) - 1]
 
 
 def is_recoverable(
--- a/libs/consensus/tests/mutation_tests.py
+++ b/libs/consensus/tests/mutation_tests.py
@@ -114,12 +114,12 @@
 
 
 def lost_holder_counted_twice(patch):
-    has_copies = _quorums.has_copies
+    copied_index = _quorums.copied_index
 
-    def counted(members, losses, held, lost):
-        return has_copies(members, losses - len(lost), held, lost)
+    def counted(members, losses, lost, index_of):
+        return copied_index(members, losses - len(lost), lost, index_of)
 
-    patch.setattr(_leadership, "has_copies", counted)
+    patch.setattr(_leadership, "copied_index", counted)
 
 
 def _has_majority_of_any_identity(election):
