Leave out folders that only the member list says are lost

What users would see: a member lost its folder and went down; the list that records it still names the old identity as a voter. A leader that was then elected without it kept that voter, which can never answer, and one more loss would leave no majority. Found by reading the change.

Cause: the election counts identities that the list calls lost, and passed on only those that had answered it.

Change: both are left out of the list with which such a leader goes on.

Test: the identity was still listed before, and is not now.

--- a/libs/consensus/tarragonhall_consensus/_election.py
+++ b/libs/consensus/tarragonhall_consensus/_election.py
@@ -52,7 +52,10 @@
         """Return the identities without which this member had to win the current round."""
         if self._has_majority() or not self._is_recovery:
             return frozenset()
-        return frozenset(self._lost)
+        return frozenset(self._lost_identities())
+
+    def _lost_identities(self) -> set[str]:
+        return self._lost | self._core.membership.lost_identities()
 
     def granted_by(self) -> tuple[str, ...]:
         """Return the members that have granted their vote in the current round, sorted."""
@@ -201,7 +204,7 @@
         core = self._core
         granted = set(self._granted.values())
         losses = core.limits.tolerated_losses
-        lost = self._lost | core.membership.lost_identities()
+        lost = self._lost_identities()
         return all(
             is_recoverable(members, losses, granted, lost)
             for members in core.membership.undecided_lists(core.commit_index)
--- a/libs/consensus/tests/recovery_tests.py
+++ b/libs/consensus/tests/recovery_tests.py
@@ -164,6 +164,26 @@
     assert cluster.node_by_id[leader].replica.term() == term
 
 
+def test_a_folder_that_only_the_member_list_says_is_lost_does_not_vote():
+    """A member lost its folder and went down; the list that says so still names it as a voter."""
+    cluster = _all_found()
+    cluster.commit(b"a")
+    leader = cluster.leader()
+    first, second, third = cluster.followers()
+    dead = cluster.node_by_id[first].replica.status().identity
+    cluster.wipe(first)
+    cluster.run(0.4)
+    cluster.change(member=Member("m9", "", "a9"))
+    cluster.run(0.4)
+    cluster.kill(first)
+    cluster.wipe(second)
+    cluster.run(8)
+    assert cluster.await_leader() in (leader, third)
+    cluster.commit(b"b")
+    members = cluster.node_by_id[cluster.leader()].replica.status().members
+    assert dead not in {member.identity for member in members}
+
+
 def test_a_learner_that_loses_its_folder_starts_over():
     """A learner that lost its folder before it counted for anything got nothing any more."""
     cluster = Cluster(3, limits=SMALL)
