Send the body of a test of connections as its parts

Change: the test passes one part. What it checks is unchanged: all bytes are sent, and memory stays below a quarter of them.

--- a/libs/relay/tests/client_bodies_tests.py
+++ b/libs/relay/tests/client_bodies_tests.py
@@ -234,7 +234,7 @@
     connection = BackendConnection(sink, record, Traffic())
     body = BODY * 4
     with traced() as memory:
-        connection.send("POST", b"/buy/", [(b"host", b"shop")], body)
+        connection.send("POST", b"/buy/", [(b"host", b"shop")], (body,))
     assert sum(sink.sizes) > len(body)
     assert memory.peak < len(body) / 4
 
