Tell in logs and metrics whether a call's program is late

Nothing told an operator how much of the work of the servers went into programs that were late: turns are counted, programs are not.

call.end tells whether the call starts a program and how much time its program had left at the end, and relay.program_calls counts calls by status and by whether their program was late.

--- a/libs/relay/tarragonhall_relay/_report.py
+++ b/libs/relay/tarragonhall_relay/_report.py
@@ -71,10 +71,16 @@
         for name in HISTOGRAM_STEPS:
             if name in self._ms_by_step:
                 self._state.metrics.timing(f"relay.{name}", self._ms_by_step[name])
+        left_ms = _program_left_ms(call, total_ms)
+        if left_ms is not None:
+            late = (("late", "yes" if left_ms < 0.0 else "no"), *outcome)
+            self._state.metrics.count("relay.program_calls", labels=late)
         log.info(
             "call.end",
             id=call.facts.attempt_id if call is not None else attempt_id,
             program=call.facts.program_id if call is not None else None,
+            starts_program=call.starts_program if call is not None else None,
+            program_left_ms=left_ms,
             route=call.route.name if call is not None else None,
             organisation=call.org_id if call is not None else None,
             status=status,
@@ -94,3 +100,10 @@
 
     def _elapsed_ms(self) -> float:
         return (self._state.monotonic() - self._arrived_at) * 1000
+
+
+def _program_left_ms(call: AdmittedCall | None, elapsed_ms: float) -> float | None:
+    """Return the time until the call's program should end, negative if it is late."""
+    if call is None or call.facts.program_deadline_ms is None:
+        return None
+    return round(call.facts.program_deadline_ms - elapsed_ms, 1)
--- a/libs/relay/tests/relay_doubles.py
+++ b/libs/relay/tests/relay_doubles.py
@@ -65,6 +65,7 @@
             token_budget=int(budget) if budget else None,
             max_tokens=int(by_name.get(b"most", "0")),
             previous_turn=by_name.get(b"previous"),
+            program_deadline_ms=int(by_name[b"left"]) if b"left" in by_name else None,
             last_event_id=int(by_name[LAST_EVENT]) if LAST_EVENT in by_name else None,
             object_key=by_name.get(b"object", ""),
             prompt_tokens=int(by_name.get(b"prompt", "0")),
