Refuse responses whose head, chunks or trailers are cut short

Reported of other systems: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole. Here a call of a service through a sidecar did this: the program got an empty answer with status 200, and a server that broke off its health responses counted as up. An operator's command reported a change as accepted.

Cause: Python's HTTP library takes the end of the connection for the end of a line and for an empty one. A head without its rest is then a response without headers, whose body ends with the connection.

Why it works: each line that the library reads goes through one place, which refuses a line without its end. A call whose response is cut ends as one that may have run.

--- a/libs/cli/tarragonhall_cli/_client.py
+++ b/libs/cli/tarragonhall_cli/_client.py
@@ -8,7 +8,8 @@
 from urllib.parse import quote, urlencode
 
 import urllib3
-from tarragonhall_model import Finding
+from tarragonhall_model import Finding, WholeResponse
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from tarragonhall_cli._errors import (
@@ -31,6 +32,14 @@
 STATUS_UNAVAILABLE = 503
 
 
+class _Connection(HTTPConnection):
+    response_class = WholeResponse
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class AdminClient:
     """Sends admin requests to the first control member that answers."""
 
@@ -38,6 +47,7 @@
 
     def __init__(self, profile: Profile, retry_seconds: float = RETRY_SECONDS) -> None:
         self._http = urllib3.PoolManager(retries=False)
+        self._http.pool_classes_by_scheme = {"http": _Pool}
         self._profile = profile
         self._retry_seconds = retry_seconds
 
--- a/libs/fakes/tarragonhall_fakes/_load_caller.py
+++ b/libs/fakes/tarragonhall_fakes/_load_caller.py
@@ -8,6 +8,8 @@
 
 import eventlet
 import urllib3
+from tarragonhall_model import WholeResponse
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from tarragonhall_fakes._load_workload import ProgramPlan, Step
@@ -62,6 +64,14 @@
     """The caller abandoned the program; the message gives the reason."""
 
 
+class _Connection(HTTPConnection):
+    response_class = WholeResponse
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class Callers:
     """Runs programs against the entries, which take the requests in rotation."""
 
@@ -81,6 +91,7 @@
         self._http = urllib3.PoolManager(
             retries=False, timeout=timeout_s + 5.0, maxsize=POOL_SIZE, num_pools=50
         )
+        self._http.pool_classes_by_scheme = {"http": _Pool}
 
     def now(self) -> float:
         """Return the seconds since the start of the load."""
--- a/libs/model/tarragonhall_model/__init__.py
+++ b/libs/model/tarragonhall_model/__init__.py
@@ -223,6 +223,7 @@
     UnknownTurn,
 )
 from tarragonhall_model._view_delta import ViewDelta, apply_view_delta, view_delta
+from tarragonhall_model._whole_response import WholeResponse
 
 __all__ = [
     "AbandonCall",
@@ -420,4 +421,5 @@
     "unknown_name",
     "unpack_records",
     "view_delta",
+    "WholeResponse",
 ]
--- a/libs/sidecar/tarragonhall_sidecar/_backend.py
+++ b/libs/sidecar/tarragonhall_sidecar/_backend.py
@@ -23,6 +23,7 @@
     Dispatch,
     EngineOrder,
     TarragonhallError,
+    WholeResponse,
 )
 from tarragonhall_wire import report_resets
 from urllib3.connection import HTTPConnection
@@ -252,7 +253,7 @@
             return
 
 
-class _Response(http.client.HTTPResponse):
+class _Response(WholeResponse):
     """A response with bounded informational responses and trailers, and a status that HTTP has.
 
     The base class skips any number of informational responses with status 100 and takes the others,
@@ -272,12 +273,12 @@
                 raise http.client.HTTPException(f"{status} is no status of a response")
             if status == http.HTTPStatus.CONTINUE or status >= 200:
                 return version, status, reason
-            while self.fp.readline(MAX_TRAILER_BYTES) not in (b"", b"\r\n", b"\n"):
+            while self.fp.readline(MAX_TRAILER_BYTES) not in (b"\r\n", b"\n"):
                 continue
 
     def _read_and_discard_trailer(self):
         size = 0
-        while (line := self.fp.readline(MAX_TRAILER_BYTES + 1)) not in (b"", b"\r\n", b"\n"):
+        while (line := self.fp.readline(MAX_TRAILER_BYTES + 1)) not in (b"\r\n", b"\n"):
             size += len(line)
             if size > MAX_TRAILER_BYTES:
                 raise http.client.HTTPException(f"over {MAX_TRAILER_BYTES} bytes of trailers")
